Add the toolchain, the base layer, the domain objects and the design

Cause: the repository was empty; the parts of the system need common types, a layer rule and a design before they can be built side by side.

--- /dev/null
+++ b/src/base/node/http_client.ts
@@ -0,0 +1,122 @@
+/**
+ * Small HTTP requests of the control path (platform log, administration). Calls of callers go
+ * through the attempt feature instead.
+ *
+ * @module
+ */
+
+import { Agent, request, type RequestOptions } from "node:http";
+import type { Milliseconds } from "../common/milliseconds.ts";
+import { Err, Ok, type Result } from "../common/result.ts";
+import { StepError } from "../common/step_error.ts";
+
+const DEFAULT_TIMEOUT_MS: Milliseconds = 5_000;
+const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
+/** Errors of a connection that was never made: no byte of the request was sent. */
+const CONNECT_ERRORS = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+]);
+
+export interface HttpRequest {
+  readonly step: string;
+  readonly url: string;
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array | string;
+  /** Limit for the whole exchange. */
+  readonly timeoutMilliseconds?: Milliseconds;
+}
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+export interface HttpClient {
+  send(message: HttpRequest): Promise<Result<HttpAnswer, StepError>>;
+  dispose(): void;
+}
+
+export function createHttpClient(): HttpClient {
+  const agent = new Agent({ keepAlive: true, maxFreeSockets: 4 });
+  return {
+    send: (message) => send(message, agent),
+    dispose: () => agent.destroy(),
+  };
+}
+
+function send(
+  message: HttpRequest,
+  agent: Agent,
+): Promise<Result<HttpAnswer, StepError>> {
+  const timeout = message.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MS;
+  const options: RequestOptions = {
+    agent,
+    method: message.method ?? "GET",
+    headers: message.body === undefined ? message.headers : {
+      ...message.headers,
+      "content-length": Buffer.byteLength(message.body),
+    },
+  };
+  return new Promise((resolve) => {
+    const peer = new URL(message.url).host;
+    const outgoing = request(message.url, options, (incoming) => {
+      const parts: Buffer[] = [];
+      let length = 0;
+      incoming.on("data", (part: Buffer) => {
+        length += part.length;
+        if (length > MAXIMUM_ANSWER_BYTES) {
+          outgoing.destroy(
+            new Error(
+              `the answer is longer than ${MAXIMUM_ANSWER_BYTES} bytes`,
+            ),
+          );
+        }
+        parts.push(part);
+      });
+      incoming.on(
+        "end",
+        () =>
+          settle(
+            Ok({
+              status: incoming.statusCode ?? 0,
+              body: Buffer.concat(parts),
+            }),
+          ),
+      );
+      incoming.on("error", fail);
+    });
+    const timer = setTimeout(
+      () => outgoing.destroy(new Error(`no whole answer within ${timeout} ms`)),
+      timeout,
+    );
+    outgoing.on("error", fail);
+    outgoing.end(message.body);
+
+    function fail(error: NodeJS.ErrnoException): void {
+      const outcome = CONNECT_ERRORS.has(error.code ?? "")
+        ? "not-run"
+        : "unknown";
+      settle(Err(
+        new StepError(
+          message.step,
+          `Request to ${peer} failed: ${error.message}`,
+          {
+            peer,
+            outcome,
+            cause: error,
+          },
+        ),
+      ));
+    }
+
+    function settle(result: Result<HttpAnswer, StepError>): void {
+      clearTimeout(timer);
+      resolve(result);
+    }
+  });
+}
--- /dev/null
+++ b/src/base/node/http_server.ts
@@ -0,0 +1,130 @@
+/**
+ * HTTP listeners with limits on bodies, headers and time.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Milliseconds } from "../common/milliseconds.ts";
+import { Err, Ok, type Result } from "../common/result.ts";
+import { StepError } from "../common/step_error.ts";
+
+const MAXIMUM_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS: Milliseconds = 5_000;
+const REQUEST_TIMEOUT_MS: Milliseconds = 60_000;
+const KEEP_ALIVE_TIMEOUT_MS: Milliseconds = 30_000;
+
+export type HttpHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+export interface HttpListener {
+  readonly server: Server;
+  readonly port: number;
+  /** Stops accepting, closes idle connections and resolves when the last request has ended. */
+  drain(): Promise<void>;
+  /** Destroys every connection. */
+  close(): Promise<void>;
+}
+
+export interface ListenOptions {
+  readonly address: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+}
+
+export function listenHttp(
+  handler: HttpHandler,
+  options: ListenOptions,
+): Promise<HttpListener> {
+  const server = createServer({
+    maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    noDelay: true,
+  }, handler);
+  return new Promise((resolve, reject) => {
+    server.once("error", (error) =>
+      reject(
+        new StepError(
+          "http.listen",
+          `Cannot listen on ${options.address}:${options.port}: ${error.message}`,
+          { outcome: "not-run", cause: error },
+        ),
+      ));
+    server.listen(options.port, options.address, () => {
+      resolve({
+        server,
+        port: (server.address() as AddressInfo).port,
+        drain: () => closeServer(server, () => server.closeIdleConnections()),
+        close: () => closeServer(server, () => server.closeAllConnections()),
+      });
+    });
+  });
+}
+
+function closeServer(
+  server: Server,
+  closeConnections: () => void,
+): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    closeConnections();
+  });
+}
+
+/** Reads a whole body; fails when it is longer than the limit or the sender goes away. */
+export function readBody(
+  stream: IncomingMessage,
+  maximumBytes: number,
+): Promise<Result<Buffer, StepError>> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let length = 0;
+    stream.on("data", (part: Buffer) => {
+      length += part.length;
+      if (length <= maximumBytes) {
+        parts.push(part);
+      } else {
+        resolve(
+          Err(bodyError(`The body is longer than ${maximumBytes} bytes`)),
+        );
+      }
+    });
+    stream.on("end", () => resolve(Ok(Buffer.concat(parts))));
+    stream.on(
+      "close",
+      () =>
+        resolve(Err(bodyError("The connection closed before the body ended"))),
+    );
+    stream.on("error", (error) => resolve(Err(bodyError(error.message))));
+  });
+}
+
+function bodyError(message: string): StepError {
+  return new StepError("http.read-body", message, { outcome: "not-run" });
+}
+
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: OutgoingHttpHeaders = {},
+): void {
+  const bytes = Buffer.from(JSON.stringify(body) + "\n");
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": bytes.length,
+    ...headers,
+  });
+  response.end(bytes);
+}
--- /dev/null
+++ b/src/base/node/process_log.ts
@@ -0,0 +1,63 @@
+/**
+ * The event log of a process, written by `winston` as one line of key=value pairs per event.
+ *
+ * @module
+ */
+
+import winston from "winston";
+import type { EventLog, LogFields, LogLevel } from "../common/event_log.ts";
+
+const BARE_VALUE = /^[\w.:\-/@+]+$/;
+
+export interface ProcessLogOptions {
+  readonly level: LogLevel;
+  /** Fields of every line: host, failure domain, process. */
+  readonly fields: LogFields;
+  /** A file to append to; standard error when absent. */
+  readonly file?: string;
+}
+
+export function createProcessLog(options: ProcessLogOptions): EventLog {
+  const transport = options.file === undefined
+    ? new winston.transports.Console({
+      stderrLevels: ["error", "warn", "info", "debug"],
+    })
+    : new winston.transports.File({ filename: options.file });
+  const logger = winston.createLogger({
+    level: options.level,
+    format: winston.format.printf(formatLine),
+    transports: [transport],
+  });
+  return createView(logger, options.fields);
+}
+
+function createView(logger: winston.Logger, common: LogFields): EventLog {
+  return {
+    write(level, event, fields) {
+      logger.log({
+        level,
+        message: event,
+        at: Date.now(),
+        fields: { ...common, ...fields },
+      });
+    },
+    extend: (fields) => createView(logger, { ...common, ...fields }),
+  };
+}
+
+function formatLine(entry: winston.Logform.TransformableInfo): string {
+  const pairs: LogFields = {
+    time: new Date(entry.at as number).toISOString(),
+    level: entry.level,
+    event: String(entry.message),
+    ...entry.fields as LogFields,
+  };
+  return Object.entries(pairs)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(String(value))}`)
+    .join(" ");
+}
+
+function formatValue(value: string): string {
+  return BARE_VALUE.test(value) ? value : JSON.stringify(value);
+}
--- /dev/null
+++ b/src/features/admission/common/admission.ts
@@ -0,0 +1,19 @@
+/**
+ * Admission of calls within the limits of the customer's contract.
+ *
+ * @module
+ */
+
+import type { Disposable } from "../../../base/common/disposable.ts";
+import type { Contract } from "../../../world/common/contract.ts";
+
+export type AdmissionRefusal = "rate-limit" | "concurrency-limit" | "draining";
+
+/** An admitted call holds its part of the concurrency until it is disposed of. */
+export type Admission =
+  | { readonly admitted: true; readonly permit: Disposable }
+  | { readonly admitted: false; readonly reason: AdmissionRefusal };
+
+export interface AdmissionController extends Disposable {
+  admit(contract: Contract): Admission;
+}
--- /dev/null
+++ b/src/features/move/common/traffic_shift.ts
@@ -0,0 +1,43 @@
+/**
+ * The shifts of traffic between versions, as routing and the call path see them.
+ *
+ * @module
+ */
+
+import type { Disposable } from "../../../base/common/disposable.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type {
+  HostName,
+  RouteName,
+  ServiceName,
+  ServiceVersion,
+} from "../../../world/common/names.ts";
+
+/** The versions among which the calls of a service are divided at this moment. */
+export interface VersionSplit {
+  readonly stableVersion: ServiceVersion;
+  /** Undefined when no move is open or its new version was found to be bad. */
+  readonly candidateVersion: ServiceVersion | undefined;
+  /** The part of calls for the candidate, 0 to 1. */
+  readonly candidateShare: number;
+  /** At how many candidate instances the share is aimed; Infinity for all. */
+  readonly candidateInstances: number;
+}
+
+/** The result of one attempt at an upstream, as this daemon saw it. */
+export interface AttemptSample {
+  readonly service: ServiceName;
+  readonly version: ServiceVersion;
+  readonly route: RouteName;
+  readonly host: HostName;
+  /** A refusal by load shedding is not a failure of the version. */
+  readonly result: "success" | "failure" | "shed" | "cancelled";
+  readonly durationMilliseconds: Milliseconds;
+  /** Calls in flight at the instance divided by its slots, when the attempt began. */
+  readonly load: number;
+}
+
+export interface TrafficShift extends Disposable {
+  splitOf(service: ServiceName): VersionSplit | undefined;
+  record(sample: AttemptSample): void;
+}
--- /dev/null
+++ b/src/world/common/configuration.ts
@@ -0,0 +1,48 @@
+/**
+ * The configuration that every proxy acts on.
+ *
+ * @module
+ */
+
+import type { Contract } from "./contract.ts";
+import type { Move } from "./move.ts";
+import {
+  type ChangeIdentity,
+  type ConfigurationVersion,
+  type CustomerName,
+  type FailureDomainName,
+  NO_VERSION,
+  type RouteName,
+  type ServiceName,
+} from "./names.ts";
+import type { Route } from "./route.ts";
+import type { Service } from "./service.ts";
+
+/** Names an object of the configuration, such as `route:availability`. */
+export type ObjectKey = `${
+  | "failure-domain"
+  | "service"
+  | "route"
+  | "contract"}:${string}`;
+
+export interface Configuration {
+  readonly version: ConfigurationVersion;
+  /** The failure domains among which the limits of contracts are divided. */
+  readonly failureDomains: ReadonlySet<FailureDomainName>;
+  readonly services: ReadonlyMap<ServiceName, Service>;
+  readonly routes: ReadonlyMap<RouteName, Route>;
+  readonly contracts: ReadonlyMap<CustomerName, Contract>;
+  readonly moves: ReadonlyMap<ChangeIdentity, Move>;
+  /** The version that changed or removed an object last. */
+  readonly objectVersions: ReadonlyMap<ObjectKey, ConfigurationVersion>;
+}
+
+export const EMPTY_CONFIGURATION: Configuration = {
+  version: NO_VERSION,
+  failureDomains: new Set(),
+  services: new Map(),
+  routes: new Map(),
+  contracts: new Map(),
+  moves: new Map(),
+  objectVersions: new Map(),
+};
--- /dev/null
+++ b/src/world/common/log_record.ts
@@ -0,0 +1,80 @@
+/**
+ * The records of the platform log's `configuration` stream.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../base/common/milliseconds.ts";
+import type { Contract } from "./contract.ts";
+import type {
+  ChangeIdentity,
+  ConfigurationVersion,
+  CustomerName,
+  FailureDomainName,
+  RouteName,
+  ServiceName,
+  ServiceVersion,
+} from "./names.ts";
+import type { Route } from "./route.ts";
+import type { Service } from "./service.ts";
+
+/** The schema number of the records that this release writes and reads. */
+export const RECORD_SCHEMA = 1;
+
+/** Objects to add or replace, whole. */
+export interface ConfigurationObjects {
+  readonly failureDomains?: readonly FailureDomainName[];
+  readonly services?: readonly Service[];
+  readonly routes?: readonly Route[];
+  readonly contracts?: readonly Contract[];
+}
+
+/** Names of objects to remove. */
+export interface ObjectNames {
+  readonly failureDomains?: readonly FailureDomainName[];
+  readonly services?: readonly ServiceName[];
+  readonly routes?: readonly RouteName[];
+  readonly contracts?: readonly CustomerName[];
+}
+
+export interface ChangeRecord {
+  readonly schema: typeof RECORD_SCHEMA;
+  readonly kind: "change";
+  readonly identity: ChangeIdentity;
+  /** The version that the author saw. */
+  readonly baseVersion: ConfigurationVersion;
+  readonly author: string;
+  readonly upsert: ConfigurationObjects;
+  readonly remove: ObjectNames;
+}
+
+export interface MoveRecord {
+  readonly schema: typeof RECORD_SCHEMA;
+  readonly kind: "move";
+  readonly identity: ChangeIdentity;
+  readonly baseVersion: ConfigurationVersion;
+  readonly author: string;
+  readonly service: ServiceName;
+  readonly toVersion: ServiceVersion;
+  readonly deadlineAt: Milliseconds;
+}
+
+export interface VerdictRecord {
+  readonly schema: typeof RECORD_SCHEMA;
+  readonly kind: "verdict";
+  /** The identity of the move that the verdict closes. */
+  readonly move: ChangeIdentity;
+  readonly outcome: "done" | "taken-back";
+  readonly reason: string;
+  readonly author: string;
+}
+
+export type LogRecord = ChangeRecord | MoveRecord | VerdictRecord;
+
+/** A record as the platform keeps it. The bytes are msgpack and have not been checked. */
+export interface LogEntry {
+  readonly offset: number;
+  /** When the platform took the record, by the platform's clock. */
+  readonly appendedAt: Milliseconds;
+  readonly record: Uint8Array;
+}
