Add the proxy for callers

Calls need a path from the caller to an instance that never delivers a foreign or partial answer. The proxy matches, admits, claims, assigns, sends and relays; decisions on retries, outcomes, deadlines and bodies are pure functions.

--- /dev/null
+++ b/src/features/attempt/common/call_headers.ts
@@ -0,0 +1,59 @@
+/**
+ * The headers by which callers, proxies and upstreams communicate, and those that end at a hop.
+ *
+ * @module
+ */
+
+export const CUSTOMER_HEADER = "guavarun-customer";
+export const DEADLINE_HEADER = "guavarun-deadline-milliseconds";
+export const OUTCOME_HEADER = "guavarun-outcome";
+export const RETRY_HEADER = "guavarun-retry";
+export const IDEMPOTENCY_HEADER = "idempotency-key";
+
+/** The value of {@linkcode RETRY_HEADER} that forbids the layers above to retry. */
+export const RETRY_NEVER = "never";
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Names and values in turn, as Node's `rawHeaders` has them. */
+export type RawHeaders = readonly string[];
+
+/** Copies the headers that may pass a hop: without hop-by-hop headers and those given. */
+export function copyEndToEndHeaders(
+  raw: RawHeaders,
+  without: ReadonlySet<string>,
+): string[] {
+  const named = findConnectionOptions(raw);
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index].toLowerCase();
+    if (!HOP_BY_HOP.has(name) && !named.has(name) && !without.has(name)) {
+      kept.push(raw[index], raw[index + 1]);
+    }
+  }
+  return kept;
+}
+
+/** The header names that `connection` lists, which are hop-by-hop as well. */
+function findConnectionOptions(raw: RawHeaders): Set<string> {
+  const named = new Set<string>();
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    if (raw[index].toLowerCase() === "connection") {
+      for (const option of raw[index + 1].split(",")) {
+        named.add(option.trim().toLowerCase());
+      }
+    }
+  }
+  return named;
+}
--- /dev/null
+++ b/src/features/attempt/common/retry_budget.ts
@@ -0,0 +1,66 @@
+/**
+ * The limit of retries: a share of the first attempts of the last seconds. A retry is counted
+ * in the second in which it starts and so never outlives the first attempts that permitted
+ * it; the share therefore holds over any period.
+ *
+ * @module
+ */
+
+import {
+  type Milliseconds,
+  SECOND_MS,
+} from "../../../base/common/milliseconds.ts";
+
+/** First attempts older than this permit no retries. */
+export const BUDGET_WINDOW_SECONDS = 10;
+
+interface SecondCount {
+  second: number;
+  firstAttempts: number;
+  retries: number;
+}
+
+export interface RetryBudget {
+  recordFirstAttempt(now: Milliseconds): void;
+  /** Takes one retry from the budget; false when nothing is left. */
+  takeRetry(now: Milliseconds, retryShare: number): boolean;
+}
+
+export function createRetryBudget(): RetryBudget {
+  const ring: SecondCount[] = Array.from(
+    { length: BUDGET_WINDOW_SECONDS },
+    () => ({ second: -1, firstAttempts: 0, retries: 0 }),
+  );
+
+  function currentCount(now: Milliseconds): SecondCount {
+    const second = Math.floor(now / SECOND_MS);
+    const count = ring[second % BUDGET_WINDOW_SECONDS];
+    if (count.second !== second) {
+      Object.assign(count, { second, firstAttempts: 0, retries: 0 });
+    }
+    return count;
+  }
+
+  return {
+    recordFirstAttempt(now) {
+      currentCount(now).firstAttempts += 1;
+    },
+    takeRetry(now, retryShare) {
+      const current = currentCount(now);
+      const oldest = current.second - BUDGET_WINDOW_SECONDS;
+      let firstAttempts = 0;
+      let retries = 0;
+      for (const count of ring) {
+        if (count.second > oldest) {
+          firstAttempts += count.firstAttempts;
+          retries += count.retries;
+        }
+      }
+      if (retries + 1 > retryShare * firstAttempts) {
+        return false;
+      }
+      current.retries += 1;
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/src/features/attempt/node/call.ts
@@ -0,0 +1,393 @@
+/**
+ * One call from its arrival to its answer.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { readBody } from "../../../base/node/http_server.ts";
+import type { Claim } from "../../claim/common/claim_client.ts";
+import type { RouteMatch } from "../../table/common/routing_table.ts";
+import { judgeAnswer } from "../common/attempt_outcome.ts";
+import { MAXIMUM_REPLAYABLE_BYTES, planBody } from "../common/body_plan.ts";
+import {
+  copyEndToEndHeaders,
+  CUSTOMER_HEADER,
+  DEADLINE_HEADER,
+  IDEMPOTENCY_HEADER,
+  OUTCOME_HEADER,
+} from "../common/call_headers.ts";
+import { computeDeadline } from "../common/deadline.ts";
+import type { Refusal, RefusalReason } from "../common/refusal.ts";
+import { cacheKeyOf, isStorable } from "../common/stale_cache.ts";
+import { relayStream, sendRefusal, sendStale, sendWhole } from "./answer.ts";
+import type { Answer, AttemptBody } from "./attempt.ts";
+import { type LoopEnd, runAttempts } from "./attempt_loop.ts";
+import type { CallContext } from "./call_context.ts";
+import { createInterruption, type Interruption } from "./interruption.ts";
+
+/** Headers that this hop consumes or sets anew. */
+const CONSUMED_HEADERS = new Set([DEADLINE_HEADER, OUTCOME_HEADER, "expect"]);
+
+/** Methods that have no body unless a header says so (RFC 9110, section 8.6). */
+const BODILESS_METHODS = new Set(["GET", "HEAD", "DELETE", "OPTIONS", "TRACE"]);
+
+/** Dot segments would let a path match one route here and another at the upstream. */
+const DOT_SEGMENT = /(^|[/\\])(\.|%2e){1,2}([/\\]|$)/i;
+
+/** A call that was matched and admitted. */
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly match: RouteMatch;
+  readonly interruption: Interruption;
+  readonly cacheKey: string | undefined;
+}
+
+export async function runCall(
+  context: CallContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const match = matchCall(context, request);
+  if (typeof match === "string") {
+    refuse(
+      context,
+      response,
+      notRun(match, `No route for this call: ${match}`),
+    );
+    return;
+  }
+  const admission = context.admission.admit(match.contract);
+  if (!admission.admitted) {
+    refuse(
+      context,
+      response,
+      notRun(admission.reason, `The contract does not admit the call now`),
+    );
+    return;
+  }
+  const deadlineAt = computeDeadline(
+    context.clock.now(),
+    match.route.deadlineMilliseconds,
+    headerOf(request, DEADLINE_HEADER),
+  );
+  const interruption = createInterruption(response, deadlineAt, context.clock);
+  try {
+    const cacheKey = cacheKeyOf({
+      customer: match.contract.customer,
+      method: request.method ?? "",
+      path: request.url ?? "",
+      headers: request.headers,
+    }, match.route);
+    await runAdmitted(context, {
+      request,
+      response,
+      match,
+      interruption,
+      cacheKey,
+    });
+  } finally {
+    interruption.dispose();
+    admission.permit.dispose();
+  }
+}
+
+function matchCall(
+  context: CallContext,
+  request: IncomingMessage,
+): RouteMatch | RefusalReason {
+  const table = context.table();
+  if (table === undefined) {
+    return "not-ready";
+  }
+  const [path] = (request.url ?? "").split("?", 1);
+  if (DOT_SEGMENT.test(path)) {
+    return "unknown-route";
+  }
+  return table.match({
+    customer: headerOf(request, CUSTOMER_HEADER) ?? "",
+    method: request.method ?? "",
+    path,
+  });
+}
+
+async function runAdmitted(
+  context: CallContext,
+  exchange: Exchange,
+): Promise<void> {
+  const body = await prepareBody(exchange);
+  if ("reason" in body) {
+    refuse(context, exchange.response, body);
+    return;
+  }
+  if (exchange.match.route.callClass !== "non-idempotent") {
+    await dispatch(context, exchange, body);
+    return;
+  }
+  const claim = await claimKey(context, exchange);
+  if ("reason" in claim) {
+    refuse(context, exchange.response, claim);
+    return;
+  }
+  let settled: keyof Claim = "abandon";
+  try {
+    settled = await dispatch(context, exchange, body);
+  } finally {
+    claim[settled]();
+  }
+}
+
+async function prepareBody(
+  { request, interruption }: Exchange,
+): Promise<AttemptBody | Refusal> {
+  const plan = planBody({
+    contentLength: request.headers["content-length"],
+    transferEncoding: request.headers["transfer-encoding"],
+  });
+  switch (plan) {
+    case "none":
+      return { kind: "whole", bytes: undefined };
+    case "stream":
+      return { kind: "stream", source: request };
+    case "refuse":
+      return notRun("body-too-large", "The body is larger than the limit");
+    case "replay": {
+      const registration = interruption.onInterrupted(() => request.destroy());
+      const read = await readBody(request, MAXIMUM_REPLAYABLE_BYTES);
+      registration.dispose();
+      return read.ok
+        ? { kind: "whole", bytes: read.val }
+        : notRun("body-incomplete", read.val.message);
+    }
+  }
+}
+
+async function claimKey(
+  context: CallContext,
+  { request, match, interruption }: Exchange,
+): Promise<Claim | Refusal> {
+  const key = headerOf(request, IDEMPOTENCY_HEADER) ?? "";
+  const answer = await context.claims.claim(match.contract.customer, key);
+  switch (answer.kind) {
+    case "granted":
+      if (interruption.cause !== undefined) {
+        answer.claim.release();
+        return notRun("deadline", "The call ended before it was dispatched");
+      }
+      return answer.claim;
+    case "claimed":
+      return {
+        reason: "idempotency-key-claimed",
+        outcome: "unknown",
+        message: `The recorded outcome is ${answer.outcome}`,
+      };
+    case "unknown":
+      return {
+        reason: "idempotency-key-unknown",
+        outcome: "unknown",
+        message: `outcome unknown: ${answer.reason}`,
+      };
+    case "unavailable":
+      return notRun("claim-unavailable", answer.reason);
+    case "malformed":
+      return notRun("idempotency-key-malformed", answer.reason);
+  }
+}
+
+/** Runs the attempts, answers the caller and says what became of the claim. */
+async function dispatch(
+  context: CallContext,
+  exchange: Exchange,
+  body: AttemptBody,
+): Promise<keyof Claim> {
+  const { request, interruption, match } = exchange;
+  const end = await runAttempts(context, {
+    match,
+    callIdentity: headerOf(request, IDEMPOTENCY_HEADER) ??
+      createCallIdentity(context),
+    method: request.method ?? "",
+    path: request.url ?? "",
+    headers: prepareHeaders(request, body),
+    body,
+    interruption,
+  });
+  if (interruption.cause === "caller-gone") {
+    end.finish("cancelled");
+    if (end.last?.kind === "streaming") {
+      end.last.destroy("caller-gone");
+    }
+    return end.outcome === "not-run" ? "release" : "abandon";
+  }
+  if (sendStaleIfNeeded(context, exchange, end)) {
+    return "abandon";
+  }
+  return await answerFrom(context, exchange, end);
+}
+
+async function answerFrom(
+  context: CallContext,
+  exchange: Exchange,
+  end: LoopEnd,
+): Promise<keyof Claim> {
+  const { response, interruption } = exchange;
+  const { last } = end;
+  if (last === undefined || last.kind === "failed") {
+    refuse(context, response, describeFailure(end, interruption));
+    return end.outcome === "not-run" ? "release" : "abandon";
+  }
+  const notes = {
+    outcome: end.outcome === "answered" ? undefined : end.outcome,
+    retryNever: end.retryNever,
+    closeConnection: context.isDraining(),
+  };
+  if (last.kind === "answered") {
+    storeAnswer(context, exchange, last);
+    sendWhole(response, last.answer, last.body, notes);
+    await waitForClose(response, interruption);
+    return settleAnswered(end, response.writableFinished);
+  }
+  const cause = await relayStream(response, last, { notes, interruption });
+  const judged = judgeAnswer(last.answer).result;
+  end.finish(
+    cause === undefined
+      ? judged
+      : cause === "caller-gone"
+      ? "cancelled"
+      : "failure",
+  );
+  context.counts.cutAnswers += cause === undefined ? 0 : 1;
+  return settleAnswered(end, cause === undefined);
+}
+
+/**
+ * Resolves when the answer was handed to the system or the caller is gone. A caller that does
+ * not read its answer by the deadline is cut off, since it holds a part of the concurrency.
+ */
+function waitForClose(
+  response: ServerResponse,
+  interruption: Interruption,
+): Promise<void> {
+  return new Promise((resolve) => {
+    if (response.writableFinished || response.destroyed) {
+      resolve();
+      return;
+    }
+    response.once("finish", resolve);
+    response.once("close", resolve);
+    interruption.onInterrupted(() => response.destroy());
+  });
+}
+
+function settleAnswered(end: LoopEnd, isWhole: boolean): keyof Claim {
+  if (end.outcome === "not-run") {
+    return "release";
+  }
+  return isWhole && end.outcome === "answered" ? "complete" : "abandon";
+}
+
+function storeAnswer(
+  context: CallContext,
+  { cacheKey }: Exchange,
+  { answer, body }: { answer: Answer; body: Buffer },
+): void {
+  if (cacheKey !== undefined && isStorable(answer.status, answer.headers)) {
+    context.cache.store(cacheKey, {
+      headers: answer.rawHeaders,
+      body,
+      receivedAt: context.clock.now(),
+    });
+  }
+}
+
+function sendStaleIfNeeded(
+  context: CallContext,
+  { cacheKey, match, response }: Exchange,
+  end: LoopEnd,
+): boolean {
+  const isFresh = end.last !== undefined && end.last.kind !== "failed" &&
+    judgeAnswer(end.last.answer).result === "success";
+  if (isFresh || cacheKey === undefined || end.last?.kind === "streaming") {
+    return false;
+  }
+  const now = context.clock.now();
+  const cached = context.cache.find(
+    cacheKey,
+    now,
+    match.route.stalenessMilliseconds,
+  );
+  if (cached === undefined) {
+    return false;
+  }
+  context.counts.staleAnswers += 1;
+  sendStale(response, cached, now);
+  return true;
+}
+
+function describeFailure(end: LoopEnd, interruption: Interruption): Refusal {
+  const outcome = end.outcome === "not-run" ? "not-run" : "unknown";
+  const common = { outcome, retryNever: end.retryNever } as const;
+  if (interruption.cause === "timeout") {
+    return { ...common, reason: "deadline", message: "The deadline passed" };
+  }
+  if (end.last === undefined || end.last.kind !== "failed") {
+    const reason = end.routingRefusal ?? "no-instance";
+    return { ...common, reason, message: "No instance can take the call now" };
+  }
+  const { phase, cause } = end.last.failure;
+  const message = `The upstream failed in the phase ${phase}: ${cause}`;
+  if (cause === "body-too-large") {
+    return { ...common, reason: "body-too-large", message };
+  }
+  if (cause === "connection-limit") {
+    return { ...common, reason: "all-busy", message };
+  }
+  const reason = outcome === "not-run"
+    ? "upstream-unreachable"
+    : "upstream-failed";
+  return { ...common, reason, message };
+}
+
+function prepareHeaders(
+  request: IncomingMessage,
+  body: AttemptBody,
+): string[] {
+  const headers = copyEndToEndHeaders(request.rawHeaders, CONSUMED_HEADERS);
+  headers.push("connection", "keep-alive");
+  const hasLength = request.headers["content-length"] !== undefined;
+  if (body.kind === "stream" && !hasLength) {
+    headers.push("transfer-encoding", "chunked");
+  } else if (!hasLength && !BODILESS_METHODS.has(request.method ?? "")) {
+    headers.push("content-length", "0");
+  }
+  return headers;
+}
+
+function createCallIdentity(context: CallContext): string {
+  return `${context.self.process.host}-${
+    context.random.nextInteger(2 ** 31).toString(36)
+  }-${context.counts.calls}`;
+}
+
+function headerOf(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return typeof value === "string" ? value : undefined;
+}
+
+function notRun(reason: RefusalReason, message: string): Refusal {
+  return { reason, outcome: "not-run", message };
+}
+
+function refuse(
+  context: CallContext,
+  response: ServerResponse,
+  refusal: Refusal,
+): void {
+  context.counts.refusals += 1;
+  context.log.write("debug", "call.refused", {
+    step: "attempt.call",
+    reason: refusal.reason,
+    outcome: refusal.outcome,
+  });
+  sendRefusal(response, refusal, context.isDraining());
+}
--- /dev/null
+++ b/src/features/attempt/node/proxy.ts
@@ -0,0 +1,105 @@
+/**
+ * The proxy for callers: matches, admits, dispatches and answers their calls.
+ *
+ * @module
+ */
+
+import type { Disposable } from "../../../base/common/disposable.ts";
+import { describeError } from "../../../base/common/step_error.ts";
+import type { HttpHandler } from "../../../base/node/http_server.ts";
+import type { CustomerName } from "../../../world/common/names.ts";
+import { createRetryBudget, type RetryBudget } from "../common/retry_budget.ts";
+import { createStaleCache } from "../common/stale_cache.ts";
+import { sendRefusal } from "./answer.ts";
+import { runCall } from "./call.ts";
+import type { CallContext, ProxyCounts, ProxyOptions } from "./call_context.ts";
+import { createConnectionPool } from "./connection_pool.ts";
+
+export interface Proxy extends Disposable {
+  readonly handle: HttpHandler;
+  readonly counts: Readonly<ProxyCounts>;
+  /** Calls that have no whole answer yet. */
+  readonly callsInFlight: number;
+  /**
+   * Asks callers to close their connections with each answer and resolves when no call is in
+   * flight. Calls that still arrive on open connections are served, so that none is cut.
+   */
+  drain(): Promise<void>;
+}
+
+export function createProxy(options: ProxyOptions): Proxy {
+  const pool = createConnectionPool(options.clock);
+  const budgets = new Map<CustomerName, RetryBudget>();
+  const counts: ProxyCounts = {
+    calls: 0,
+    attempts: 0,
+    retries: 0,
+    refusals: 0,
+    staleAnswers: 0,
+    cutAnswers: 0,
+  };
+  const waiting: (() => void)[] = [];
+  let callsInFlight = 0;
+  let draining = false;
+
+  const context: CallContext = {
+    ...options,
+    pool,
+    cache: createStaleCache(),
+    counts,
+    isDraining: () => draining,
+    budgetOf(customer) {
+      let budget = budgets.get(customer);
+      if (budget === undefined) {
+        budget = createRetryBudget();
+        budgets.set(customer, budget);
+      }
+      return budget;
+    },
+  };
+
+  function finishCall(): void {
+    callsInFlight -= 1;
+    if (callsInFlight === 0) {
+      waiting.splice(0).forEach((resolve) => resolve());
+    }
+  }
+
+  const handle: HttpHandler = (request, response) => {
+    counts.calls += 1;
+    callsInFlight += 1;
+    // Errors of a connection that the caller closed; its `close` event ends the call.
+    request.on("error", () => {});
+    response.on("error", () => {});
+    runCall(context, request, response).catch((error) => {
+      options.log.write("error", "call.error", {
+        step: "attempt.call",
+        message: describeError(error),
+      });
+      sendRefusal(response, {
+        reason: "internal-error",
+        outcome: "unknown",
+        message: "The proxy failed",
+      }, true);
+    }).finally(finishCall);
+  };
+
+  return {
+    handle,
+    counts,
+    get callsInFlight() {
+      return callsInFlight;
+    },
+    drain() {
+      draining = true;
+      return new Promise((resolve) => {
+        if (callsInFlight === 0) {
+          resolve();
+        } else {
+          waiting.push(resolve);
+        }
+      });
+    },
+    dispose: () => pool.dispose(),
+  };
+}
