--- /dev/null
+++ b/src/features/routing/common/router_test.ts
@@ -0,0 +1,258 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { createEmitter } from "../../../base/common/emitter.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { compareWithGoldenFile } from "../../../base/node/golden_file.ts";
+import type { UpstreamInstance } from "../../../world/common/upstream_instance.ts";
+import type { VersionSplit } from "../../move/common/traffic_shift.ts";
+import {
+  limitOf,
+  recordShed,
+  recordSuccess,
+  startConcurrency,
+} from "./allowed_concurrency.ts";
+import { eject, HEALTHY } from "./ejection.ts";
+import type { Assignment, AttemptResult } from "./instance_router.ts";
+import { createInstanceRouter } from "./router.ts";
+import { DEFAULT_MEASURE, measureRouting } from "./routing_measure.ts";
+import { DEFAULT_ROUTING_POLICY as POLICY } from "./routing_policy.ts";
+import { isForCandidate } from "./version_choice.ts";
+
+function instanceOf(name: string, version = "v1"): UpstreamInstance {
+  const [failureDomain] = name.split("-");
+  return {
+    identity: name,
+    host: name,
+    failureDomain,
+    service: "booking",
+    version,
+    address: "10.0.0.1",
+    port: 80,
+    slots: 4,
+    state: "ready",
+  };
+}
+
+function createSession(names: readonly string[], split: Partial<VersionSplit>) {
+  const clock = new VirtualClock();
+  const changed = createEmitter<void>();
+  const held = new Map<string, Assignment>();
+  const lines: string[] = [];
+  let instances = names.map((name) => instanceOf(name));
+  const router = createInstanceRouter({
+    directory: {
+      self: {
+        process: { host: "tacoma-0", startedAt: 0 },
+        failureDomain: "tacoma",
+        addresses: {
+          address: "10.0.0.1",
+          proxyPort: 0,
+          administrationPort: 0,
+          linkPort: 0,
+        },
+      },
+      get instances() {
+        return instances;
+      },
+      onChanged: changed.event,
+    },
+    shift: {
+      splitOf: () => ({
+        stableVersion: "v1",
+        candidateVersion: undefined,
+        candidateShare: 0,
+        candidateInstances: Infinity,
+        ...split,
+      }),
+    },
+    clock,
+    random: createRandomSource(3),
+  });
+  const session = {
+    lines,
+    clock,
+    call(identity: string, exclude: string[] = []): string {
+      const answer = router.assign({
+        service: "booking",
+        route: "availability",
+        callIdentity: identity,
+        exclude: new Set(exclude),
+      });
+      const target = typeof answer === "string"
+        ? answer
+        : answer.instance.identity;
+      if (typeof answer !== "string") {
+        held.set(identity, answer);
+      }
+      lines.push(`${clock.now()} call ${identity} -> ${target}`);
+      return target;
+    },
+    finish(identity: string, result: AttemptResult) {
+      const assignment = held.get(identity)!;
+      assignment.finish(result, 5);
+      lines.push(
+        `${clock.now()} finish ${identity} ${assignment.instance.identity} ${result}`,
+      );
+    },
+    setInstances(next: readonly UpstreamInstance[]) {
+      instances = [...next];
+      changed.fire();
+      lines.push(
+        `${clock.now()} instances ${
+          next.map((one) => `${one.identity}:${one.version}`).join(" ")
+        }`,
+      );
+    },
+  };
+  return session;
+}
+
+test("a session of spill-over, shed load, ejection and slow start stays as recorded", () => {
+  const names = ["tacoma-1", "tacoma-2", "tacoma-3", "salem-1"];
+  const session = createSession(names, {});
+  // The own domain first, the other domain when it is full.
+  for (let index = 0; index < 8; index += 1) {
+    session.call(`a${index}`);
+  }
+  session.finish("a0", "shed");
+  for (let index = 1; index < 8; index += 1) {
+    session.finish(`a${index}`, "success");
+  }
+  // One refused connection ejects an instance at once; a third of four is one instance.
+  const down = session.call("b0");
+  session.finish("b0", "not-connected");
+  for (let index = 1; index < 6; index += 1) {
+    assert.notEqual(session.call(`b${index}`), down);
+  }
+  for (let index = 1; index < 6; index += 1) {
+    session.finish(`b${index}`, "success");
+  }
+  session.clock.advance(2_100);
+  session.call("c0");
+  session.finish("c0", "success");
+  // A new instance ramps up over 10 s: one of its four slots at first.
+  session.clock.advance(5_000);
+  session.setInstances([instanceOf("tacoma-9")]);
+  for (const age of [0, 2_500, 7_500]) {
+    session.clock.advance(age);
+    session.call(`d${age}`);
+    session.call(`e${age}`);
+  }
+  compareWithGoldenFile(
+    "src/features/routing/common/golden/router_session.txt",
+    session.lines,
+  );
+});
+
+test("the candidate's share goes to few instances and never beyond it, so a bad version stays small", () => {
+  const session = createSession([], {
+    candidateVersion: "v2",
+    candidateShare: 0.2,
+    candidateInstances: 1,
+  });
+  session.setInstances([
+    ...["tacoma-1", "tacoma-2"].map((name) => instanceOf(name)),
+    ...["tacoma-5", "tacoma-6", "salem-7"].map((name) =>
+      instanceOf(name, "v2")
+    ),
+  ]);
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 2_000; index += 1) {
+    const target = session.call(`c${index}`);
+    session.finish(`c${index}`, "success");
+    counts.set(target, (counts.get(target) ?? 0) + 1);
+  }
+  const candidates = ["tacoma-5", "tacoma-6", "salem-7"]
+    .map((name) => counts.get(name) ?? 0).filter((count) => count > 0);
+  assert.equal(candidates.length, 1);
+  assert.ok(candidates[0] > 340 && candidates[0] < 460, `${candidates[0]}`);
+  // Without an instance of the stable version nothing falls over to the candidate.
+  session.setInstances([instanceOf("tacoma-5", "v2")]);
+  const stableCall = Array.from({ length: 50 }, (_, index) => `s${index}`)
+    .find((identity) =>
+      !isForCandidate(
+        {
+          stableVersion: "v1",
+          candidateVersion: "v2",
+          candidateShare: 0.2,
+          candidateInstances: 1,
+        },
+        "booking",
+        identity,
+      )
+    )!;
+  assert.equal(session.call(stableCall), "no-instance");
+});
+
+test("at most a third of the instances is ejected, so a common fault does not empty a service", () => {
+  const names = ["1", "2", "3", "4", "5", "6"].map((n) => `tacoma-${n}`);
+  const session = createSession(names, {});
+  const down = new Set<string>();
+  for (let index = 0; index < 12; index += 1) {
+    const target = session.call(`c${index}`);
+    down.add(target);
+    session.finish(`c${index}`, "not-connected");
+  }
+  assert.equal(down.size, 6, "instances beyond the cap are still used");
+  assert.equal(session.call("x", [...down].slice(2)), "no-instance");
+});
+
+test("allowed concurrency follows shed load and slow start, so slots are found without being told", () => {
+  const options = { slots: 16, policy: POLICY };
+  const started = startConcurrency(16, 0, POLICY);
+  const at = (now: number) => limitOf(started, now, options);
+  assert.deepEqual([0, 1_000, 4_000, 20_000].map(at), [1, 2, 7, 8]);
+  const shed = recordShed(started, 100, { now: 200, policy: POLICY });
+  const cases = [
+    { name: "halved", state: shed, allowed: 4 },
+    {
+      name: "a call from before the halving does not halve again",
+      state: recordShed(shed, 150, { now: 210, policy: POLICY }),
+      allowed: 4,
+    },
+    {
+      name: "a later call does",
+      state: recordShed(shed, 220, { now: 230, policy: POLICY }),
+      allowed: 2,
+    },
+    {
+      name: "a round of successes raises by one",
+      state: [1, 2, 3, 4].reduce((state) => recordSuccess(state, 16), shed),
+      allowed: 5,
+    },
+    {
+      name: "never above the slots",
+      state: Array(200).fill(0).reduce(
+        (state) => recordSuccess(state, 8),
+        shed,
+      ),
+      allowed: 8,
+    },
+  ];
+  for (const { name, state, allowed } of cases) {
+    assert.equal(state.allowed, allowed, name);
+  }
+});
+
+test("ejections double up to the cap, so a flapping instance costs less each time", () => {
+  let state = HEALTHY;
+  const durations: number[] = [];
+  let now = 0;
+  for (let index = 0; index < 7; index += 1) {
+    state = eject(state, now, POLICY.ejection);
+    durations.push(state.ejectedUntil - now);
+    now = state.ejectedUntil + 100;
+  }
+  assert.deepEqual(durations, [2e3, 4e3, 8e3, 16e3, 32e3, 60e3, 60e3]);
+  now += POLICY.ejection.forgetMilliseconds;
+  assert.equal(eject(state, now, POLICY.ejection).ejectedUntil - now, 2_000);
+});
+
+test("the policy keeps calls alive beside a slow, a failing and a cold instance", () => {
+  const measured = measureRouting({
+    ...DEFAULT_MEASURE,
+    durationMilliseconds: 6_000,
+  });
+  assert.ok(measured.successShare > 0.99, JSON.stringify(measured));
+});
