--- /dev/null
+++ b/src/features/admission/common/admission_test.ts
@@ -0,0 +1,407 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { createEmitter } from "../../../base/common/emitter.ts";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { EMPTY_CONFIGURATION } from "../../../world/common/configuration.ts";
+import { createMemoryExchange } from "../../link/common/memory_network.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import type { HostIdentity } from "../../../world/common/host.ts";
+import type { Directory, Member } from "../../membership/common/directory.ts";
+import type { Contract } from "../../../world/common/contract.ts";
+import {
+  type AdmissionWorld,
+  createAdmissionWorld,
+} from "./admission_world.ts";
+import { createAdmissionController } from "./controller.ts";
+import { createCustomerAccount } from "./customer_account.ts";
+import { answerAsk, type LeaseLedger } from "./lease_ledger.ts";
+import {
+  LEASE_REQUEST,
+  type LeaseAsk,
+  type LeaseGrant,
+} from "./lease_messages.ts";
+import { judgeEstablishment } from "./quota.ts";
+import { refillBucket } from "./token_bucket.ts";
+
+/** One contract that reaches its concurrency first, and one that reaches its rate. */
+const CONTRACTS: Contract[] = [60, 1_000].map((concurrency) => ({
+  customer: "hollister",
+  routes: ["availability"],
+  limits: { requestsPerSecond: 400, concurrency, retryShare: 0.1 },
+}));
+const DOMAINS = ["tacoma", "salem"];
+const STEP_MS = 10;
+const RUN_MS = 30_000;
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+
+type Fault = (world: AdmissionWorld, host: string) => void;
+
+/** The faults of a scenario, each with its chance in every 100 ms. */
+const SCENARIOS: Record<string, { fault: Fault; chance: number }[]> = {
+  "a cut-off daemon": [{
+    chance: 0.02,
+    fault: (world, host) => {
+      world.isolate(host);
+      world.clock.schedule(9_000, () => world.rejoin(host));
+    },
+  }],
+  "paused daemons": [
+    { chance: 0.04, fault: (world, host) => world.pause(host, 1_700) },
+    { chance: 0.01, fault: (world, host) => world.pause(host, 5_000) },
+  ],
+  "differing views": [
+    { chance: 0.02, fault: (world, host) => restart(world, host) },
+    { chance: 0.02, fault: (world, host) => replace(world, host) },
+  ],
+  "everything": [
+    { chance: 0.01, fault: (world, host) => restart(world, host) },
+    { chance: 0.01, fault: (world, host) => replace(world, host) },
+    { chance: 0.02, fault: (world, host) => world.pause(host, 2_500) },
+    {
+      chance: 0.01,
+      fault: (world, host) => {
+        world.isolate(host);
+        world.clock.schedule(12_000, () => world.rejoin(host));
+      },
+    },
+  ],
+};
+
+function restart(world: AdmissionWorld, host: string): void {
+  world.kill(host);
+  world.clock.schedule(2_000, () => world.start(host));
+}
+
+let replacements = 0;
+function replace(world: AdmissionWorld, host: string): void {
+  world.kill(host);
+  replacements += 1;
+  const successor = `${host.split("-")[0]}-new${replacements}`;
+  world.clock.schedule(1_500, () => world.start(successor));
+}
+
+interface Run {
+  readonly admitted: number;
+  readonly mostInFlight: number;
+}
+
+async function runScenario(
+  contract: Contract,
+  faults: (typeof SCENARIOS)[string],
+  seed: number,
+): Promise<Run> {
+  const random = createRandomSource(seed);
+  const world = createAdmissionWorld({
+    contract,
+    domains: DOMAINS,
+    longestCall: 1_000,
+    random,
+  });
+  for (const domain of DOMAINS) {
+    [1, 2, 3, 4].forEach((index) => world.start(`${domain}-${index}`));
+  }
+  let mostInFlight = 0;
+  const totals: number[] = [];
+  for (let step = 0; step < RUN_MS / STEP_MS; step += 1) {
+    if (step % 10 === 0 && step > 600) {
+      for (const { fault, chance } of faults) {
+        if (random.nextFraction() < chance) {
+          fault(world, world.hosts[random.nextInteger(world.hosts.length)]);
+        }
+      }
+    }
+    for (const host of world.hosts) {
+      world.offer(host, random.nextInteger(host.endsWith("1") ? 8 : 3));
+    }
+    await world.step(STEP_MS);
+    mostInFlight = Math.max(mostInFlight, world.inFlight);
+    totals.push(world.admitted);
+    checkLimits(world, contract, totals);
+  }
+  return { admitted: world.admitted, mostInFlight };
+}
+
+/** The rate over the whole run and over the last 5 s, and the calls in flight. */
+function checkLimits(
+  world: AdmissionWorld,
+  contract: Contract,
+  totals: readonly number[],
+): void {
+  const { requestsPerSecond, concurrency } = contract.limits;
+  const seconds = totals.length * STEP_MS / 1_000;
+  assert.ok(
+    world.inFlight <= concurrency,
+    `${world.inFlight} calls in flight at ${seconds} s`,
+  );
+  assert.ok(
+    world.admitted <= requestsPerSecond * seconds,
+    `${world.admitted} calls in ${seconds} s`,
+  );
+  const window = 5_000 / STEP_MS;
+  const recent = world.admitted - (totals[totals.length - 1 - window] ?? 0);
+  // Buckets hold one second of their rates, and at least one call each.
+  assert.ok(
+    recent <= requestsPerSecond * 6 + world.hosts.length,
+    `${recent} calls in 5 s at ${seconds} s`,
+  );
+}
+
+for (const [name, faults] of Object.entries(SCENARIOS)) {
+  test(`the daemons together never admit more than the contract: ${name}`, async () => {
+    for (const seed of SEEDS) {
+      for (const contract of CONTRACTS) {
+        try {
+          await runScenario(contract, faults, seed);
+        } catch (error) {
+          throw new Error(`seed ${seed}: ${(error as Error).message}`);
+        }
+      }
+    }
+  });
+}
+
+test("without faults leases follow the demand, so the contract is used", async () => {
+  const [byConcurrency, byRate] = await Promise.all(
+    CONTRACTS.map((contract) => runScenario(contract, [], 1)),
+  );
+  // The parts are established after 4 s; nearly all of the rest is admitted.
+  assert.ok(byRate.admitted > 0.9 * 26 * 400, JSON.stringify(byRate));
+  assert.ok(byConcurrency.mostInFlight > 54, JSON.stringify(byConcurrency));
+});
+
+function askOf(
+  pledged: number,
+  demand: number,
+  change: Partial<LeaseAsk> = {},
+) {
+  const amount = (value: number) => ({ rate: value, concurrency: value });
+  return {
+    customer: "hollister",
+    pledged: amount(pledged),
+    pledgedUntil: 1_000,
+    demand: amount(demand),
+    holding: amount(0),
+    inUse: 0,
+    longestCall: 500,
+    ...change,
+  };
+}
+
+interface LedgerCase {
+  readonly name: string;
+  readonly asks: [string, LeaseAsk][];
+  readonly rates: number[];
+  /** As the rates when absent. */
+  readonly concurrencies?: number[];
+}
+
+test("a ledger never grants more than is pledged and free", () => {
+  const cases: LedgerCase[] = [
+    {
+      name: "what no one demands is divided",
+      asks: [["a", askOf(6, 0)], ["b", askOf(6, 0)]],
+      rates: [6, 6],
+    },
+    {
+      name: "by demand",
+      asks: [["a", askOf(6, 1)], ["b", askOf(6, 30)]],
+      rates: [6, 6],
+    },
+    {
+      name: "calls in use stay reserved",
+      asks: [
+        ["b", askOf(6, 30)],
+        ["a", askOf(0, 0, { inUse: 4 })],
+        ["b", askOf(6, 30)],
+      ],
+      rates: [6, 0, 6],
+      concurrencies: [6, 0, 2],
+    },
+    {
+      name: "a lease that is still held stays reserved",
+      asks: [
+        ["b", askOf(6, 30)],
+        ["a", askOf(0, 0, { holding: { rate: 4, concurrency: 4 } })],
+        ["b", askOf(6, 30)],
+      ],
+      rates: [6, 0, 2],
+    },
+    {
+      name: "an expired pledge counts for nothing",
+      asks: [["a", askOf(6, 6, { pledgedUntil: 0 })]],
+      rates: [0],
+    },
+  ];
+  for (const { name, asks, rates, concurrencies = rates } of cases) {
+    let ledger: LeaseLedger = new Map();
+    const granted = asks.map(([host, ask]) => {
+      const answer = answerAsk(ledger, ask, { host, now: 100 });
+      ledger = answer.ledger;
+      return answer.granted;
+    });
+    const expected = rates.map((rate, index) => ({
+      rate,
+      concurrency: concurrencies[index],
+    }));
+    assert.deepEqual(granted, expected, name);
+  }
+});
+
+test("a lease fills the bucket only until it expires, so a pause gains no tokens", () => {
+  const rates = { own: 10, leased: 90, leasedUntil: 500 };
+  const cases = [
+    { from: 0, to: 500, tokens: 10 },
+    { from: 0, to: 100, tokens: 10 },
+    { from: 400, to: 600, tokens: 10 },
+    { from: 450, to: 550, tokens: 5.5 },
+    { from: 600, to: 700, tokens: 1 },
+  ];
+  for (const { from, to, tokens } of cases) {
+    const bucket = refillBucket({ tokens: 0, updatedAt: from }, rates, to);
+    assert.equal(bucket.tokens, tokens, `${from} to ${to}`);
+  }
+});
+
+test("a pledge is locked to its holder and a lease ends in time, so no part counts twice", () => {
+  const account = createCustomerAccount({
+    customer: "hollister",
+    now: 0,
+    longestCall: () => 500,
+  });
+  const part = { rate: 8, concurrency: 8 };
+  account.setEntitlement(
+    { own: { rate: 0, concurrency: 2 }, pledged: part },
+    0,
+  );
+  const grant = (host: string, at: number) =>
+    account.takeGrant({
+      holder: { host, epoch: 1 },
+      time: 70_000 + at,
+      sentAt: at,
+      receivedAt: at,
+      amount: { rate: 10, concurrency: 1 },
+    });
+  const pledgeAt = (host: string, at: number) =>
+    account.prepareAsk({ host, epoch: 1 }, at).pledged;
+  assert.deepEqual(pledgeAt("a", 0), { rate: 0, concurrency: 0 });
+  grant("a", 0);
+  assert.deepEqual(pledgeAt("a", 10), part);
+  grant("b", 1_000);
+  // The lock ends 2,000 ms after the answer of `a`, for concurrency one call later.
+  const cases = [[1_900, 0, 0], [2_100, 8, 0], [2_600, 8, 8]] as const;
+  for (const [at, rate, concurrency] of cases) {
+    assert.deepEqual(pledgeAt("b", at), { rate, concurrency }, `${at}`);
+  }
+  // The leases ended at 2,000 ms: ten calls of the bucket's capacity are gone as well.
+  assert.equal(account.admit(30_000), undefined);
+  assert.equal(account.admit(30_000), "rate-limit");
+});
+
+test("a new host waits until the others count it, so the parts never sum to more than the whole", () => {
+  const member = (host: string, startedAt: number, state = "alive") =>
+    ({ process: { host, startedAt }, state }) as unknown as Member;
+  const departure = (host: string, departedAt: number) => ({
+    process: { host, startedAt: 0 },
+    failureDomain: "tacoma",
+    departedAt,
+  });
+  const cases = [
+    { name: "young", now: 103_000, expected: [false, false] },
+    { name: "cold start", now: 105_000, expected: [true, true] },
+    {
+      name: "calls of elders go on",
+      now: 105_000,
+      members: [member("b", 0)],
+      expected: [true, false],
+    },
+    {
+      name: "and have ended",
+      now: 106_100,
+      members: [member("b", 0)],
+      expected: [true, true],
+    },
+    {
+      name: "suspect",
+      now: 106_100,
+      members: [member("b", 0, "suspect")],
+      expected: [false, false],
+    },
+    {
+      name: "a departed host may not know",
+      now: 120_000,
+      departures: [departure("c", 101_000)],
+      expected: [false, false],
+    },
+    {
+      name: "its own host is known",
+      now: 105_000,
+      members: [member("b", 0)],
+      departures: [departure("a", 90_000)],
+      expected: [true, true],
+    },
+    {
+      name: "its earlier process ran too briefly to be known",
+      now: 105_000,
+      departures: [
+        {
+          ...departure("a", 90_000),
+          process: { host: "a", startedAt: 80_000 },
+        },
+        departure("c", 95_000),
+      ],
+      expected: [false, false],
+    },
+    {
+      name: "caution ends",
+      now: 162_000,
+      departures: [departure("c", 101_000)],
+      expected: [true, true],
+    },
+  ];
+  for (const { name, now, members = [], departures = [], expected } of cases) {
+    const self = { process: { host: "a", startedAt: 100_000 } } as HostIdentity;
+    const judged = judgeEstablishment(
+      { self, localMembers: [member("a", 100_000), ...members], departures },
+      now,
+      2_000,
+    );
+    assert.deepEqual([judged.rate, judged.concurrency], expected, name);
+  }
+});
+
+test("a request that was overtaken is not answered, so it does not undo a later account", async () => {
+  const clock = new VirtualClock(10_000);
+  const exchange = createMemoryExchange({ clock, latencyMilliseconds: 1 });
+  const identity = (host: string) => ({
+    process: { host, startedAt: 0 },
+    failureDomain: "tacoma",
+  });
+  const holder = createAdmissionController({
+    configuration: () => EMPTY_CONFIGURATION,
+    directory: {
+      self: identity("a"),
+      localMembers: [],
+      departures: [],
+      onChanged: createEmitter<void>().event,
+    } as unknown as Directory,
+    network: exchange.createNetwork(identity("a")),
+    clock,
+    log: SILENT_LOG,
+  });
+  const network = exchange.createNetwork(identity("b"));
+  const asks = [askOf(6, 6, { pledgedUntil: 10_900 })];
+  const granted: number[][] = [];
+  for (const sequence of [2, 1, 3]) {
+    const message = { kind: LEASE_REQUEST, epoch: 0, sequence, asks };
+    const answer = network.request("a", message, { timeoutMilliseconds: 50 });
+    for (let turn = 0; turn < 10; turn += 1) {
+      clock.advance(1);
+      await Promise.resolve();
+    }
+    const { grants } = (await answer).unwrap() as LeaseGrant;
+    granted.push(grants.map(({ amount }) => amount.rate));
+  }
+  assert.deepEqual(granted, [[6], [], [6]]);
+  holder.dispose();
+});
