Add links between daemons over WebSockets

Cause: distribution, membership, claims and moves need links between daemons that survive silent connections, replaced processes and mass reconnects. Change: createPeerNetwork implements PeerNetwork over ws and msgpackr. One link per pair of hosts is kept, a link without a frame for 3 intervals or congested for as long is destroyed and opened anew, the newest messages are refused beyond 1 MiB of unsent bytes, 20 links per second are accepted.

--- /dev/null
+++ b/src/features/link/node/frame_dispatcher.ts
@@ -0,0 +1,111 @@
+/**
+ * The task that hands messages and requests of all links to the handlers of the features.
+ *
+ * @module
+ */
+
+import {
+  createChannel,
+  startMessageTask,
+} from "../../../base/common/channel.ts";
+import {
+  createDisposable,
+  type Disposable,
+} from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import { describeError } from "../../../base/common/step_error.ts";
+import type { LinkFrame } from "../common/link_frame.ts";
+import type { LinkMessage, Peer, PeerNetwork } from "../common/peer_network.ts";
+
+/** A frame that a handler of a feature takes. */
+export type FeatureFrame = Extract<
+  LinkFrame,
+  { type: "message" | "request" }
+>;
+
+interface Delivery {
+  readonly peer: Peer;
+  readonly frame: FeatureFrame;
+  readonly reply: (frame: LinkFrame) => void;
+}
+
+export interface FrameDispatcher
+  extends Disposable, Pick<PeerNetwork, "onMessage" | "onRequest"> {
+  /** Takes a frame; `reply` is called for a request. */
+  dispatch(delivery: Delivery): void;
+}
+
+export function createFrameDispatcher(log: EventLog): FrameDispatcher {
+  const messageHandlers = new Map<string, MessageHandler>();
+  const requestHandlers = new Map<string, RequestHandler>();
+  // A full inbox drops frames, so that a flood of messages takes bounded memory. Requesters
+  // then see a timeout, and the exchanges of the features repeat what was lost.
+  const inbox = createChannel<Delivery>({ overflow: "reject" });
+
+  startMessageTask("link.deliver", inbox, {
+    handle: deliver,
+    onError: (error) =>
+      log.write("error", "link.handler-failed", { error: error.message }),
+  });
+
+  function deliver({ peer, frame, reply }: Delivery): void {
+    if (frame.type === "request") {
+      answer(peer, frame).then(reply);
+      return;
+    }
+    const handler = messageHandlers.get(frame.message.kind);
+    if (handler === undefined) {
+      log.write("debug", "link.unknown-kind", { kind: frame.message.kind });
+    }
+    handler?.(peer, frame.message);
+  }
+
+  async function answer(
+    peer: Peer,
+    { id, message }: Extract<FeatureFrame, { type: "request" }>,
+  ): Promise<LinkFrame> {
+    const handler = requestHandlers.get(message.kind);
+    if (handler === undefined) {
+      return { type: "failure", id, reason: `No handler for ${message.kind}` };
+    }
+    try {
+      return { type: "answer", id, message: await handler(peer, message) };
+    } catch (error) {
+      const reason = describeError(error);
+      log.write("error", "link.request-failed", { kind: message.kind, reason });
+      return { type: "failure", id, reason };
+    }
+  }
+
+  return {
+    dispatch(delivery) {
+      if (!inbox.offer(delivery)) {
+        log.write("warn", "link.inbox-full", {
+          peer: delivery.peer.process.host,
+        });
+      }
+    },
+    onMessage: (kind, handler) => register(messageHandlers, kind, handler),
+    onRequest: (kind, handler) => register(requestHandlers, kind, handler),
+    dispose: () => inbox.close(),
+  };
+}
+
+type MessageHandler = (peer: Peer, message: LinkMessage) => void;
+type RequestHandler = (
+  peer: Peer,
+  message: LinkMessage,
+) => LinkMessage | Promise<LinkMessage>;
+
+function register<T>(
+  handlers: Map<string, T>,
+  kind: string,
+  handler: T,
+): Disposable {
+  handlers.set(kind, handler);
+  return createDisposable(() => {
+    if (handlers.get(kind) === handler) {
+      handlers.delete(kind);
+    }
+  });
+}
--- /dev/null
+++ b/src/features/link/node/peer_network.ts
@@ -0,0 +1,346 @@
+/**
+ * Links between daemons over `ws`.
+ *
+ * @module
+ */
+
+import { type WebSocket, WebSocketServer } from "ws";
+import type { Clock } from "../../../base/common/clock.ts";
+import { createEmitter } from "../../../base/common/emitter.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import { Err, Ok, type Result } from "../../../base/common/result.ts";
+import { StepError } from "../../../base/common/step_error.ts";
+import {
+  formatProcess,
+  type HostIdentity,
+} from "../../../world/common/host.ts";
+import type { HostName } from "../../../world/common/names.ts";
+import {
+  LINK_PROTOCOL,
+  type LinkFrame,
+  type LinkPurpose,
+} from "../common/link_frame.ts";
+import { createAcceptLimiter, replacesLink } from "../common/link_rules.ts";
+import type { LinkTarget, Peer, PeerNetwork } from "../common/peer_network.ts";
+import { createFrameDispatcher } from "./frame_dispatcher.ts";
+import {
+  createLink,
+  type Link,
+  MAXIMUM_MESSAGE_BYTES,
+  MISSED_INTERVALS,
+} from "./link.ts";
+import { createLinkDialer, RETRY_HEADER } from "./link_dialer.ts";
+import { createPendingRequests } from "./pending_requests.ts";
+import { createTemporaryLinks } from "./temporary_links.ts";
+
+const HEARTBEAT_INTERVAL_MS: Milliseconds = 1_000;
+
+/** Limits the work that a mass reconnect causes on a daemon. */
+const ACCEPTED_LINKS_PER_SECOND = 20;
+
+export interface PeerNetworkOptions {
+  readonly self: HostIdentity;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly heartbeatIntervalMilliseconds?: Milliseconds;
+}
+
+/** A peer network with a listening port. */
+export interface SocketPeerNetwork extends PeerNetwork {
+  /** Where the network accepts links, or why it does not. */
+  readonly listening: Promise<Result<LinkTarget, StepError>>;
+}
+
+export function createPeerNetwork(
+  options: PeerNetworkOptions,
+): SocketPeerNetwork {
+  const { self, clock, log } = options;
+  const ownHost = self.process.host;
+  const selfPeer: Peer = {
+    process: self.process,
+    failureDomain: self.failureDomain,
+  };
+  const interval = options.heartbeatIntervalMilliseconds ??
+    HEARTBEAT_INTERVAL_MS;
+  const traffic = {
+    sentBytes: 0,
+    receivedBytes: 0,
+    sentMessages: 0,
+    receivedMessages: 0,
+  };
+  const dispatcher = createFrameDispatcher(log);
+  const opened = createEmitter<Peer>();
+  const closed = createEmitter<Peer>();
+  const connections = new Set<Link>();
+  const links = new Map<HostName, Link>();
+  const pending = createPendingRequests(clock);
+  const limiter = createAcceptLimiter(ACCEPTED_LINKS_PER_SECOND);
+  let findTarget: (host: HostName) => LinkTarget | undefined = () => undefined;
+  let disposed = false;
+
+  const dialer = createLinkDialer({
+    clock,
+    random: options.random,
+    timeoutMilliseconds: MISSED_INTERVALS * interval,
+    hasLink: (host) => disposed || links.has(host),
+    onOpen: (target, socket) => adopt(socket, "link", target.host),
+    onFailure: (target, { reason }) =>
+      log.write("debug", "link.connect-failed", { peer: target.host, reason }),
+  });
+
+  const temporary = createTemporaryLinks({
+    clock,
+    timeoutMilliseconds: MISSED_INTERVALS * interval,
+    adopt: (socket, host) => adopt(socket, "temporary", host),
+  });
+
+  const server = new WebSocketServer({
+    host: self.addresses.address,
+    port: self.addresses.linkPort,
+    maxPayload: MAXIMUM_MESSAGE_BYTES,
+    perMessageDeflate: false,
+    verifyClient(_, decide) {
+      const delay = limiter.accept(clock.now());
+      decide(delay === 0, 503, "Too many links", {
+        [RETRY_HEADER]: String(delay),
+      });
+    },
+  });
+  const listening = new Promise<Result<LinkTarget, StepError>>((resolve) => {
+    server.once("listening", () => {
+      const bound = server.address() as { address: string; port: number };
+      resolve(Ok({ host: ownHost, address: bound.address, port: bound.port }));
+    });
+    server.on("error", (error) => {
+      log.write("error", "link.listen-failed", { error: error.message });
+      resolve(Err(new StepError("link.listen", error.message)));
+    });
+  });
+  server.on("connection", (socket) => adopt(socket));
+
+  /** Takes a connection; `dialledHost` is absent when the other side opened it. */
+  function adopt(
+    socket: WebSocket,
+    purpose: LinkPurpose = "link",
+    dialledHost?: HostName,
+  ): Link {
+    const link = createLink(socket, {
+      clock,
+      traffic,
+      openedBy: dialledHost === undefined ? undefined : ownHost,
+      onFrame: (link, frame) => receive(link, frame, dialledHost),
+      onClosed: (link) => handleClosed(link, dialledHost),
+    });
+    connections.add(link);
+    link.purpose = purpose;
+    link.sendHello(selfPeer, purpose);
+    return link;
+  }
+
+  function receive(link: Link, frame: LinkFrame, dialledHost?: HostName): void {
+    if (frame.type === "hello") {
+      establish(link, frame, dialledHost);
+    } else if (link.peer === undefined) {
+      link.destroy();
+    } else if (frame.type === "answer") {
+      pending.answer(link.peer.process.host, frame.id, frame.message);
+    } else if (frame.type === "failure") {
+      pending.fail(link.peer.process.host, frame.id, frame.reason);
+    } else if (frame.type !== "ping") {
+      link.lastUsedAt = clock.now();
+      dispatcher.dispatch({
+        peer: link.peer,
+        frame,
+        // A link that was closed in favour of another one leaves its answers to that one.
+        reply: (answer) =>
+          (link.isOpen ? link : links.get(link.peer!.process.host))
+            ?.send(answer),
+      });
+    }
+  }
+
+  function establish(
+    link: Link,
+    hello: Extract<LinkFrame, { type: "hello" }>,
+    dialledHost?: HostName,
+  ): void {
+    const { host } = hello.peer.process;
+    if (
+      hello.protocol !== LINK_PROTOCOL || link.peer !== undefined ||
+      host === ownHost || (dialledHost !== undefined && dialledHost !== host)
+    ) {
+      log.write("warn", "link.hello-refused", {
+        peer: formatProcess(hello.peer.process),
+        protocol: hello.protocol,
+        expected: dialledHost,
+      });
+      link.destroy();
+      return;
+    }
+    link.peer = hello.peer;
+    link.openedBy ??= host;
+    link.establishedAt = clock.now();
+    if (dialledHost === undefined) {
+      link.purpose = hello.purpose;
+    }
+    if (link.purpose === "link") {
+      keepOne(link, hello.peer);
+    } else {
+      temporary.established(link);
+    }
+  }
+
+  function keepOne(next: Link, peer: Peer): void {
+    const { host } = peer.process;
+    const present = links.get(host);
+    if (present === undefined) {
+      links.set(host, next);
+      opened.fire(peer);
+      return;
+    }
+    const describe = (link: Link) => ({
+      process: link.peer!.process,
+      openedBy: link.openedBy!,
+    });
+    if (!replacesLink(describe(present), describe(next))) {
+      next.close();
+      return;
+    }
+    links.set(host, next);
+    if (present.peer!.process.startedAt === peer.process.startedAt) {
+      present.close();
+      return;
+    }
+    present.destroy();
+    pending.failAll(`${host} has been replaced`, host);
+    closed.fire(present.peer!);
+    opened.fire(peer);
+  }
+
+  function handleClosed(link: Link, dialledHost?: HostName): void {
+    connections.delete(link);
+    temporary.closed(link);
+    const host = link.peer?.process.host ?? dialledHost;
+    if (host === undefined || disposed) {
+      return;
+    }
+    if (link.purpose === "link" && links.get(host) === link) {
+      links.delete(host);
+      closed.fire(link.peer!);
+    }
+    if (!links.has(host) && !temporary.has(host)) {
+      pending.failAll(`The link to ${host} closed`, host);
+    }
+    dialer.ensure(host);
+  }
+
+  let lastCheckAt = clock.now();
+  const checks = clock.repeat(interval / 2, () => {
+    const now = clock.now();
+    // After a pause of this process the frames of its peers wait unread in the sockets.
+    const wasPaused = now - lastCheckAt > 2 * interval;
+    lastCheckAt = now;
+    for (const link of connections) {
+      link.lastReceivedAt = wasPaused ? now : link.lastReceivedAt;
+      check(link, now);
+    }
+    temporary.closeIdle(now);
+  });
+
+  function check(link: Link, now: Milliseconds): void {
+    const limit = MISSED_INTERVALS * interval;
+    const congestedSince = link.congestedSince(now);
+    if (
+      now - link.lastReceivedAt >= limit ||
+      (congestedSince !== undefined && now - congestedSince >= limit)
+    ) {
+      log.write("warn", "link.silent", {
+        peer: link.peer?.process.host,
+        silentMilliseconds: now - link.lastReceivedAt,
+        congested: congestedSince !== undefined,
+      });
+      link.destroy();
+      return;
+    }
+    // The check runs twice per interval, so that a ping leaves in time for the other side.
+    if (now - link.lastSentAt >= interval / 2) {
+      link.send({ type: "ping" });
+    }
+    if (link.peer !== undefined && now - link.establishedAt >= limit) {
+      dialer.reset(link.peer.process.host);
+    }
+  }
+
+  return {
+    listening,
+    traffic,
+    get peers() {
+      return [...links.values()].map((link) => link.peer!);
+    },
+    onLinkOpened: opened.event,
+    onLinkClosed: closed.event,
+    setTargets(targets) {
+      dialer.setTargets(targets.filter(({ host }) => host !== ownHost));
+      for (const [host, link] of links) {
+        if (link.openedBy === ownHost && !dialer.targets.has(host)) {
+          link.close();
+        }
+      }
+    },
+    setAddressBook(find) {
+      findTarget = find;
+    },
+    send: (host, message) =>
+      links.get(host)?.send({ type: "message", message }) ?? false,
+    request: (host, message, requestOptions) =>
+      new Promise((resolve) => {
+        const request = pending.add(host, message, requestOptions, resolve);
+        const transmit = (link: Link | undefined, reason: string) => {
+          if (request.isSettled) {
+            return;
+          }
+          request.sent =
+            link?.send({ type: "request", id: request.id, message }) ??
+              false;
+          if (!request.sent) {
+            request.fail(
+              link === undefined ? reason : `The link to ${host} is congested`,
+            );
+          } else {
+            link!.lastUsedAt = clock.now();
+          }
+        };
+        const link = links.get(host);
+        if (link?.isOpen) {
+          transmit(link, "");
+        } else {
+          temporary.use(
+            host,
+            dialer.targets.get(host) ?? findTarget(host),
+            transmit,
+          );
+        }
+      }),
+    onMessage: dispatcher.onMessage,
+    onRequest: dispatcher.onRequest,
+    dispose() {
+      disposed = true;
+      checks.dispose();
+      dialer.dispose();
+      temporary.dispose();
+      server.close();
+      for (const link of connections) {
+        link.close();
+        // A peer that does not answer the closing handshake keeps no socket open.
+        clock.schedule(interval, () => link.destroy());
+      }
+      pending.failAll("The network is closed");
+      dispatcher.dispose();
+      opened.dispose();
+      closed.dispose();
+    },
+  };
+}
