Add membership: records, gossip, failure detection and targets

Cause: routing, claims and distribution need to know members and upstreams. Change: pure decisions on member records, silence, announcements, targets and summaries; createDirectory owns them and talks over PeerNetwork; a measure of cost and speed with many directories under a virtual clock.

--- /dev/null
+++ b/src/features/membership/common/announcement_list.ts
@@ -0,0 +1,72 @@
+/**
+ * The upstreams on this daemon's host and the expiry of their announcements.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { UpstreamAnnouncement } from "../../../world/common/upstream_instance.ts";
+
+/** An announcement that is not renewed for this long expires. */
+export const ANNOUNCEMENT_LIFETIME_MS: Milliseconds = 3_000;
+
+/** Bounds the record of a host against a faulty upstream that keeps changing its port. */
+export const MAXIMUM_ANNOUNCEMENTS = 64;
+
+export interface AnnouncementList {
+  readonly upstreams: readonly UpstreamAnnouncement[];
+  /** Takes an announcement or its renewal. Returns whether the list changed. */
+  renew(announcement: UpstreamAnnouncement, now: Milliseconds): boolean;
+  /** Removes expired announcements. Returns whether the list changed. */
+  expire(now: Milliseconds): boolean;
+  /** After a pause: renewals may wait unread, so that every lifetime starts again. */
+  restart(now: Milliseconds): void;
+}
+
+export function createAnnouncementList(): AnnouncementList {
+  interface Entry {
+    readonly announcement: UpstreamAnnouncement;
+    readonly expiresAt: Milliseconds;
+  }
+  const entries = new Map<string, Entry>();
+
+  function put(announcement: UpstreamAnnouncement, now: Milliseconds): void {
+    entries.set(`${announcement.address}:${announcement.port}`, {
+      announcement,
+      expiresAt: now + ANNOUNCEMENT_LIFETIME_MS,
+    });
+  }
+
+  return {
+    get upstreams() {
+      return [...entries.values()].map(({ announcement }) => announcement);
+    },
+    renew(announcement, now) {
+      const key = `${announcement.address}:${announcement.port}`;
+      const present = entries.get(key)?.announcement;
+      if (present === undefined && entries.size >= MAXIMUM_ANNOUNCEMENTS) {
+        return false;
+      }
+      put(announcement, now);
+      return present === undefined ||
+        present.service !== announcement.service ||
+        present.version !== announcement.version ||
+        present.slots !== announcement.slots ||
+        present.state !== announcement.state;
+    },
+    expire(now) {
+      const expired = [...entries].filter(([, entry]) =>
+        entry.expiresAt <= now
+      );
+      for (const [key] of expired) {
+        entries.delete(key);
+      }
+      return expired.length > 0;
+    },
+    restart(now) {
+      for (const { announcement } of [...entries.values()]) {
+        put(announcement, now);
+      }
+    },
+  };
+}
--- a/src/features/membership/common/directory.ts
+++ b/src/features/membership/common/directory.ts
@@ -40,6 +40,8 @@
   readonly process: ProcessIdentity;
   readonly failureDomain: FailureDomainName;
   readonly departedAt: Milliseconds;
+  /** A process known only by suspicion may still run; `dead` when absent. */
+  readonly cause?: "dead" | "left" | "replaced";
 }
 
 export interface Directory extends Disposable {
--- /dev/null
+++ b/src/features/membership/common/directory_view.ts
@@ -0,0 +1,92 @@
+/**
+ * The lists that readers of a directory see, computed when they are read after a change.
+ *
+ * @module
+ */
+
+import type { HostIdentity } from "../../../world/common/host.ts";
+import type { HostName } from "../../../world/common/names.ts";
+import {
+  identifyInstance,
+  type UpstreamInstance,
+} from "../../../world/common/upstream_instance.ts";
+import type { Member } from "./directory.ts";
+import type { SummaryRecord } from "./domain_summary.ts";
+import { isPresent } from "./member_record.ts";
+import type { RecordStore } from "./record_store.ts";
+import type { RemoteContacts } from "./remote_contacts.ts";
+
+export interface DirectoryViewOptions {
+  readonly self: HostIdentity;
+  readonly members: RecordStore<Member>;
+  readonly summaries: RecordStore<SummaryRecord>;
+  readonly contacts: RemoteContacts;
+}
+
+export interface DirectoryView {
+  readonly localMembers: readonly Member[];
+  readonly remoteMembers: readonly Member[];
+  readonly localInstances: readonly UpstreamInstance[];
+  readonly instances: readonly UpstreamInstance[];
+  invalidate(): void;
+}
+
+/** The upstreams of a member that may be given work. */
+export function listInstances(member: Member): UpstreamInstance[] {
+  // A suspect may be dead, and nobody then renews what it announced.
+  if (member.state !== "alive") {
+    return [];
+  }
+  const { host } = member.process;
+  return member.upstreams.filter(({ state }) => state !== "draining")
+    .map((upstream) => ({
+      ...upstream,
+      identity: identifyInstance(host, upstream),
+      host,
+      failureDomain: member.failureDomain,
+    }));
+}
+
+export function createDirectoryView(
+  options: DirectoryViewOptions,
+): DirectoryView {
+  const { self, members, summaries, contacts } = options;
+  let localMembers: readonly Member[] | undefined;
+  let localInstances: readonly UpstreamInstance[] | undefined;
+  let instances: readonly UpstreamInstance[] | undefined;
+
+  function listForeign(): SummaryRecord[] {
+    return [...summaries.values()].filter(({ failureDomain }) =>
+      failureDomain !== self.failureDomain
+    );
+  }
+
+  const view: DirectoryView = {
+    get localMembers() {
+      return localMembers ??= [...members.values()].filter(isPresent);
+    },
+    get remoteMembers() {
+      const found = new Map<HostName, Member>();
+      const daemons = listForeign().flatMap(({ daemons }) => daemons);
+      for (const member of [...daemons, ...contacts.list()]) {
+        found.set(member.process.host, member);
+      }
+      return [...found.values()];
+    },
+    get localInstances() {
+      return localInstances ??= view.localMembers.flatMap(listInstances);
+    },
+    get instances() {
+      return instances ??= [
+        ...view.localInstances,
+        ...listForeign().flatMap(({ endpoints }) => endpoints),
+      ];
+    },
+    invalidate() {
+      localMembers = undefined;
+      localInstances = undefined;
+      instances = undefined;
+    },
+  };
+  return view;
+}
--- /dev/null
+++ b/src/features/membership/common/member_state_test.ts
@@ -0,0 +1,221 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { createAnnouncementList } from "./announcement_list.ts";
+import type { Member, MemberState as State } from "./directory.ts";
+import { judgeProbe } from "./failure_detector.ts";
+import { chooseLocalTargets, chooseRemoteTargets } from "./link_choice.ts";
+import { decodeMember, encodeMember } from "./member_record.ts";
+import { createMemberState } from "./member_state.ts";
+import { createTargetPlanner } from "./target_planner.ts";
+
+const ADDRESSES = {
+  address: "10.0.0.1",
+  proxyPort: 1,
+  administrationPort: 2,
+  linkPort: 3,
+};
+
+function member(host: string, change: Partial<Member> = {}): Member {
+  return {
+    process: { host, startedAt: 100 },
+    failureDomain: "d1",
+    addresses: ADDRESSES,
+    incarnation: 5,
+    state: "alive",
+    appliedVersion: 1,
+    upstreams: [],
+    ...change,
+  };
+}
+
+const later = { process: { host: "b", startedAt: 200 } };
+const earlier = { process: { host: "b", startedAt: 50 } };
+
+test("of two records of a host the same one wins everywhere, whatever the order", () => {
+  const cases: [Partial<Member>, Partial<Member>, boolean, string?][] = [
+    [{}, {}, false],
+    [{}, { incarnation: 4 }, false],
+    [{}, { incarnation: 6 }, true],
+    [{}, { state: "suspect" }, true],
+    [{ state: "suspect" }, {}, false],
+    [{ state: "suspect" }, { incarnation: 6 }, true],
+    [{ state: "suspect" }, { state: "dead" }, true, "dead"],
+    [{ state: "dead" }, { state: "suspect" }, false, "dead"],
+    [{ state: "dead" }, { incarnation: 6 }, true],
+    [{ state: "left" }, { incarnation: 9 }, false, "left"],
+    [{ incarnation: 9 }, { state: "left" }, true, "left"],
+    [{}, { ...later, incarnation: 0 }, true, "replaced"],
+    [{ state: "left" }, later, true, "replaced"],
+    [{}, { ...earlier, incarnation: 9 }, false],
+  ];
+  for (const [present, next, isTaken, cause] of cases) {
+    const state = createMemberState(member("a"));
+    state.accept(member("b", present), 1_000);
+    const outcome = state.accept(member("b", next), 2_000);
+    assert.equal(outcome, isTaken ? "taken" : "ignored");
+    const expected = member("b", isTaken ? next : present);
+    assert.deepEqual(state.members.get("b"), expected);
+    assert.deepEqual(
+      state.departures.map((departure) => departure.cause),
+      cause === undefined ? [] : [cause],
+    );
+  }
+});
+
+test("a live process refutes what others say of it, and counts as absent until then", () => {
+  const cases: [State, number, string, number][] = [
+    ["alive", 0, "ignored", 100],
+    ["suspect", 0, "refuted", 7_000],
+    ["dead", 4, "refuted", 7_000],
+  ];
+  for (const [said, incarnation, outcome, presentSince] of cases) {
+    const state = createMemberState(member("a"));
+    const record = member("a", { state: said, incarnation });
+    assert.equal(state.accept(record, 7_000), outcome);
+    assert.equal(state.presentSince, presentSince);
+    assert.equal(state.own.state, "alive");
+    assert.ok(outcome === "ignored" || state.own.incarnation > incarnation);
+  }
+  const state = createMemberState(member("a"));
+  state.leave();
+  assert.equal(state.accept(member("a", { state: "dead" }), 7_000), "ignored");
+  const successor = member("a", { process: { host: "a", startedAt: 300 } });
+  assert.equal(state.accept(successor, 7_000), "replaced");
+});
+
+test("a suspect is dead after 3 s, later when this process was paused meanwhile", () => {
+  const state = createMemberState(member("a"));
+  state.accept(member("b"), 0);
+  assert.ok(state.suspect("b", 1_000));
+  assert.ok(!state.suspect("b", 1_500) && !state.suspect("a", 1_500));
+  assert.deepEqual(state.takeDead(3_999), []);
+  state.rejoin(9_000);
+  assert.equal(state.presentSince, 9_000);
+  assert.deepEqual(state.takeDead(11_999), []);
+  assert.deepEqual(state.takeDead(12_000), ["b"]);
+  assert.deepEqual(state.departures[0].departedAt, 12_000);
+  state.expire(12_000 + 11 * 60_000);
+  assert.ok(state.members.get("b"));
+  state.expire(12_001 + 11 * 60_000);
+  assert.deepEqual([state.members.get("b"), state.departures.length], [
+    undefined,
+    0,
+  ]);
+});
+
+test("a probe without a trusted answer leads to suspicion only after a long silence", () => {
+  const cases: [number, number, number, number, string][] = [
+    [2, 2, 1, 4_000, "reached"],
+    [2, 1, 0, 4_000, "suspect"],
+    [2, 0, 0, 4_000, "inconclusive"],
+    [2, 0, 0, 10_000, "suspect"],
+    [0, 0, 0, 4_000, "suspect"],
+    [0, 0, 1, 4_000, "reached"],
+  ];
+  for (const [asked, answered, reached, silence, verdict] of cases) {
+    assert.equal(judgeProbe({ asked, answered, reached }, silence), verdict);
+  }
+});
+
+test("an announcement expires 3 s after its last renewal", () => {
+  const upstream = {
+    service: "s",
+    version: "1",
+    address: "10.0.0.1",
+    port: 80,
+    slots: 4,
+    state: "ready" as const,
+  };
+  const list = createAnnouncementList();
+  const steps: [number, "renew" | "drain" | "expire" | "restart", boolean][] = [
+    [0, "renew", true],
+    [1_000, "renew", false],
+    [3_999, "expire", false],
+    [4_000, "expire", true],
+    [5_000, "renew", true],
+    [5_500, "drain", true],
+    [20_000, "restart", false],
+    [22_999, "expire", false],
+    [23_000, "expire", true],
+  ];
+  for (const [at, step, expected] of steps) {
+    const changed = step === "renew"
+      ? list.renew(upstream, at)
+      : step === "drain"
+      ? list.renew({ ...upstream, state: "draining" }, at)
+      : step === "expire"
+      ? list.expire(at)
+      : (list.restart(at), false);
+    assert.equal(changed, expected, `${step} at ${at}`);
+  }
+});
+
+test("targets are 4 local members and 1 in each of 2 other failure domains", () => {
+  const local = Array.from({ length: 9 }, (_, index) => member(`h${index}`));
+  const remote = ["d2", "d3", "d4"].flatMap((failureDomain) =>
+    [1, 2].map((index) =>
+      member(`${failureDomain}-${index}`, { failureDomain })
+    )
+  );
+  const chosen = chooseLocalTargets("h0", local);
+  assert.equal(chosen.length, 4);
+  assert.ok(chosen.every(({ process }) => process.host !== "h0"));
+  const domains = chooseRemoteTargets("h0", remote).map((one) =>
+    one.failureDomain
+  );
+  assert.equal(new Set(domains).size, 2);
+});
+
+test("seeds are targets only as long as too few daemons are known", () => {
+  const seeds = Array.from({ length: 9 }, (_, index) => ({
+    host: `s${index}`,
+    address: "10.0.0.9",
+    port: 3,
+  }));
+  const remote = [member("r", { failureDomain: "d2" })];
+  const cases: [Member[], Member[], number][] = [
+    [[], [], 4],
+    [[], remote, 4 + 1],
+    [[member("b")], [], 1 + 2],
+    [[member("b")], remote, 2],
+  ];
+  for (const [local, other, count] of cases) {
+    const planner = createTargetPlanner("s0", seeds, createRandomSource(3));
+    const plan = planner.plan({ local, remote: other, dead: [] }, 0);
+    assert.equal(plan.length, count);
+    assert.ok(plan.every(({ host }) => host !== "s0"));
+  }
+  const first = [1, 2, 3, 4, 5].map((seed) =>
+    createTargetPlanner("s0", seeds, createRandomSource(seed))
+      .plan({ local: [], remote: [], dead: [] }, 0).map(({ host }) => host)
+      .join()
+  );
+  assert.ok(new Set(first).size > 1, "restarts spread over the seeds");
+});
+
+test("a record on the wire is what it was, and anything else is refused", () => {
+  const record = member("b", {
+    upstreams: [{
+      service: "s",
+      version: "1",
+      address: "10.0.0.1",
+      port: 80,
+      slots: 4,
+      state: "draining",
+    }],
+  });
+  const wire = encodeMember(record);
+  assert.deepEqual(decodeMember(wire, "d1"), record);
+  const faults = [
+    null,
+    7,
+    [],
+    wire.slice(0, 9),
+    wire.with(0, 3),
+    wire.with(7, 9),
+  ];
+  for (const fault of [...faults, wire.with(9, [[1]]), wire.with(6, "x")]) {
+    assert.equal(decodeMember(fault, "d1"), undefined);
+  }
+});
--- /dev/null
+++ b/src/features/membership/common/membership_measure.ts
@@ -0,0 +1,338 @@
+/**
+ * What membership costs and how fast it is, measured with many directories in one process under
+ * a virtual clock.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { HostName } from "../../../world/common/names.ts";
+import type { UpstreamAnnouncement } from "../../../world/common/upstream_instance.ts";
+import type { LinkMessage } from "../../link/common/peer_network.ts";
+import {
+  createMembershipFleet,
+  type FleetDaemon,
+  type MembershipFleet,
+} from "./membership_fleet.ts";
+
+const STEADY_MS: Milliseconds = 20_000;
+const LIMIT_MS: Milliseconds = 60_000;
+const RENEWAL_MS: Milliseconds = 1_000;
+const SEED_HOSTS = 8;
+
+/** Restarted daemons come back after a uniform time up to this. */
+const RESTART_SPREAD_MS: Milliseconds = 1_000;
+
+/** Pauses around the limits of silence (3 s) and suspicion (3 s more). */
+const PAUSES_MS: readonly Milliseconds[] = [1_000, 2_000, 3_000, 5_000, 10_000];
+
+export interface MembershipMeasureOptions {
+  readonly members: number;
+  readonly seed: number;
+  /** The size of the msgpack form of a message in bytes. */
+  readonly measure: (message: LinkMessage) => number;
+}
+
+/** Bytes per second of one daemon, sent and received together. */
+export interface ControlBytes {
+  readonly mean: number;
+  readonly highest: number;
+}
+
+export interface PauseMeasure {
+  readonly pauseMilliseconds: Milliseconds;
+  readonly pausedDaemons: number;
+  /** Paused daemons of which some member thought that they were suspect or dead. */
+  readonly suspected: number;
+  readonly declaredDead: number;
+  /** Daemons that did not pause and were suspected all the same. */
+  readonly bystandersSuspected: number;
+  /** From the end of the pause until all count all members as alive. */
+  readonly recoveryMilliseconds: Milliseconds | undefined;
+}
+
+/** Times are from the event until all members know; undefined when some do not within 60 s. */
+export interface MembershipMeasure {
+  readonly members: number;
+  readonly joinMilliseconds: Milliseconds | undefined;
+  readonly steadyBytesPerSecond: ControlBytes;
+  readonly newInstanceMilliseconds: Milliseconds | undefined;
+  readonly drainMilliseconds: Milliseconds | undefined;
+  /** From the last renewal. */
+  readonly expiryMilliseconds: Milliseconds | undefined;
+  readonly leaveMilliseconds: Milliseconds | undefined;
+  /** The process falls silent with its links open; until nobody counts it as a member. */
+  readonly deathMilliseconds: Milliseconds | undefined;
+  /** The same until nobody chooses its instances. */
+  readonly deathInstancesMilliseconds: Milliseconds | undefined;
+  readonly pauses: readonly PauseMeasure[];
+  /** Half of the members restart; from the kill until all know all new processes. */
+  readonly restartMilliseconds: Milliseconds | undefined;
+  readonly restartBytesPerSecond: ControlBytes;
+}
+
+interface Session {
+  readonly fleet: MembershipFleet;
+  readonly hosts: HostName[];
+  /** Hosts whose upstream no longer renews. */
+  readonly silentUpstreams: Set<HostName>;
+}
+
+export async function measureMembership(
+  options: MembershipMeasureOptions,
+): Promise<MembershipMeasure> {
+  const session = createSession(options);
+  const { fleet, hosts } = session;
+  const joinMilliseconds = await fleet.advanceUntil(
+    () => allKnowAll(fleet),
+    LIMIT_MS,
+  );
+  await fleet.advance(10_000);
+  const steadyBytesPerSecond = await measureBytes(fleet, STEADY_MS);
+  const instances = await measureInstances(session);
+  const pauses: PauseMeasure[] = [];
+  for (const pauseMilliseconds of PAUSES_MS) {
+    pauses.push(await measurePause(session, pauseMilliseconds));
+  }
+  const departures = await measureDepartures(session);
+  const restart = await measureRestart(session);
+  return {
+    members: hosts.length,
+    joinMilliseconds,
+    steadyBytesPerSecond,
+    ...instances,
+    ...departures,
+    pauses,
+    ...restart,
+  };
+}
+
+function createSession(options: MembershipMeasureOptions): Session {
+  const hosts = Array.from(
+    { length: options.members },
+    (_, index) => `host-${String(index).padStart(4, "0")}`,
+  );
+  const sizes = new WeakMap<LinkMessage, number>();
+  const fleet = createMembershipFleet({
+    seed: options.seed,
+    seeds: hosts.slice(0, SEED_HOSTS),
+    measure(message) {
+      const size = sizes.get(message) ?? options.measure(message);
+      sizes.set(message, size);
+      return size;
+    },
+  });
+  const silentUpstreams = new Set<HostName>();
+  hosts.forEach((host) => fleet.start(host));
+  const renew = () => {
+    for (const [host, daemon] of fleet.daemons) {
+      if (!silentUpstreams.has(host) && !daemon.isPaused) {
+        daemon.directory.announce(announcementOf(host));
+      }
+    }
+  };
+  renew();
+  fleet.clock.repeat(RENEWAL_MS, renew);
+  return { fleet, hosts, silentUpstreams };
+}
+
+function announcementOf(
+  host: HostName,
+  change: Partial<UpstreamAnnouncement> = {},
+): UpstreamAnnouncement {
+  return {
+    service: `service-${Number(host.slice(-4)) % 25}`,
+    version: "1.0.0",
+    address: "10.20.30.40",
+    port: 9_000,
+    slots: 16,
+    state: "ready",
+    ...change,
+  };
+}
+
+function everyDaemon(
+  fleet: MembershipFleet,
+  condition: (daemon: FleetDaemon) => boolean,
+): boolean {
+  for (const daemon of fleet.daemons.values()) {
+    if (!condition(daemon)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+function allKnowAll(fleet: MembershipFleet): boolean {
+  return everyDaemon(fleet, ({ directory }) => {
+    const { localMembers } = directory;
+    return localMembers.length === fleet.daemons.size &&
+      localMembers.every(({ process, state }) =>
+        state === "alive" &&
+        fleet.daemons.get(process.host)?.self.process.startedAt ===
+          process.startedAt
+      );
+  });
+}
+
+function nobodyChooses(
+  fleet: MembershipFleet,
+  host: HostName,
+  port: number,
+): boolean {
+  return everyDaemon(
+    fleet,
+    ({ directory }) =>
+      !directory.instances.some((instance) =>
+        instance.host === host && instance.port === port
+      ),
+  );
+}
+
+async function measureBytes(
+  fleet: MembershipFleet,
+  duration: Milliseconds,
+  run: () => Promise<unknown> = () => fleet.advance(duration),
+): Promise<ControlBytes> {
+  const total = ({ network }: FleetDaemon) =>
+    network.traffic.sentBytes + network.traffic.receivedBytes;
+  const before = new Map(
+    [...fleet.daemons.values()].map((daemon) => [daemon, total(daemon)]),
+  );
+  const beganAt = fleet.clock.now();
+  await run();
+  const seconds = (fleet.clock.now() - beganAt) / 1_000;
+  const rates = [...fleet.daemons.values()].map((daemon) =>
+    (total(daemon) - (before.get(daemon) ?? 0)) / seconds
+  );
+  const mean = rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
+  return { mean: Math.round(mean), highest: Math.round(Math.max(...rates)) };
+}
+
+async function measureInstances({ fleet, hosts, silentUpstreams }: Session) {
+  const host = hosts[3];
+  const { directory } = fleet.daemons.get(host)!;
+  const extra = announcementOf(host, { port: 9_001 });
+  directory.announce(extra);
+  const newInstanceMilliseconds = await fleet.advanceUntil(
+    () =>
+      everyDaemon(
+        fleet,
+        ({ directory }) =>
+          directory.instances.some((instance) =>
+            instance.host === host && instance.port === extra.port
+          ),
+      ),
+    LIMIT_MS,
+  );
+  directory.announce({ ...extra, state: "draining" });
+  const drainMilliseconds = await fleet.advanceUntil(
+    () => nobodyChooses(fleet, host, extra.port),
+    LIMIT_MS,
+  );
+  silentUpstreams.add(host);
+  directory.announce(announcementOf(host));
+  const expiryMilliseconds = await fleet.advanceUntil(
+    () => nobodyChooses(fleet, host, 9_000),
+    LIMIT_MS,
+  );
+  silentUpstreams.delete(host);
+  await fleet.advance(5_000);
+  return { newInstanceMilliseconds, drainMilliseconds, expiryMilliseconds };
+}
+
+async function measurePause(
+  { fleet, hosts }: Session,
+  pauseMilliseconds: Milliseconds,
+): Promise<PauseMeasure> {
+  const paused = hosts.filter((_, index) => index % 10 === 1);
+  const daemons = paused.map((host) => fleet.daemons.get(host)!);
+  const suspected = new Set<HostName>();
+  const declaredDead = new Set<HostName>();
+  const bystanders = new Set<HostName>();
+  const note = () => {
+    for (const { directory } of fleet.daemons.values()) {
+      for (const host of hosts) {
+        const state = directory.findMember(host)?.state;
+        if (state === "suspect" || state === "dead") {
+          (paused.includes(host) ? suspected : bystanders).add(host);
+        }
+        if (state === "dead" && paused.includes(host)) {
+          declaredDead.add(host);
+        }
+      }
+    }
+  };
+  const watch = fleet.clock.repeat(100, note);
+  daemons.forEach((daemon) => daemon.pause());
+  await fleet.advance(pauseMilliseconds);
+  daemons.forEach((daemon) => daemon.resume());
+  const recoveryMilliseconds = await fleet.advanceUntil(
+    () => allKnowAll(fleet),
+    LIMIT_MS,
+  );
+  await fleet.advance(10_000);
+  watch.dispose();
+  return {
+    pauseMilliseconds,
+    pausedDaemons: paused.length,
+    suspected: suspected.size,
+    declaredDead: declaredDead.size,
+    bystandersSuspected: bystanders.size,
+    recoveryMilliseconds,
+  };
+}
+
+async function measureDepartures({ fleet, hosts }: Session) {
+  const leaving = hosts.at(-1)!;
+  fleet.daemons.get(leaving)!.directory.leave();
+  const leaveMilliseconds = await fleet.advanceUntil(
+    () => isGone(fleet, leaving),
+    LIMIT_MS,
+  );
+  fleet.kill(leaving);
+  await fleet.advance(5_000);
+  const dying = hosts.at(-2)!;
+  fleet.freeze(dying);
+  const deathInstancesMilliseconds = await fleet.advanceUntil(
+    () => nobodyChooses(fleet, dying, 9_000),
+    LIMIT_MS,
+  );
+  const rest = await fleet.advanceUntil(() => isGone(fleet, dying), LIMIT_MS);
+  const deathMilliseconds = rest === undefined
+    ? undefined
+    : (deathInstancesMilliseconds ?? 0) + rest;
+  await fleet.advance(5_000);
+  return { leaveMilliseconds, deathInstancesMilliseconds, deathMilliseconds };
+}
+
+function isGone(fleet: MembershipFleet, host: HostName): boolean {
+  return everyDaemon(
+    fleet,
+    ({ directory }) =>
+      directory.localMembers.every(({ process }) => process.host !== host),
+  );
+}
+
+async function measureRestart({ fleet, hosts }: Session) {
+  const restarted = hosts.filter((host, index) =>
+    index % 2 === 0 && fleet.daemons.has(host)
+  );
+  let restartMilliseconds: Milliseconds | undefined;
+  const restartBytesPerSecond = await measureBytes(fleet, 0, async () => {
+    restarted.forEach((host) => fleet.kill(host));
+    restarted.forEach((host, index) =>
+      fleet.clock.schedule(
+        (index * 7_919) % restarted.length / restarted.length *
+          RESTART_SPREAD_MS,
+        () => fleet.start(host),
+      )
+    );
+    await fleet.advance(RESTART_SPREAD_MS);
+    const rest = await fleet.advanceUntil(() => allKnowAll(fleet), LIMIT_MS);
+    restartMilliseconds = rest === undefined
+      ? undefined
+      : rest + RESTART_SPREAD_MS;
+  });
+  return { restartMilliseconds, restartBytesPerSecond };
+}
