Add the moves of traffic between versions and their measurement

Evidence counters, the judgement by confidence sequences, bursts on few instances, the exchange over peers, the append of verdicts and the model of callers and instances. Tests follow.

--- /dev/null
+++ b/src/features/move/common/move_cases.ts
@@ -0,0 +1,170 @@
+/**
+ * The table of the measurement of moves: workloads, kinds of new version and faults.
+ *
+ * @module
+ */
+
+import type { Mesh } from "./memory_mesh.ts";
+import type { MoveWorkload, VersionBehaviour } from "./move_model.ts";
+
+/** The workloads of section 1.1 of the design. Rates and service times are the model's own. */
+export const MOVE_WORKLOADS: readonly MoveWorkload[] = [
+  {
+    name: "hollister",
+    service: "booking",
+    failureDomains: ["tacoma", "everett", "salem", "yakima"],
+    latencyMilliseconds: 1.5,
+    instances: 10,
+    slots: 16,
+    serviceMilliseconds: 120,
+    routes: [
+      { name: "availability", part: 0.6, weight: 0.8 },
+      { name: "reservation", part: 0.3, weight: 1.2 },
+      { name: "photo", part: 0.1, weight: 2 },
+    ],
+  },
+  {
+    name: "mto-pamoja",
+    service: "bib",
+    failureDomains: ["sagana", "thika", "masinga"],
+    latencyMilliseconds: 1,
+    instances: 7,
+    slots: 12,
+    serviceMilliseconds: 80,
+    routes: [
+      { name: "heat", part: 0.6, weight: 0.8 },
+      { name: "issue", part: 0.3, weight: 1.2 },
+      { name: "bundle", part: 0.1, weight: 2 },
+    ],
+  },
+];
+
+export interface VersionKind {
+  readonly name: string;
+  readonly isBad: boolean;
+  readonly candidate: VersionBehaviour;
+  readonly stable?: VersionBehaviour;
+  /** The slowdown of the replaced version; 1 when absent. */
+  readonly stableSlowdown?: number;
+}
+
+/** When a version that goes bad later does so, as a part of the time to the deadline. */
+const LATER = 0.45;
+/** The load from which a version that is bad under load only is bad. */
+const UNDER_LOAD = 0.4;
+const COLD_CALLS = 60;
+
+const faultless: VersionBehaviour = () => ({});
+
+/** The kinds of new version. Route numbers are those of the workload: the third is the thinnest. */
+export const VERSION_KINDS: readonly VersionKind[] = [
+  { name: "good", isBad: false, candidate: faultless },
+  {
+    name: "good-faster",
+    isBad: false,
+    candidate: () => ({ slowdown: 0.6 }),
+  },
+  {
+    name: "good-as-slow",
+    isBad: false,
+    candidate: () => ({ slowdown: 3 }),
+    stable: () => ({ slowdown: 3 }),
+    stableSlowdown: 3,
+  },
+  {
+    name: "good-as-failing",
+    isBad: false,
+    candidate: () => ({ failureRate: 0.05 }),
+    stable: () => ({ failureRate: 0.05 }),
+  },
+  {
+    name: "good-cold-start",
+    isBad: false,
+    candidate: ({ served }) => ({ slowdown: served < COLD_CALLS ? 4 : 1 }),
+  },
+  {
+    name: "good-one-bad-instance",
+    isBad: false,
+    candidate: ({ isFirstCalled }) => ({
+      failureRate: isFirstCalled ? 0.5 : 0,
+    }),
+  },
+  {
+    name: "good-shedding",
+    isBad: false,
+    candidate: ({ load }) => ({ shedRate: load >= 0.6 ? 0.3 : 0 }),
+  },
+  bad("bad-fails", () => ({ failureRate: 0.2 })),
+  bad("bad-fails-always", () => ({ failureRate: 1 })),
+  bad("bad-slow", () => ({ slowdown: 2 })),
+  bad("bad-fails-later", ({ progress }) => ({
+    failureRate: progress >= LATER ? 0.25 : 0,
+  })),
+  bad("bad-slow-later", ({ progress }) => ({
+    slowdown: progress >= LATER ? 2 : 1,
+  })),
+  bad("bad-fails-under-load", ({ load }) => ({
+    failureRate: load >= UNDER_LOAD ? 0.4 : 0,
+  })),
+  bad("bad-slow-under-load", ({ load }) => ({
+    slowdown: load >= UNDER_LOAD ? 2.5 : 1,
+  })),
+  bad("bad-fails-on-route", ({ route }) => ({
+    failureRate: isThinRoute(route) ? 0.4 : 0,
+  })),
+  bad("bad-slow-on-route", ({ route }) => ({
+    slowdown: isThinRoute(route) ? 2.5 : 1,
+  })),
+];
+
+function bad(name: string, candidate: VersionBehaviour): VersionKind {
+  return { name, isBad: true, candidate };
+}
+
+function isThinRoute(route: string): boolean {
+  return route === "photo" || route === "bundle";
+}
+
+export interface MoveFault {
+  readonly name: string;
+  /** Parts of the time to the deadline at which something happens to the mesh. */
+  readonly events: readonly {
+    readonly at: number;
+    readonly act: (mesh: Mesh) => void;
+  }[];
+  /** The part of calls that fail at the first daemon, whatever the version. */
+  readonly brokenPart?: number;
+}
+
+export const MOVE_FAULTS: readonly MoveFault[] = [
+  { name: "none", events: [] },
+  {
+    name: "platform-down",
+    events: [
+      { at: 0.01, act: (mesh) => mesh.setPlatformDown(true) },
+      { at: 0.7, act: (mesh) => mesh.setPlatformDown(false) },
+    ],
+  },
+  {
+    name: "partition",
+    events: [
+      { at: 0.05, act: (mesh) => mesh.cutOff(firstDomain(mesh)) },
+      { at: 0.6, act: (mesh) => mesh.rejoin(firstDomain(mesh)) },
+    ],
+  },
+  {
+    name: "half-restart",
+    events: [{
+      at: 0.5,
+      act: (mesh) =>
+        mesh.daemons.filter((_, index) => index % 2 === 0)
+          .forEach(({ self }) => mesh.restart(self.process.host)),
+    }],
+  },
+  { name: "broken-daemon", events: [], brokenPart: 0.3 },
+];
+
+function firstDomain(mesh: Mesh): string {
+  // Sorted, because a restarted daemon moves to the end of the list.
+  return mesh.daemons.map(({ self }) => self.failureDomain).sort()[0];
+}
--- /dev/null
+++ b/src/features/move/common/shift_service.ts
@@ -0,0 +1,355 @@
+/**
+ * The moves at one daemon: it divides calls between versions, counts the evidence, exchanges
+ * evidence and verdicts with peers and has verdicts appended to the platform log.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import { createDisposableStore } from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { Configuration } from "../../../world/common/configuration.ts";
+import {
+  formatProcess,
+  type HostIdentity,
+} from "../../../world/common/host.ts";
+import type { Move } from "../../../world/common/move.ts";
+import type {
+  ChangeIdentity,
+  FailureDomainName,
+  ServiceName,
+} from "../../../world/common/names.ts";
+import type { ConfigurationSource } from "../../distribution/common/configuration_source.ts";
+import type { Peer, PeerNetwork } from "../../link/common/peer_network.ts";
+import type { LogClient } from "../../log/common/log_client.ts";
+import type { Directory } from "../../membership/common/directory.ts";
+import { concentrate } from "./concentration.ts";
+import { recordSample } from "./evidence.ts";
+import { createEvidenceExchange, REACHABLE_MS } from "./evidence_exchange.ts";
+import { parseEvidence, parseVerdicts } from "./move_messages.ts";
+import {
+  advanceMove,
+  createMoveState,
+  effectiveVerdict,
+  mergeVerdicts,
+  type MoveState,
+  type MoveSurroundings,
+  shareOf,
+  type Verdict,
+} from "./move_state.ts";
+import type {
+  AttemptSample,
+  TrafficShift,
+  VersionSplit,
+} from "./traffic_shift.ts";
+import { createVerdictBook } from "./verdict_book.ts";
+import { createVerdictWriter } from "./verdict_writer.ts";
+
+/** The interval of judgements, of steps and of the exchange. */
+const TICK_MS: Milliseconds = 500;
+/** A split is computed anew after this time, so that bursts begin and end on time. */
+const SPLIT_CACHE_MS: Milliseconds = 20;
+
+export interface TrafficShiftOptions {
+  readonly self: HostIdentity;
+  readonly directory: Directory;
+  readonly network: PeerNetwork;
+  readonly configuration: ConfigurationSource;
+  readonly logClient: LogClient;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+}
+
+/** An open move at this daemon, for operators. */
+export interface MoveStatus {
+  readonly move: Move;
+  /** The share over all daemons that this daemon acts on. */
+  readonly share: number;
+  /** The verdict that this daemon knows, which the log may not hold yet. */
+  readonly verdict: Verdict | undefined;
+  readonly evidenceRows: number;
+}
+
+export interface OperatedTrafficShift extends TrafficShift {
+  readonly openMoves: readonly MoveStatus[];
+}
+
+interface CachedSplit {
+  readonly split: VersionSplit;
+  readonly validUntil: Milliseconds;
+}
+
+export function createTrafficShift(
+  options: TrafficShiftOptions,
+): OperatedTrafficShift {
+  const { self, directory, network, configuration, clock, log } = options;
+  const owned = createDisposableStore();
+  const states = new Map<ChangeIdentity, MoveState>();
+  const byService = new Map<ServiceName, MoveState>();
+  const splits = new Map<ServiceName, CachedSplit>();
+  const exchange = createEvidenceExchange({ self, network });
+  const book = createVerdictBook(network);
+  const writer = createVerdictWriter(options);
+  const overruled = new Set<ChangeIdentity>();
+
+  const isOpen = (move: ChangeIdentity) => states.has(move);
+
+  function follow(current: Configuration): void {
+    splits.clear();
+    for (const move of current.moves.values()) {
+      const state = states.get(move.identity);
+      if (move.outcome === "open" && state === undefined) {
+        open(move);
+      } else if (move.outcome !== "open" && state !== undefined) {
+        close(move);
+      }
+    }
+    for (const [identity, { move }] of states) {
+      if (!current.moves.has(identity)) {
+        remove(move);
+      }
+    }
+    writer.keepOnly(isOpen);
+  }
+
+  function open(move: Move): void {
+    const state = createMoveState(move, clock.now());
+    state.verdicts = book.verdictsOf(move.identity);
+    states.set(move.identity, state);
+    byService.set(move.service, state);
+    log.write("info", "move.opened", {
+      move: move.identity,
+      service: move.service,
+      toVersion: move.toVersion,
+    });
+  }
+
+  function close(move: Move): void {
+    remove(move);
+    log.write("info", "move.closed", {
+      move: move.identity,
+      outcome: move.outcome,
+      reason: move.reason,
+    });
+    reportOverruled(move);
+  }
+
+  function remove(move: Move): void {
+    states.delete(move.identity);
+    if (byService.get(move.service)?.move.identity === move.identity) {
+      byService.delete(move.service);
+    }
+  }
+
+  /** A bad verdict does not change a result that the log holds already. */
+  function reportOverruled(move: Move): void {
+    const { bad } = book.verdictsOf(move.identity);
+    if (
+      bad !== undefined && move.outcome === "done" &&
+      !overruled.has(move.identity)
+    ) {
+      overruled.add(move.identity);
+      log.write("warn", "move.verdict-overruled", {
+        move: move.identity,
+        reason: bad.reason,
+        author: bad.author,
+      });
+    }
+  }
+
+  function learn(verdicts: readonly Verdict[]): void {
+    for (const { move, outcome, reason, author } of verdicts) {
+      log.write("info", "move.verdict", { move, outcome, reason, author });
+      const state = states.get(move);
+      const closed = configuration.current.moves.get(move);
+      if (state !== undefined) {
+        state.verdicts = mergeVerdicts(state.verdicts, book.verdictsOf(move));
+        splits.delete(state.move.service);
+      } else if (closed !== undefined) {
+        reportOverruled(closed);
+      }
+    }
+  }
+
+  function advance(state: MoveState, now: Milliseconds): void {
+    for (const effect of advanceMove(state, surroundingsOf(state, now), now)) {
+      if (effect.kind === "step") {
+        splits.delete(state.move.service);
+        log.write("info", "move.step", {
+          move: state.move.identity,
+          share: effect.share,
+        });
+        continue;
+      }
+      const verdict: Verdict = {
+        move: state.move.identity,
+        outcome: effect.outcome,
+        reason: effect.reason,
+        author: formatProcess(self.process),
+      };
+      book.add(verdict, now);
+      learn([verdict]);
+    }
+    const verdict = effectiveVerdict(state.verdicts);
+    if (verdict !== undefined) {
+      writer.write(verdict);
+    }
+  }
+
+  function surroundingsOf(
+    state: MoveState,
+    now: Milliseconds,
+  ): MoveSurroundings {
+    const reachableDomains = new Set([self.failureDomain]);
+    const domains = new Set<FailureDomainName>(
+      configuration.current.failureDomains,
+    );
+    for (const domain of domains) {
+      const heardAt = exchange.lastHeardAt(domain) ?? state.move.startedAt;
+      if (now - heardAt < REACHABLE_MS) {
+        reachableDomains.add(domain);
+      }
+    }
+    const hosts = candidatesOf(state).map(({ host }) => host);
+    return {
+      candidateHosts: new Set(hosts).size,
+      reachableDomains,
+      areAllDomainsReachable: [...domains].every((domain) =>
+        reachableDomains.has(domain)
+      ),
+    };
+  }
+
+  function candidatesOf({ move }: MoveState) {
+    return directory.instances.filter((instance) =>
+      instance.service === move.service && instance.version === move.toVersion
+    );
+  }
+
+  function computeSplit(
+    service: ServiceName,
+    now: Milliseconds,
+  ): VersionSplit | undefined {
+    const state = byService.get(service);
+    if (state === undefined) {
+      const known = configuration.current.services.get(service);
+      return known && withoutCandidate(known.version);
+    }
+    if (state.verdicts.bad !== undefined) {
+      return withoutCandidate(state.move.fromVersion);
+    }
+    const candidates = candidatesOf(state);
+    return {
+      stableVersion: state.move.fromVersion,
+      candidateVersion: state.move.toVersion,
+      ...concentrate(state.move, {
+        share: shareOf(state, now),
+        now,
+        ownDomain: self.failureDomain,
+        candidateDomains: [
+          ...new Set(candidates.map(({ failureDomain }) => failureDomain)),
+        ].sort(),
+        localInstances: candidates.filter(({ failureDomain }) =>
+          failureDomain === self.failureDomain
+        ).length,
+      }),
+    };
+  }
+
+  function tick(): void {
+    const now = clock.now();
+    for (const state of [...states.values()]) {
+      advance(state, now);
+    }
+    if (states.size > 0) {
+      exchange.tick([...states.values()], now);
+    }
+    book.spread();
+    book.prune(isOpen, now);
+    for (const move of overruled) {
+      if (book.verdictsOf(move).bad === undefined) {
+        overruled.delete(move);
+      }
+    }
+  }
+
+  function takeEvidence(peer: Peer, message: unknown): void {
+    const evidence = parseEvidence(message);
+    if (evidence === undefined) {
+      log.write("warn", "move.malformed-evidence", { peer: peer.process.host });
+      return;
+    }
+    exchange.receive(peer, evidence, {
+      findState: (move) => states.get(move),
+      now: clock.now(),
+    });
+  }
+
+  function takeVerdicts(peer: Peer, message: unknown): void {
+    const verdicts = parseVerdicts(message);
+    if (verdicts === undefined) {
+      log.write("warn", "move.malformed-verdict", { peer: peer.process.host });
+      return;
+    }
+    learn(book.receive(peer, verdicts, clock.now()));
+  }
+
+  owned.add(configuration.onChanged(follow));
+  owned.add(directory.onChanged(() => splits.clear()));
+  owned.add(network.onMessage("evidence", takeEvidence));
+  owned.add(network.onMessage("verdict", takeVerdicts));
+  owned.add(network.onLinkOpened(() => book.spread()));
+  owned.add(network.onLinkClosed((peer) => exchange.forget(peer)));
+  owned.add(clock.repeat(TICK_MS, tick));
+  follow(configuration.current);
+
+  return {
+    get openMoves() {
+      return [...states.values()].map((state) => ({
+        move: state.move,
+        share: shareOf(state, clock.now()),
+        verdict: effectiveVerdict(state.verdicts),
+        evidenceRows: state.store.rows.size,
+      }));
+    },
+    splitOf(service) {
+      const now = clock.now();
+      const cached = splits.get(service);
+      if (cached !== undefined && now < cached.validUntil) {
+        return cached.split;
+      }
+      const split = computeSplit(service, now);
+      if (split !== undefined) {
+        splits.set(service, { split, validUntil: now + SPLIT_CACHE_MS });
+      }
+      return split;
+    },
+    record(sample: AttemptSample) {
+      const state = byService.get(sample.service);
+      if (state === undefined) {
+        return;
+      }
+      const { fromVersion, toVersion } = state.move;
+      if (sample.version === fromVersion || sample.version === toVersion) {
+        recordSample(state.store, sample, {
+          side: sample.version === toVersion ? "candidate" : "stable",
+          observer: self,
+          now: clock.now(),
+        });
+      }
+    },
+    dispose: () => owned.dispose(),
+  };
+}
+
+function withoutCandidate(stableVersion: string): VersionSplit {
+  return {
+    stableVersion,
+    candidateVersion: undefined,
+    candidateShare: 0,
+    candidateInstances: 0,
+  };
+}
--- /dev/null
+++ b/src/programs/node/measurements.ts
@@ -0,0 +1,30 @@
+/**
+ * The measurements by name. A new measurement is one more line in {@linkcode MEASUREMENTS}.
+ *
+ * @module
+ */
+
+import { measureMoves } from "../../features/move/common/move_table.ts";
+
+export interface MeasurementOptions {
+  /** Runs of each case with different random numbers. */
+  readonly seeds: number;
+  readonly firstSeed: number;
+  /** Only cases whose name contains this text. */
+  readonly filter: string;
+}
+
+export type MeasurementRow = Readonly<Record<string, string | number>>;
+
+export interface MeasurementTable {
+  readonly title: string;
+  readonly rows: readonly MeasurementRow[];
+}
+
+export type Measurement = (
+  options: MeasurementOptions,
+) => Promise<readonly MeasurementTable[]>;
+
+export const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
+  moves: measureMoves,
+};
