--- a/src/features/move/common/memory_mesh.ts
+++ b/src/features/move/common/memory_mesh.ts
@@ -77,6 +77,8 @@
   cutOff(domain: FailureDomainName): void;
   rejoin(domain: FailureDomainName): void;
   isCutOff(domain: FailureDomainName): boolean;
+  /** When the last partition ended; -Infinity when there was none. */
+  readonly lastRejoinAt: Milliseconds;
   /** Replaces a daemon by a new process on the same host, which knows nothing. */
   restart(host: HostName): void;
   dispose(): void;
@@ -100,6 +102,7 @@
   let isPlatformDown = false;
   let accepted = configurationOf(move, failureDomains);
   let retiredBytes = 0;
+  let lastRejoinAt = -Infinity;
 
   const hosts = failureDomains.flatMap((domain) =>
     Array.from({ length: options.daemonsPerDomain }, (_, index) => ({
@@ -231,7 +234,11 @@
       cutOff.add(domain);
       eachPairAcross(domain, exchange.cut);
     },
+    get lastRejoinAt() {
+      return lastRejoinAt;
+    },
     rejoin(domain) {
+      lastRejoinAt = clock.now();
       cutOff.delete(domain);
       eachPairAcross(domain, exchange.restore);
       clock.schedule(FOLD_DELAY_MS, distribute);
--- a/src/features/move/common/move_cases.ts
+++ b/src/features/move/common/move_cases.ts
@@ -5,7 +5,11 @@
  */
 
 import type { Mesh } from "./memory_mesh.ts";
-import type { MoveWorkload, VersionBehaviour } from "./move_model.ts";
+import type {
+  CallEffect,
+  MoveWorkload,
+  VersionBehaviour,
+} from "./move_model.ts";
 
 /** The workloads of section 1.1 of the design. Rates and service times are the model's own. */
 export const MOVE_WORKLOADS: readonly MoveWorkload[] = [
@@ -89,6 +93,11 @@
       failureRate: isFirstCalled ? 0.5 : 0,
     }),
   },
+  {
+    name: "good-one-slow-instance",
+    isBad: false,
+    candidate: ({ isFirstCalled }) => ({ slowdown: isFirstCalled ? 3 : 1 }),
+  },
   {
     name: "good-shedding",
     isBad: false,
@@ -132,8 +141,8 @@
     readonly at: number;
     readonly act: (mesh: Mesh) => void;
   }[];
-  /** The part of calls that fail at the first daemon, whatever the version. */
-  readonly brokenPart?: number;
+  /** What the first daemon does to its calls, whatever the version. */
+  readonly brokenDaemon?: CallEffect;
 }
 
 export const MOVE_FAULTS: readonly MoveFault[] = [
@@ -154,16 +163,40 @@
   },
   {
     name: "half-restart",
-    events: [{
-      at: 0.5,
-      act: (mesh) =>
-        mesh.daemons.filter((_, index) => index % 2 === 0)
-          .forEach(({ self }) => mesh.restart(self.process.host)),
-    }],
-  },
-  { name: "broken-daemon", events: [], brokenPart: 0.3 },
+    events: [{ at: 0.5, act: restartHalf }],
+  },
+  {
+    name: "failing-daemon",
+    events: [],
+    brokenDaemon: { failureRate: 0.3 },
+  },
+  { name: "slow-daemon", events: [], brokenDaemon: { slowdown: 4 } },
+  {
+    name: "platform-down-late",
+    events: [
+      { at: 0.85, act: (mesh) => mesh.setPlatformDown(true) },
+      { at: 0.97, act: (mesh) => mesh.setPlatformDown(false) },
+    ],
+  },
+  {
+    name: "island",
+    events: [{ at: 0.3, act: (mesh) => mesh.cutOff(firstDomain(mesh)) }],
+  },
+  {
+    name: "restart-in-partition",
+    events: [
+      { at: 0.4, act: (mesh) => mesh.cutOff(firstDomain(mesh)) },
+      { at: 0.45, act: restartHalf },
+      { at: 0.7, act: (mesh) => mesh.rejoin(firstDomain(mesh)) },
+    ],
+  },
 ];
 
+function restartHalf(mesh: Mesh): void {
+  mesh.daemons.filter((_, index) => index % 2 === 0)
+    .forEach(({ self }) => mesh.restart(self.process.host));
+}
+
 function firstDomain(mesh: Mesh): string {
   // Sorted, because a restarted daemon moves to the end of the list.
   return mesh.daemons.map(({ self }) => self.failureDomain).sort()[0];
