--- a/src/base/node/settings_file.ts
+++ b/src/base/node/settings_file.ts
@@ -19,6 +19,12 @@
 
 const READ_STEP = "settings.read";
 
+/** What is allowed where valibot itself states no expectation or a pattern too long to read. */
+const ALLOWED_BY_TYPE: Readonly<Record<string, string>> = {
+  integer: "a whole number",
+  ip: "an IP address",
+};
+
 /** Reads and checks a settings file. All problems are in the message, one per line. */
 export function readSettingsFile<const Schema extends valibot.GenericSchema>(
   file: string,
@@ -84,11 +90,23 @@
 ): string {
   const path = (issue.path ?? []).map((item) => item.key as string | number);
   const key = path.length > 0 ? path.join(".") : "(root)";
-  const expected = issue.expected === null ? issue.message : issue.expected;
+  const { found, allowed } = describeMismatch(issue);
   return `${source.file}:${
     lineOfPath(path, source)
-  }: key ${key}: found ${issue.received}, ` +
-    `allowed ${expected}`;
+  }: key ${key}: found ${found}, allowed ${allowed}`;
+}
+
+/** Puts issues that valibot words for programmers into words for operators. */
+function describeMismatch(issue: valibot.BaseIssue<unknown>) {
+  if (issue.type === "strict_object" && issue.expected === "never") {
+    return { found: "an unknown key", allowed: "only known keys" };
+  }
+  if (issue.type === "strict_object" && issue.received === "undefined") {
+    return { found: "nothing", allowed: "a value" };
+  }
+  const allowed = ALLOWED_BY_TYPE[issue.type] ?? issue.expected ??
+    issue.message;
+  return { found: issue.received, allowed };
 }
 
 /** The line of the deepest part of the path that exists in the file. */
--- /dev/null
+++ b/src/programs/common/platform_settings.ts
@@ -0,0 +1,35 @@
+/**
+ * The settings of the platform log's stand-in.
+ *
+ * @module
+ */
+
+import * as valibot from "valibot";
+import {
+  addressValue,
+  listenPortValue,
+  logValue,
+  wholeNumber,
+} from "./setting_values.ts";
+
+const HOUR_MS = 3_600_000;
+
+export const platformSettingsSchema = valibot.strictObject({
+  address: addressValue,
+  port: valibot.optional(listenPortValue, 7_000),
+  /** Records older than this are dropped. */
+  retentionMilliseconds: valibot.optional(
+    wholeNumber({ least: 1_000, most: 30 * 24 * HOUR_MS }),
+    24 * HOUR_MS,
+  ),
+  /** Appends beyond this rate are refused. */
+  maximumAppendsPerSecond: valibot.optional(
+    wholeNumber({ least: 1, most: 100_000 }),
+    300,
+  ),
+  log: valibot.optional(logValue, {}),
+});
+
+export type PlatformSettings = valibot.InferOutput<
+  typeof platformSettingsSchema
+>;
