--- /dev/null
+++ b/src/features/administration/common/documents.ts
@@ -0,0 +1,162 @@
+/**
+ * The documents that operators and upstreams send. The bounds reject values that no
+ * deployment needs, so that a slip in a file does not reach every proxy.
+ *
+ * @module
+ */
+
+import * as valibot from "valibot";
+import { Err, Ok, type Result } from "../../../base/common/result.ts";
+import {
+  addressValue,
+  identityValue,
+  nameValue,
+  numberBetween,
+  wholeNumber,
+} from "../../../world/common/value_schemas.ts";
+import { NO_VERSION } from "../../../world/common/names.ts";
+
+const DAY_MS = 86_400_000;
+const MAXIMUM_OBJECTS = 10_000;
+const METHOD_PATTERN = /^[A-Z]{1,20}$/;
+/** An absolute path without query, fragment, empty or dotted parts. */
+const PATH_PATTERN = /^\/$|^(\/(?!\.{1,2}(\/|$))[A-Za-z0-9._~%-]+)+\/?$/;
+
+const serviceSchema = valibot.strictObject({
+  name: nameValue,
+  version: nameValue,
+});
+
+const routeSchema = valibot.strictObject({
+  name: nameValue,
+  service: nameValue,
+  method: valibot.pipe(valibot.string(), valibot.regex(METHOD_PATTERN)),
+  pathPrefix: valibot.pipe(valibot.string(), valibot.regex(PATH_PATTERN)),
+  callClass: valibot.picklist(["read", "idempotent", "non-idempotent"]),
+  stalenessMilliseconds: valibot.optional(
+    wholeNumber({ least: 0, most: DAY_MS }),
+    0,
+  ),
+  deadlineMilliseconds: wholeNumber({ least: 1, most: 600_000 }),
+});
+
+const contractSchema = valibot.strictObject({
+  customer: nameValue,
+  routes: listOf(nameValue),
+  limits: valibot.strictObject({
+    requestsPerSecond: numberBetween({ least: 0, most: 10_000_000 }),
+    concurrency: wholeNumber({ least: 0, most: 10_000_000 }),
+    retryShare: numberBetween({ least: 0, most: 1 }),
+  }),
+});
+
+const baseVersionSchema = valibot.optional(
+  wholeNumber({ least: NO_VERSION, most: Number.MAX_SAFE_INTEGER }),
+);
+
+/** The document of `POST /changes` and of `guavarun publish`. */
+export const changeDocumentSchema = valibot.pipe(
+  valibot.strictObject({
+    /** Chosen by the author; a repeat with the same identity changes nothing more. */
+    identity: valibot.optional(identityValue),
+    /** The version that the author saw; the daemon's current one by default. */
+    baseVersion: baseVersionSchema,
+    upsert: valibot.optional(
+      valibot.strictObject({
+        failureDomains: optionalList(nameValue),
+        services: optionalList(serviceSchema),
+        routes: optionalList(routeSchema),
+        contracts: optionalList(contractSchema),
+      }),
+      {},
+    ),
+    remove: valibot.optional(
+      valibot.strictObject({
+        failureDomains: optionalList(nameValue),
+        services: optionalList(nameValue),
+        routes: optionalList(nameValue),
+        contracts: optionalList(nameValue),
+      }),
+      {},
+    ),
+  }),
+  valibot.check((change) => hasObjects(change), "the document changes nothing"),
+);
+
+export type ChangeDocument = valibot.InferOutput<typeof changeDocumentSchema>;
+
+/** The document of `POST /moves`. */
+export const moveDocumentSchema = valibot.pipe(
+  valibot.strictObject({
+    identity: valibot.optional(identityValue),
+    baseVersion: baseVersionSchema,
+    service: nameValue,
+    toVersion: nameValue,
+    /** The deadline, counted by the daemon from the arrival of the request. */
+    withinMilliseconds: valibot.optional(
+      wholeNumber({ least: 1, most: 7 * DAY_MS }),
+    ),
+    deadlineAt: valibot.optional(
+      wholeNumber({ least: 0, most: Number.MAX_SAFE_INTEGER }),
+    ),
+  }),
+  valibot.check(
+    (move) =>
+      (move.withinMilliseconds === undefined) !==
+        (move.deadlineAt === undefined),
+    "exactly one of withinMilliseconds and deadlineAt is required",
+  ),
+);
+
+export type MoveDocument = valibot.InferOutput<typeof moveDocumentSchema>;
+
+/** The document of `POST /announcements`. */
+export const announcementSchema = valibot.strictObject({
+  service: nameValue,
+  version: nameValue,
+  address: addressValue,
+  port: wholeNumber({ least: 1, most: 65_535 }),
+  slots: wholeNumber({ least: 1, most: 10_000 }),
+  state: valibot.picklist(["starting", "ready", "draining"]),
+});
+
+/** Parses the body of a request. The error names each faulty key. */
+export function parseDocument<const Schema extends valibot.GenericSchema>(
+  schema: Schema,
+  body: Uint8Array,
+): Result<valibot.InferOutput<Schema>, string> {
+  let value: unknown;
+  try {
+    value = JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(body));
+  } catch {
+    return Err("the body is not JSON in UTF-8");
+  }
+  const checked = valibot.safeParse(schema, value);
+  return checked.success
+    ? Ok(checked.output)
+    : Err(checked.issues.map(describeIssue).join("; "));
+}
+
+function describeIssue(issue: valibot.BaseIssue<unknown>): string {
+  const path = (issue.path ?? []).map((item) => String(item.key)).join(".");
+  return `key ${path === "" ? "(root)" : path}: ${issue.message}`;
+}
+
+function hasObjects(
+  { upsert, remove }: Record<"upsert" | "remove", object>,
+): boolean {
+  return [...Object.values(upsert), ...Object.values(remove)].some((list) =>
+    list.length > 0
+  );
+}
+
+function listOf<const Item extends valibot.GenericSchema>(item: Item) {
+  return valibot.pipe(
+    valibot.array(item),
+    valibot.maxLength(MAXIMUM_OBJECTS),
+  );
+}
+
+function optionalList<const Item extends valibot.GenericSchema>(item: Item) {
+  return valibot.optional(listOf(item), []);
+}
--- a/src/programs/common/daemon_settings.ts
+++ b/src/programs/common/daemon_settings.ts
@@ -7,11 +7,13 @@
 import * as valibot from "valibot";
 import {
   addressValue,
+  nameValue,
+  wholeNumber,
+} from "../../world/common/value_schemas.ts";
+import {
   listenPortValue,
   logValue,
-  nameValue,
   targetPortValue,
-  wholeNumber,
 } from "./setting_values.ts";
 
 const KIBIBYTE = 1_024;
--- a/src/programs/common/platform_settings.ts
+++ b/src/programs/common/platform_settings.ts
@@ -5,12 +5,8 @@
  */
 
 import * as valibot from "valibot";
-import {
-  addressValue,
-  listenPortValue,
-  logValue,
-  wholeNumber,
-} from "./setting_values.ts";
+import { addressValue, wholeNumber } from "../../world/common/value_schemas.ts";
+import { listenPortValue, logValue } from "./setting_values.ts";
 
 const HOUR_MS = 3_600_000;
 
--- a/src/programs/common/upstream_settings.ts
+++ b/src/programs/common/upstream_settings.ts
@@ -7,11 +7,14 @@
 import * as valibot from "valibot";
 import {
   addressValue,
+  nameValue,
+  numberBetween,
+  wholeNumber,
+} from "../../world/common/value_schemas.ts";
+import {
   listenPortValue,
   logValue,
-  nameValue,
   targetPortValue,
-  wholeNumber,
 } from "./setting_values.ts";
 
 export const upstreamSettingsSchema = valibot.strictObject({
@@ -30,11 +33,7 @@
   ),
   /** Part of the calls that fail, 0 to 1; a bad version is tried with it. */
   failureShare: valibot.optional(
-    valibot.pipe(
-      valibot.number(),
-      valibot.minValue(0),
-      valibot.maxValue(1),
-    ),
+    numberBetween({ least: 0, most: 1 }),
     0,
   ),
   log: valibot.optional(logValue, {}),
--- /dev/null
+++ b/src/world/common/value_schemas.ts
@@ -0,0 +1,50 @@
+/**
+ * The forms of values that settings files and documents share.
+ *
+ * @module
+ */
+
+import * as valibot from "valibot";
+
+/** Names appear in URLs, log lines and metric labels, which must not need quoting. */
+const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const IDENTITY_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+/** The name of a host, failure domain, customer, service, route, team or version. */
+export const nameValue = valibot.pipe(
+  valibot.string(),
+  valibot.regex(NAME_PATTERN),
+);
+
+/** The identity of a change or move, chosen by its author. */
+export const identityValue = valibot.pipe(
+  valibot.string(),
+  valibot.regex(IDENTITY_PATTERN),
+);
+
+/** Processes reach each other by address; there is no name service. */
+export const addressValue = valibot.pipe(valibot.string(), valibot.ip());
+
+export interface Bounds {
+  readonly least: number;
+  readonly most: number;
+}
+
+/** A whole number within bounds, both included. */
+export function wholeNumber(bounds: Bounds) {
+  return valibot.pipe(
+    valibot.number(),
+    valibot.integer(),
+    valibot.minValue(bounds.least),
+    valibot.maxValue(bounds.most),
+  );
+}
+
+/** A number within bounds, both included. */
+export function numberBetween(bounds: Bounds) {
+  return valibot.pipe(
+    valibot.number(),
+    valibot.minValue(bounds.least),
+    valibot.maxValue(bounds.most),
+  );
+}
