--- /dev/null
+++ b/src/features/log/node/http_log_client.ts
@@ -0,0 +1,140 @@
+/**
+ * The platform's log over HTTP.
+ *
+ * @module
+ */
+
+import * as valibot from "valibot";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import { Err, Ok, type Result } from "../../../base/common/result.ts";
+import { type Outcome, StepError } from "../../../base/common/step_error.ts";
+import {
+  createHttpClient,
+  type HttpAnswer,
+} from "../../../base/node/http_client.ts";
+import { decodeMessage } from "../../../base/node/message_codec.ts";
+import {
+  type AppendAnswer,
+  LogClient,
+  type LogPage,
+  type ReadOptions,
+  type StreamName,
+} from "../common/log_client.ts";
+
+const DEFAULT_TIMEOUT_MS: Milliseconds = 2_000;
+
+/** Statuses with which the platform refuses an append before it takes effect. */
+const REFUSING_STATUSES = new Set([400, 404, 405, 413, 429, 503]);
+
+const OFFSET = valibot.pipe(
+  valibot.number(),
+  valibot.integer(),
+  valibot.minValue(0),
+);
+const APPEND_ANSWER = valibot.object({
+  offset: OFFSET,
+  appendedAt: valibot.number(),
+});
+const PAGE = valibot.object({
+  first: OFFSET,
+  next: OFFSET,
+  entries: valibot.array(
+    valibot.object({
+      offset: OFFSET,
+      appendedAt: valibot.number(),
+      record: valibot.instance(Uint8Array),
+    }),
+  ),
+});
+
+export interface HttpLogClientOptions {
+  /** The root of the platform, such as `http://127.0.0.1:7300`. */
+  readonly url: string;
+  /** The limit for an append, and for a read beyond its wait. */
+  readonly timeoutMilliseconds?: Milliseconds;
+}
+
+export function createHttpLogClient(options: HttpLogClientOptions): LogClient {
+  return new HttpLogClient(options);
+}
+
+class HttpLogClient extends LogClient {
+  readonly #client = createHttpClient();
+  readonly #root: string;
+  readonly #timeout: Milliseconds;
+
+  constructor(options: HttpLogClientOptions) {
+    super();
+    this.#root = options.url.replace(/\/+$/, "");
+    this.#timeout = options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MS;
+  }
+
+  override async append(
+    stream: StreamName,
+    record: Uint8Array,
+  ): Promise<Result<AppendAnswer, StepError>> {
+    const step = "log.append";
+    const answer = await this.#client.send({
+      step,
+      url: `${this.#root}/streams/${stream}`,
+      method: "POST",
+      headers: { "content-type": "application/msgpack" },
+      body: record,
+      timeoutMilliseconds: this.#timeout,
+    });
+    return answer.andThen((value) => readAnswer(value, APPEND_ANSWER, step));
+  }
+
+  override async read(
+    stream: StreamName,
+    from: number,
+    options: ReadOptions = {},
+  ): Promise<Result<LogPage, StepError>> {
+    const step = "log.read";
+    const wait = options.waitMilliseconds ?? 0;
+    const url = new URL(`${this.#root}/streams/${stream}`);
+    url.searchParams.set("from", String(from));
+    url.searchParams.set("wait", String(wait));
+    if (options.limit !== undefined) {
+      url.searchParams.set("limit", String(options.limit));
+    }
+    const answer = await this.#client.send({
+      step,
+      url: url.href,
+      timeoutMilliseconds: wait + this.#timeout,
+    });
+    return answer.andThen((value) => readAnswer(value, PAGE, step));
+  }
+
+  override dispose(): void {
+    this.#client.dispose();
+  }
+}
+
+function readAnswer<T>(
+  answer: HttpAnswer,
+  schema: valibot.GenericSchema<unknown, T>,
+  step: string,
+): Result<T, StepError> {
+  if (answer.status !== 200) {
+    return Err(failure(
+      step,
+      `The platform answered with status ${answer.status}`,
+      REFUSING_STATUSES.has(answer.status) ? "not-run" : "unknown",
+    ));
+  }
+  const decoded = decodeMessage(answer.body, step);
+  if (decoded.err) {
+    return decoded;
+  }
+  const checked = valibot.safeParse(schema, decoded.val);
+  return checked.success ? Ok(checked.output) : Err(failure(
+    step,
+    `The platform's answer is malformed: ${checked.issues[0].message}`,
+    "unknown",
+  ));
+}
+
+function failure(step: string, message: string, outcome: Outcome): StepError {
+  return new StepError(step, message, { peer: "platform", outcome });
+}
