Seed the daemons of a test fleet with a hash

Cause: sources with consecutive seeds give nearly the same first number, so that all daemons of a fleet sent their heartbeats in the same phase. Change: each seed is a hash of the session's seed, the host and its start.

--- a/src/features/membership/common/membership_fleet.ts
+++ b/src/features/membership/common/membership_fleet.ts
@@ -13,6 +13,7 @@
   createEventBuffer,
   type LogEvent,
 } from "../../../base/common/event_log.ts";
+import { hashText } from "../../../base/common/hashing.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import type { HostIdentity } from "../../../world/common/host.ts";
@@ -196,7 +197,9 @@
       network,
       seeds,
       clock: ownClock,
-      random: createRandomSource(options.seed * 10_007 + started),
+      random: createRandomSource(
+        hashText(`${options.seed}|${host}|${started}`),
+      ),
       log,
     });
     const daemon: FleetDaemon = {
