--- a/src/features/attempt/node/call.ts
+++ b/src/features/attempt/node/call.ts
@@ -389,5 +389,8 @@
     reason: refusal.reason,
     outcome: refusal.outcome,
   });
-  sendRefusal(response, refusal, context.isDraining());
+  // The rest of a body that is too large is not read.
+  const closeConnection = context.isDraining() ||
+    refusal.reason === "body-too-large";
+  sendRefusal(response, refusal, closeConnection);
 }
--- a/src/features/attempt/node/proxy_fixture.ts
+++ b/src/features/attempt/node/proxy_fixture.ts
@@ -6,6 +6,7 @@
 
 import { createDisposable } from "../../../base/common/disposable.ts";
 import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import {
   type HttpListener,
@@ -208,3 +209,58 @@
     dispose() {},
   };
 }
+
+export interface FixtureCall {
+  readonly method?: string;
+  readonly path?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array;
+  readonly agent?: Agent;
+  /** Gives up the call after this time, as a caller that goes away. */
+  readonly abandonAfterMilliseconds?: number;
+}
+
+/** `cut`: the connection ended before the answer was whole. */
+export type FixtureAnswer =
+  | {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+  }
+  | { readonly status: "cut"; readonly headers: IncomingHttpHeaders };
+
+/** Sends one call as the fixture's customer and waits for its end. */
+export function sendCall(
+  url: string,
+  call: FixtureCall = {},
+): Promise<FixtureAnswer> {
+  return new Promise((resolve) => {
+    const cut = () => resolve({ status: "cut", headers: {} });
+    const outgoing = request(url + (call.path ?? "/"), {
+      method: call.method ?? "GET",
+      agent: call.agent,
+      headers: {
+        "guavarun-customer": FIXTURE_CUSTOMER,
+        ...(call.body === undefined
+          ? {}
+          : { "content-length": String(call.body.length) }),
+        ...call.headers,
+      },
+    }, (incoming) => {
+      const parts: Buffer[] = [];
+      incoming.on("data", (part: Buffer) => parts.push(part));
+      incoming.on("error", cut);
+      incoming.on("end", () =>
+        resolve({
+          status: incoming.statusCode ?? 0,
+          headers: incoming.headers,
+          body: Buffer.concat(parts).toString("utf8"),
+        }));
+    });
+    outgoing.on("error", cut);
+    outgoing.end(call.body);
+    if (call.abandonAfterMilliseconds !== undefined) {
+      setTimeout(() => outgoing.destroy(), call.abandonAfterMilliseconds);
+    }
+  });
+}
