--- a/src/features/move/common/concentration.ts
+++ b/src/features/move/common/concentration.ts
@@ -27,7 +27,10 @@
   readonly share: number;
   readonly now: Milliseconds;
   readonly ownDomain: FailureDomainName;
-  /** Failure domains that have instances of the new version. */
+  /**
+   * Reachable failure domains that have instances of the new version. A domain that is cut off
+   * takes its turns by itself; waiting for its bursts would leave this side without evidence.
+   */
   readonly candidateDomains: readonly FailureDomainName[];
   /** Instances of the new version in the own failure domain. */
   readonly localInstances: number;
--- /dev/null
+++ b/src/features/move/common/evidence_test.ts
@@ -0,0 +1,178 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { concentrate } from "./concentration.ts";
+import {
+  createEvidenceStore,
+  type EvidenceStore,
+  mergeRow,
+  recordSample,
+} from "./evidence.ts";
+import { decodeRows, encodeRows, parseEvidence } from "./move_messages.ts";
+import { SHARE_STEPS } from "./move_schedule.ts";
+import {
+  mergeVerdicts,
+  NO_VERDICTS,
+  type Verdict,
+  type VerdictSet,
+} from "./move_state.ts";
+import { lowerBound, upperBound } from "./sequential_bound.ts";
+
+function storeOf(host: string, seed: number, calls: number): EvidenceStore {
+  const store = createEvidenceStore();
+  const random = createRandomSource(seed);
+  const observer = {
+    process: { host, startedAt: 1 },
+    failureDomain: "east",
+    addresses: {
+      address: "",
+      proxyPort: 0,
+      administrationPort: 0,
+      linkPort: 0,
+    },
+  };
+  for (let index = 0; index < calls; index += 1) {
+    recordSample(store, {
+      service: "booking",
+      version: "2",
+      route: "availability",
+      host: `upstream-${random.nextInteger(2)}`,
+      result: random.nextInteger(5) === 0 ? "failure" : "success",
+      durationMilliseconds: 1 + random.nextInteger(500),
+      load: random.nextFraction(),
+    }, {
+      side: index % 2 === 0 ? "stable" : "candidate",
+      observer,
+      now: index * 20,
+    });
+  }
+  return store;
+}
+
+function exchange(from: EvidenceStore, to: EvidenceStore): void {
+  const report = {
+    move: "move-1",
+    step: 0,
+    enteredAt: 0,
+    ...encodeRows([...from.rows.values()]),
+  };
+  for (const { key, counters } of decodeRows(report)) {
+    mergeRow(to, key, counters);
+  }
+}
+
+function contentOf(store: EvidenceStore): string[] {
+  const rows = [...store.rows].map(([name, row]) => `${name} ${row.counters}`);
+  const totals = [...store.stableTotals].map(([route, { counters }]) =>
+    `${route} ${counters}`
+  );
+  return [...rows.sort(), ...totals];
+}
+
+test("rows that arrive in any order, late or twice give the same counts", () => {
+  const newer = storeOf("a", 1, 400);
+  const older = storeOf("a", 1, 200);
+  const other = storeOf("b", 2, 300);
+  const orders = [
+    [newer, older, other],
+    [other, older, newer],
+    [older, other, newer, older, other, newer],
+  ];
+  const contents = orders.map((order) => {
+    const merged = createEvidenceStore();
+    order.forEach((store) => exchange(store, merged));
+    return contentOf(merged);
+  });
+  assert.deepEqual(contents[1], contents[0]);
+  assert.deepEqual(contents[2], contents[0]);
+  assert.ok(contents[0].length > 4);
+});
+
+test("a malformed message is refused and does not disturb the counts", () => {
+  const cases: unknown[] = [
+    { kind: "evidence" },
+    { kind: "evidence", domainAges: {}, reports: [{ move: 3 }] },
+    { kind: "evidence", domainAges: { east: "now" }, reports: [] },
+    { kind: "evidence", domainAges: {}, reports: [null] },
+  ];
+  assert.deepEqual(cases.map(parseEvidence), cases.map(() => undefined));
+  const rows = [[1, 0, 0, 0, 9, 1, 1], [1, 0, 0], [1, 0, 0, 0, 0, 0, -4]];
+  const report = { move: "m", step: 0, enteredAt: 0, names: ["x"], rows };
+  assert.deepEqual(decodeRows(report), []);
+});
+
+test("looking after every call does not raise false alarms between equal versions", () => {
+  const random = createRandomSource(3);
+  let alarms = 0;
+  for (let run = 0; run < 200; run += 1) {
+    let events = 0;
+    for (let trials = 1; trials <= 1_000; trials += 1) {
+      events += random.nextFraction() < 0.1 ? 1 : 0;
+      if (trials % 10 === 0 && lowerBound(events, trials, 0.05) > 0.1) {
+        alarms += 1;
+        break;
+      }
+    }
+  }
+  // A test with a fixed sample size at the same level alarms in about a third of such runs.
+  assert.ok(alarms <= 0.05 * 200, `${alarms} of 200`);
+  assert.ok(lowerBound(40, 50, 1e-6) > 0.4 && upperBound(0, 500, 1e-6) < 0.05);
+});
+
+test("a burst brings the load of share 1 while the average stays at the step's share", () => {
+  const domains = ["a", "b", "c", "d"];
+  const cases = SHARE_STEPS.map((share) => ({ share, localInstances: 3 }));
+  for (const { share, localInstances } of cases) {
+    let sum = 0;
+    let weakest = Infinity;
+    const samples = 4_000;
+    for (let index = 0; index < samples; index += 1) {
+      for (const ownDomain of domains) {
+        const part = concentrate({
+          identity: "move-1",
+          service: "booking",
+          fromVersion: "1",
+          toVersion: "2",
+          startedAt: 0,
+          deadlineAt: 300_000,
+          outcome: "open",
+          reason: "",
+        }, {
+          share,
+          now: index * 50,
+          ownDomain,
+          candidateDomains: domains,
+          localInstances,
+        });
+        sum += part.candidateShare / domains.length / samples;
+        if (part.candidateShare > 0) {
+          const instances = Math.min(part.candidateInstances, localInstances);
+          const load = part.candidateShare * localInstances / instances;
+          weakest = Math.min(weakest, load);
+        }
+      }
+    }
+    assert.ok(Math.abs(sum - share) < 0.1 * share, `${share}: ${sum}`);
+    assert.ok(weakest > 0.7 && weakest < 1.01, `${share}: load ${weakest}`);
+  }
+});
+
+test("daemons that learn opposite verdicts in different orders agree on bad", () => {
+  const verdict = (outcome: "good" | "bad", author: string): Verdict => ({
+    move: "move-1",
+    outcome,
+    reason: "",
+    author,
+  });
+  const sets: VerdictSet[] = [
+    { ...NO_VERDICTS, good: verdict("good", "a") },
+    { ...NO_VERDICTS, bad: verdict("bad", "c") },
+    { ...NO_VERDICTS, bad: verdict("bad", "b") },
+  ];
+  const forward = sets.reduce((left, right) => mergeVerdicts(left, right));
+  const backward = sets.reduceRight((left, right) =>
+    mergeVerdicts(left, right)
+  );
+  assert.deepEqual(backward, forward);
+  assert.equal(forward.bad?.author, "b");
+});
--- /dev/null
+++ b/src/features/move/common/judgement_test.ts
@@ -0,0 +1,333 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import type { Move } from "../../../world/common/move.ts";
+import {
+  createEvidenceStore,
+  type EvidenceStore,
+  recordSample,
+  rotateWindow,
+} from "./evidence.ts";
+import { judge, type MoveEvidence, planShare } from "./judgement.ts";
+import { LAST_STEP, SHARE_STEPS } from "./move_schedule.ts";
+
+const MOVE: Move = {
+  identity: "move-1",
+  service: "booking",
+  fromVersion: "1",
+  toVersion: "2",
+  startedAt: 0,
+  deadlineAt: 300_000,
+  outcome: "open",
+  reason: "",
+};
+const HOSTS = ["h1", "h2", "h3"];
+const OBSERVERS = ["o1", "o2", "o3"];
+const ROUTES = ["availability", "reservation"];
+/** After the cold start of every host. */
+const WARM_AT: Milliseconds = 10_000;
+
+interface Call {
+  readonly isCandidate: boolean;
+  readonly host: string;
+  readonly observer: string;
+  readonly route: string;
+}
+
+interface Treatment {
+  readonly failureRate?: number;
+  readonly slowdown?: number;
+  readonly load?: number;
+  readonly result?: "shed" | "cancelled";
+}
+
+type Treat = (call: Call) => Treatment;
+
+function fill(store: EvidenceStore, treat: Treat, options: {
+  readonly candidateCalls: number;
+  readonly now?: Milliseconds;
+}): void {
+  const random = createRandomSource(11);
+  const pick = (names: readonly string[]) =>
+    names[random.nextInteger(names.length)];
+  for (let index = 0; index < options.candidateCalls * 10; index += 1) {
+    const isCandidate = index % 10 === 0;
+    const call = {
+      isCandidate,
+      host: (isCandidate ? "new-" : "old-") + pick(HOSTS),
+      observer: pick(OBSERVERS),
+      route: pick(ROUTES),
+    };
+    const treatment = treat(call);
+    const isFailed = random.nextFraction() < (treatment.failureRate ?? 0);
+    recordSample(store, {
+      service: "booking",
+      version: isCandidate ? "2" : "1",
+      route: call.route,
+      host: call.host,
+      result: treatment.result ?? (isFailed ? "failure" : "success"),
+      durationMilliseconds: (60 + 80 * random.nextFraction()) *
+        (treatment.slowdown ?? 1),
+      load: treatment.load ?? 0.5,
+    }, {
+      side: isCandidate ? "candidate" : "stable",
+      observer: {
+        process: { host: call.observer, startedAt: 0 },
+        failureDomain: call.observer === "o3" ? "west" : "east",
+        addresses: {
+          address: "",
+          proxyPort: 0,
+          administrationPort: 0,
+          linkPort: 0,
+        },
+      },
+      now: options.now ?? WARM_AT,
+    });
+  }
+}
+
+function warmStore(): EvidenceStore {
+  const store = createEvidenceStore();
+  for (const host of HOSTS) {
+    store.firstCallAt.set(`old-${host}`, 0);
+    store.firstCallAt.set(`new-${host}`, 0);
+  }
+  return store;
+}
+
+function evidenceOf(
+  store: EvidenceStore,
+  other: Partial<MoveEvidence> = {},
+): MoveEvidence {
+  return {
+    store,
+    step: 0,
+    stepEnteredAt: 0,
+    candidateHosts: HOSTS.length,
+    reachableDomains: new Set(["east", "west"]),
+    areAllDomainsReachable: true,
+    wasFoundGood: false,
+    ...other,
+  };
+}
+
+const onCandidate = (treatment: Treatment): Treat => ({ isCandidate }) =>
+  isCandidate ? treatment : {};
+
+test("a version is bad when it is worse than the replaced one, and only then", () => {
+  const cases: readonly {
+    readonly name: string;
+    readonly treat: Treat;
+    readonly expected: "bad" | "open";
+    readonly evidence?: Partial<MoveEvidence>;
+  }[] = [
+    { name: "equal", treat: () => ({}), expected: "open" },
+    {
+      name: "fails",
+      treat: onCandidate({ failureRate: 0.2 }),
+      expected: "bad",
+    },
+    { name: "slow", treat: onCandidate({ slowdown: 2 }), expected: "bad" },
+    {
+      name: "slow, and therefore alone in its class of load",
+      treat: onCandidate({ slowdown: 2, load: 0.9 }),
+      expected: "bad",
+    },
+    {
+      name: "fails on one route",
+      treat: ({ isCandidate, route }) => ({
+        failureRate: isCandidate && route === "reservation" ? 0.3 : 0,
+      }),
+      expected: "bad",
+    },
+    {
+      name: "as slow as the replaced version",
+      treat: () => ({ slowdown: 5 }),
+      expected: "open",
+    },
+    {
+      name: "fails as often as the replaced version",
+      treat: () => ({ failureRate: 0.2 }),
+      expected: "open",
+    },
+    {
+      name: "sheds load",
+      treat: onCandidate({ result: "shed" }),
+      expected: "open",
+    },
+    {
+      name: "one instance host of three fails",
+      treat: ({ host }) => ({ failureRate: host === "new-h1" ? 1 : 0 }),
+      expected: "open",
+    },
+    {
+      name: "the only instance host fails",
+      treat: ({ host }) => ({ failureRate: host.startsWith("new") ? 1 : 0 }),
+      expected: "bad",
+    },
+    {
+      name: "one observer sees failures of the new version only",
+      treat: ({ isCandidate, observer }) => ({
+        failureRate: isCandidate && observer === "o1" ? 1 : 0,
+      }),
+      expected: "open",
+    },
+    {
+      name: "one host and one observer are broken at a time",
+      treat: ({ host, observer }) => ({
+        failureRate: host === "new-h1" ? 0.5 : observer === "o1" ? 0.3 : 0,
+      }),
+      expected: "open",
+    },
+  ];
+  for (const { name, treat, expected, evidence } of cases) {
+    const store = warmStore();
+    fill(store, treat, { candidateCalls: 600 });
+    assert.equal(
+      judge(MOVE, evidenceOf(store, evidence), 20_000),
+      expected,
+      name,
+    );
+  }
+});
+
+test("the slowness of a cold start is no evidence, but its failures are", () => {
+  const cases = [
+    { treatment: { slowdown: 5 }, expected: "open" },
+    { treatment: { failureRate: 0.5 }, expected: "bad" },
+  ] as const;
+  for (const { treatment, expected } of cases) {
+    const store = warmStore();
+    fill(store, () => ({}), { candidateCalls: 300 });
+    HOSTS.forEach((host) => store.firstCallAt.delete(`new-${host}`));
+    fill(store, onCandidate(treatment), { candidateCalls: 300, now: 15_000 });
+    assert.equal(judge(MOVE, evidenceOf(store), 20_000), expected);
+  }
+});
+
+test("a version that goes bad late shows in the recent window despite a long good past", () => {
+  const store = warmStore();
+  fill(store, () => ({}), { candidateCalls: 20_000 });
+  rotateWindow(store);
+  rotateWindow(store);
+  fill(store, onCandidate({ failureRate: 0.2 }), { candidateCalls: 300 });
+  assert.equal(judge(MOVE, evidenceOf(store), 200_000), "bad");
+});
+
+test("a step needs time, enough comparable calls on each route, and no sign of badness", () => {
+  const due = 41_000;
+  const cases = [
+    { name: "sufficient", calls: 400, treat: () => ({}), now: due, step: 1 },
+    {
+      name: "before its time",
+      calls: 400,
+      treat: () => ({}),
+      now: 30_000,
+      step: 0,
+    },
+    { name: "too few calls", calls: 60, treat: () => ({}), now: due, step: 0 },
+    {
+      name: "at a lower load than the replaced version",
+      calls: 400,
+      treat: onCandidate({ load: 0.1 }),
+      now: due,
+      step: 0,
+    },
+    {
+      name: "faster and therefore at a lower load",
+      calls: 400,
+      treat: onCandidate({ load: 0.25, slowdown: 0.5 }),
+      now: due,
+      step: 1,
+    },
+    {
+      name: "a sign of badness below the level of a verdict",
+      calls: 150,
+      treat: onCandidate({ failureRate: 0.2 }),
+      now: due,
+      step: 0,
+    },
+  ] as const;
+  for (const { name, calls, treat, now, step } of cases) {
+    const store = warmStore();
+    fill(store, treat, { candidateCalls: calls });
+    const evidence = evidenceOf(store);
+    assert.equal(planShare(MOVE, evidence, now), SHARE_STEPS[step], name);
+    assert.equal(judge(MOVE, evidence, now), "open", name);
+  }
+});
+
+test("a move does not step up on evidence from a failure domain that is cut off", () => {
+  const store = warmStore();
+  fill(store, () => ({}), { candidateCalls: 170 });
+  const share = (domains: readonly string[]) =>
+    planShare(
+      MOVE,
+      evidenceOf(store, { reachableDomains: new Set(domains) }),
+      41_000,
+    );
+  assert.equal(share(["east", "west"]), SHARE_STEPS[1]);
+  assert.equal(share(["west"]), SHARE_STEPS[0]);
+});
+
+test("a move ends good after its observation, and bad when the deadline cannot be met", () => {
+  const store = warmStore();
+  fill(store, () => ({}), { candidateCalls: 400 });
+  const last = { step: LAST_STEP, stepEnteredAt: 240_000 };
+  const short = { ...MOVE, deadlineAt: 20_000 };
+  const cases = [
+    {
+      name: "observing",
+      move: MOVE,
+      evidence: last,
+      now: 280_000,
+      expected: "open",
+    },
+    {
+      name: "observed",
+      move: MOVE,
+      evidence: last,
+      now: 285_000,
+      expected: "good",
+    },
+    {
+      name: "a failure domain is unheard and may know better",
+      move: MOVE,
+      evidence: { ...last, areAllDomainsReachable: false },
+      now: 285_000,
+      expected: "open",
+    },
+    {
+      name: "a failure domain stays unheard",
+      move: MOVE,
+      evidence: { ...last, areAllDomainsReachable: false },
+      now: 295_000,
+      expected: "good",
+    },
+    {
+      name: "late",
+      move: MOVE,
+      evidence: { step: 3 },
+      now: 302_000,
+      expected: "bad",
+    },
+    {
+      name: "late here, but found good elsewhere",
+      move: MOVE,
+      evidence: { step: 3, wasFoundGood: true },
+      now: 302_000,
+      expected: "open",
+    },
+    {
+      name: "deadline too near",
+      move: short,
+      evidence: {},
+      now: 0,
+      expected: "bad",
+    },
+  ];
+  for (const { name, move, evidence, now, expected } of cases) {
+    assert.equal(judge(move, evidenceOf(store, evidence), now), expected, name);
+  }
+});
--- a/src/features/move/common/memory_mesh.ts
+++ b/src/features/move/common/memory_mesh.ts
@@ -72,6 +72,8 @@
   readonly records: readonly PlatformRecord[];
   /** Bytes that the daemons sent, including daemons that were restarted. */
   readonly sentBytes: number;
+  /** Appends a record as a process outside the mesh would. */
+  append(record: VerdictRecord): void;
   setPlatformDown(isDown: boolean): void;
   /** Cuts a failure domain off from the others and from the platform. */
   cutOff(domain: FailureDomainName): void;
@@ -129,14 +131,16 @@
         }),
       );
     }
-    const record = decodeRecord(bytes);
-    const appendedAt = clock.now();
-    records.push({ ...record, appendedAt });
+    take(decodeRecord(bytes));
+    return Ok({ offset: records.length, appendedAt: clock.now() });
+  }
+
+  function take(record: VerdictRecord): void {
+    records.push({ ...record, appendedAt: clock.now() });
     if (accepted.moves.get(move.identity)?.outcome === "open") {
       accepted = closeMove(accepted, record);
     }
     clock.schedule(FOLD_DELAY_MS, distribute);
-    return Ok({ offset: records.length, appendedAt });
   }
 
   function linkTargets(host: HostName): HostName[] {
@@ -227,6 +231,7 @@
         retiredBytes,
       );
     },
+    append: take,
     setPlatformDown(isDown) {
       isPlatformDown = isDown;
     },
--- a/src/features/move/common/shift_service.ts
+++ b/src/features/move/common/shift_service.ts
@@ -242,6 +242,7 @@
       return withoutCandidate(state.move.fromVersion);
     }
     const candidates = candidatesOf(state);
+    const { reachableDomains } = surroundingsOf(state, now);
     return {
       stableVersion: state.move.fromVersion,
       candidateVersion: state.move.toVersion,
@@ -251,7 +252,7 @@
         ownDomain: self.failureDomain,
         candidateDomains: [
           ...new Set(candidates.map(({ failureDomain }) => failureDomain)),
-        ].sort(),
+        ].filter((domain) => reachableDomains.has(domain)).sort(),
         localInstances: candidates.filter(({ failureDomain }) =>
           failureDomain === self.failureDomain
         ).length,
