Add the command line, the time line and the demo

A service started as 'guavarun daemon SETTINGS' loads neither clipanion nor another command. Demo and processes are written against startDaemon, startPlatform and startUpstream in src/programs/node/assembly.ts and have run with fakes only.

--- /dev/null
+++ b/src/features/timeline/node/timeline_sources.ts
@@ -0,0 +1,90 @@
+/**
+ * Reads the events of log files and of running daemons.
+ *
+ * @module
+ */
+
+import { createReadStream } from "node:fs";
+import { createInterface } from "node:readline";
+import type { LogEvent } from "../../../base/common/event_log.ts";
+import { Err, Ok, type Result } from "../../../base/common/result.ts";
+import { describeError, StepError } from "../../../base/common/step_error.ts";
+import { createHttpClient } from "../../../base/node/http_client.ts";
+import {
+  fromLogEvent,
+  parseLogLine,
+  type TimelineEvent,
+} from "../common/timeline_event.ts";
+
+export interface FileEvents {
+  readonly events: readonly TimelineEvent[];
+  /** Lines that are not events. */
+  readonly skippedLines: number;
+}
+
+export async function readLogFile(
+  file: string,
+): Promise<Result<FileEvents, StepError>> {
+  const events: TimelineEvent[] = [];
+  let skippedLines = 0;
+  try {
+    const lines = createInterface({ input: createReadStream(file, "utf8") });
+    for await (const line of lines) {
+      const event = parseLogLine(line);
+      if (event !== undefined) {
+        events.push(event);
+      } else if (line !== "") {
+        skippedLines += 1;
+      }
+    }
+    return Ok({ events, skippedLines });
+  } catch (error) {
+    return Err(
+      new StepError(
+        "timeline.read",
+        `Cannot read ${file}: ${describeError(error)}`,
+      ),
+    );
+  }
+}
+
+/** The answer of `GET /events`. */
+interface EventsAnswer {
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly process: { readonly startedAt: number };
+  readonly events: readonly LogEvent[];
+}
+
+/** Asks a daemon for the events that it keeps. */
+export async function requestEvents(
+  address: string,
+  token: string,
+): Promise<Result<TimelineEvent[], StepError>> {
+  const client = createHttpClient();
+  const answer = await client.send({
+    step: "timeline.request",
+    url: `http://${address}/events`,
+    headers: { authorization: `Bearer ${token}` },
+  });
+  client.dispose();
+  if (answer.err) {
+    return answer;
+  }
+  if (answer.val.status !== 200) {
+    return Err(
+      new StepError(
+        "timeline.request",
+        `${address} answered with status ${answer.val.status}`,
+        { peer: address },
+      ),
+    );
+  }
+  const body = JSON.parse(answer.val.body.toString("utf8")) as EventsAnswer;
+  const common = {
+    host: body.host,
+    failureDomain: body.failureDomain,
+    process: String(body.process.startedAt),
+  };
+  return Ok(body.events.map((event) => fromLogEvent(event, common)));
+}
--- /dev/null
+++ b/src/programs/node/demo_callers.ts
@@ -0,0 +1,161 @@
+/**
+ * The callers of the demo. A caller behaves as callers should: it repeats a call that was
+ * refused as "not run", with the same idempotency key, and nothing else.
+ *
+ * @module
+ */
+
+import { randomBytes } from "node:crypto";
+import { Agent, request } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { DaemonSettings } from "../common/daemon_settings.ts";
+import { DEMO_CUSTOMER } from "./demo_fleet.ts";
+
+const CALLERS_PER_DAEMON = 2;
+const PAUSE_MS = 20;
+const CALL_TIMEOUT_MS = 10_000;
+const REPEATS = 5;
+const REPEAT_PAUSE_MS = 100;
+/** One call in this many reserves a unit; the others read the availability. */
+const READS_PER_RESERVATION = 20;
+
+export interface CallCounts {
+  calls: number;
+  answered: number;
+  /** Calls repeated after a refusal that was marked "not run". */
+  repeated: number;
+  /** Calls without a complete and successful answer. */
+  lost: number;
+  /** The first reasons of lost calls. */
+  readonly reasons: string[];
+}
+
+export interface Callers {
+  readonly counts: Readonly<CallCounts>;
+  /** Resolves when no call is open. */
+  stop(): Promise<void>;
+}
+
+export function startCallers(daemons: readonly DaemonSettings[]): Callers {
+  const counts: CallCounts = {
+    calls: 0,
+    answered: 0,
+    repeated: 0,
+    lost: 0,
+    reasons: [],
+  };
+  const agent = new Agent({ keepAlive: true });
+  let stopping = false;
+
+  async function runCaller(daemon: DaemonSettings): Promise<void> {
+    while (!stopping) {
+      counts.calls += 1;
+      const fault = await callWithRepeats(daemon, { agent, counts });
+      if (fault === undefined) {
+        counts.answered += 1;
+      } else {
+        counts.lost += 1;
+        if (counts.reasons.length < 5) {
+          counts.reasons.push(`${daemon.host}: ${fault}`);
+        }
+      }
+      await sleep(PAUSE_MS);
+    }
+  }
+
+  const running = daemons.flatMap((daemon) =>
+    Array.from({ length: CALLERS_PER_DAEMON }, () => runCaller(daemon))
+  );
+  return {
+    counts,
+    async stop() {
+      stopping = true;
+      await Promise.all(running);
+      agent.destroy();
+    },
+  };
+}
+
+interface CallContext {
+  readonly agent: Agent;
+  readonly counts: CallCounts;
+}
+
+/** Returns the reason why the call was lost; undefined when it was answered. */
+async function callWithRepeats(
+  daemon: DaemonSettings,
+  { agent, counts }: CallContext,
+): Promise<string | undefined> {
+  const isReservation = counts.calls % READS_PER_RESERVATION === 0;
+  const key = `${daemon.failureDomain}.${createIdentity(Date.now())}`;
+  for (let repeat = 0;; repeat += 1) {
+    const answer = await call(daemon, { agent, key, isReservation });
+    if (answer.status === 200) {
+      return undefined;
+    }
+    if (answer.outcome !== "not-run" || repeat === REPEATS) {
+      return `status ${answer.status}, outcome ${answer.outcome}: ${answer.text}`;
+    }
+    counts.repeated += 1;
+    await sleep(REPEAT_PAUSE_MS);
+  }
+}
+
+interface CallOptions {
+  readonly agent: Agent;
+  readonly key: string;
+  readonly isReservation: boolean;
+}
+
+interface CallAnswer {
+  /** 0 without a complete answer. */
+  readonly status: number;
+  readonly outcome: string;
+  readonly text: string;
+}
+
+function call(
+  daemon: DaemonSettings,
+  { agent, key, isReservation }: CallOptions,
+): Promise<CallAnswer> {
+  return new Promise((resolve) => {
+    const fail = (error: Error) =>
+      resolve({ status: 0, outcome: "unknown", text: error.message });
+    const outgoing = request({
+      agent,
+      host: daemon.address,
+      port: daemon.proxyPort,
+      method: isReservation ? "POST" : "GET",
+      path: isReservation ? "/v1/reservations" : "/v1/availability",
+      headers: {
+        "guavarun-customer": DEMO_CUSTOMER,
+        ...isReservation ? { "idempotency-key": key } : {},
+      },
+      timeout: CALL_TIMEOUT_MS,
+    }, (answer) => {
+      const parts: Buffer[] = [];
+      answer.on("data", (part: Buffer) => parts.push(part));
+      answer.on("error", fail);
+      answer.on("end", () =>
+        resolve({
+          status: answer.statusCode ?? 0,
+          outcome: String(answer.headers["guavarun-outcome"] ?? "answered"),
+          text: Buffer.concat(parts).toString("utf8").slice(0, 200).trim(),
+        }));
+    });
+    outgoing.on("timeout", () => outgoing.destroy(new Error("no answer")));
+    outgoing.on("error", fail);
+    outgoing.end();
+  });
+}
+
+/** A UUID of version 7 (RFC 9562), which begins with the time of its creation. */
+export function createIdentity(now: number): string {
+  const bytes = randomBytes(16);
+  bytes.writeUIntBE(now, 0, 6);
+  bytes[6] = 0x70 | bytes[6] & 0x0f;
+  bytes[8] = 0x80 | bytes[8] & 0x3f;
+  const hex = bytes.toString("hex");
+  return [[0, 8], [8, 12], [12, 16], [16, 20], [20, 32]]
+    .map(([from, to]) => hex.slice(from, to)).join("-");
+}
--- /dev/null
+++ b/src/programs/node/run_service.ts
@@ -0,0 +1,180 @@
+/**
+ * Runs a daemon or a stand-in until SIGTERM or SIGINT asks it to stop.
+ *
+ * @module
+ */
+
+import type { GenericSchema, InferOutput } from "valibot";
+import type { EventLog } from "../../base/common/event_log.ts";
+import type { Result } from "../../base/common/result.ts";
+import { describeError, type StepError } from "../../base/common/step_error.ts";
+import { createProcessLog } from "../../base/node/process_log.ts";
+import { readSettingsFile } from "../../base/node/settings_file.ts";
+import {
+  EXIT_NOT_RUN,
+  EXIT_REFUSED,
+  EXIT_SUCCESS,
+} from "../common/exit_codes.ts";
+import { ASSEMBLY, type Assembly } from "./assembly.ts";
+import type { ServiceCommandName } from "./service_names.ts";
+
+interface Service {
+  readonly ports: Readonly<Record<string, number>>;
+  stop(): Promise<void>;
+}
+
+/** The part of all settings that starts the log. */
+interface LogSettings {
+  readonly level: "error" | "warn" | "info" | "debug";
+  readonly file?: string;
+}
+
+/** Starts the service, waits for the signal to stop and returns the exit code. */
+export async function runService(
+  name: ServiceCommandName,
+  file: string,
+  assembly: Assembly = ASSEMBLY,
+): Promise<number> {
+  const started = await start(name, file, assembly);
+  if (started === undefined) {
+    return EXIT_REFUSED;
+  }
+  const { service, log } = started;
+  if (service === undefined) {
+    return EXIT_NOT_RUN;
+  }
+  log.write("info", "process.started", service.ports);
+  const signal = await waitForSignal();
+  log.write("info", "process.stopping", { signal });
+  try {
+    await service.stop();
+  } catch (error) {
+    log.write("error", "process.stop-failed", { reason: describeError(error) });
+    return EXIT_REFUSED;
+  }
+  log.write("info", "process.stopped");
+  return EXIT_SUCCESS;
+}
+
+async function start(
+  name: ServiceCommandName,
+  file: string,
+  assembly: Assembly,
+): Promise<{ service: Service | undefined; log: EventLog } | undefined> {
+  const launch = await prepare(name, file, assembly);
+  if (launch === undefined) {
+    return undefined;
+  }
+  const { log } = launch;
+  try {
+    return { service: await launch.run(), log };
+  } catch (error) {
+    log.write("error", "process.start-failed", {
+      reason: describeError(error),
+    });
+    return { service: undefined, log };
+  }
+}
+
+interface Launch {
+  readonly log: EventLog;
+  run(): Promise<Service>;
+}
+
+async function prepare(
+  name: ServiceCommandName,
+  file: string,
+  assembly: Assembly,
+): Promise<Launch | undefined> {
+  const startedAt = Date.now();
+  switch (name) {
+    case "daemon": {
+      const { daemonSettingsSchema } = await import(
+        "../common/daemon_settings.ts"
+      );
+      const settings = read(file, daemonSettingsSchema);
+      return settings && createLog(
+        settings.log,
+        {
+          host: settings.host,
+          failureDomain: settings.failureDomain,
+          process: startedAt,
+        },
+        async (log) => {
+          const { proxyPort, administrationPort, linkPort, stop } =
+            await assembly.startDaemon(settings, { log });
+          return { ports: { proxyPort, administrationPort, linkPort }, stop };
+        },
+      );
+    }
+    case "platform": {
+      const { platformSettingsSchema } = await import(
+        "../common/platform_settings.ts"
+      );
+      const settings = read(file, platformSettingsSchema);
+      return settings && createLog(
+        settings.log,
+        { host: "platform", process: process.pid },
+        async (log) => {
+          const { port, stop } = await assembly.startPlatform(settings, {
+            log,
+          });
+          return { ports: { port }, stop };
+        },
+      );
+    }
+    case "upstream": {
+      const { upstreamSettingsSchema } = await import(
+        "../common/upstream_settings.ts"
+      );
+      const settings = read(file, upstreamSettingsSchema);
+      return settings && createLog(
+        settings.log,
+        {
+          host: settings.address,
+          service: settings.service,
+          serviceVersion: settings.version,
+          process: process.pid,
+        },
+        async (log) => {
+          const { port, stop } = await assembly.startUpstream(settings, {
+            log,
+          });
+          return { ports: { port }, stop };
+        },
+      );
+    }
+  }
+}
+
+function createLog(
+  settings: LogSettings,
+  fields: Record<string, string | number>,
+  run: (log: EventLog) => Promise<Service>,
+): Launch {
+  const log = createProcessLog({ ...settings, fields });
+  return { log, run: () => run(log) };
+}
+
+function read<const Schema extends GenericSchema>(
+  file: string,
+  schema: Schema,
+): InferOutput<Schema> | undefined {
+  const settings: Result<InferOutput<Schema>, StepError> = readSettingsFile(
+    file,
+    schema,
+  );
+  if (settings.err) {
+    console.error(settings.val.message);
+    return undefined;
+  }
+  return settings.val;
+}
+
+function waitForSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+      process.once(signal, () => resolve(signal));
+    }
+  });
+}
