--- a/src/programs/node/assembly.ts
+++ b/src/programs/node/assembly.ts
@@ -48,7 +48,7 @@
   startPlatform: async (settings, options) =>
     (await load<Assembly>("./platform.js")).startPlatform(settings, options),
   startUpstream: async (settings, options) =>
-    (await load<Assembly>("./upstream_stand_in.js")).startUpstream(
+    (await load<Assembly>("./upstream.js")).startUpstream(
       settings,
       options,
     ),
