--- /dev/null
+++ b/src/features/fold/common/record_check.ts
@@ -0,0 +1,151 @@
+/**
+ * The form of log records. A record that fails is refused with the place and the reason.
+ *
+ * @module
+ */
+
+import { C1, Packr } from "msgpackr";
+import * as valibot from "valibot";
+import { Err, Ok, type Result } from "../../../base/common/result.ts";
+import { describeError } from "../../../base/common/step_error.ts";
+import {
+  type LogRecord,
+  RECORD_SCHEMA,
+} from "../../../world/common/log_record.ts";
+
+const packr = new Packr({ useRecords: false, mapsAsObjects: true });
+const MAXIMUM_NAME_LENGTH = 128;
+
+const NAME = valibot.pipe(
+  valibot.string(),
+  valibot.regex(/^[^\s\p{C}](.*[^\s\p{C}])?$/u, "is not a name"),
+  valibot.maxLength(MAXIMUM_NAME_LENGTH),
+);
+const TEXT = valibot.pipe(valibot.string(), valibot.maxLength(1_000));
+const INSTANT = valibot.pipe(valibot.number(), valibot.finite());
+const AMOUNT = valibot.pipe(
+  valibot.number(),
+  valibot.finite(),
+  valibot.minValue(0),
+);
+const COUNT = valibot.pipe(AMOUNT, valibot.integer());
+const VERSION = valibot.pipe(
+  valibot.number(),
+  valibot.integer(),
+  valibot.minValue(-1),
+);
+const PATH = valibot.pipe(
+  valibot.string(),
+  // Dot segments, empty segments and escapes give one resource several spellings.
+  valibot.regex(
+    /^\/$|^(\/(?!\.{1,2}(\/|$))[^\s/?#%]+)+\/?$/,
+    "is not a plain path",
+  ),
+);
+
+export const SERVICE = valibot.strictObject({ name: NAME, version: NAME });
+export const ROUTE = valibot.strictObject({
+  name: NAME,
+  service: NAME,
+  method: valibot.pipe(
+    valibot.string(),
+    valibot.regex(/^[A-Z]+$/, "is not an HTTP method in capital letters"),
+  ),
+  pathPrefix: PATH,
+  callClass: valibot.picklist(["read", "idempotent", "non-idempotent"]),
+  stalenessMilliseconds: AMOUNT,
+  deadlineMilliseconds: AMOUNT,
+});
+export const CONTRACT = valibot.strictObject({
+  customer: NAME,
+  routes: valibot.array(NAME),
+  limits: valibot.strictObject({
+    requestsPerSecond: AMOUNT,
+    concurrency: COUNT,
+    retryShare: valibot.pipe(AMOUNT, valibot.maxValue(1)),
+  }),
+});
+export const MOVE = valibot.strictObject({
+  identity: NAME,
+  service: NAME,
+  fromVersion: NAME,
+  toVersion: NAME,
+  startedAt: INSTANT,
+  deadlineAt: INSTANT,
+  outcome: valibot.picklist(["open", "done", "taken-back"]),
+  reason: valibot.string(),
+});
+
+const NAMES = valibot.optional(valibot.array(NAME));
+const SCHEMA = valibot.literal(RECORD_SCHEMA);
+const RECORD = valibot.variant("kind", [
+  valibot.strictObject({
+    schema: SCHEMA,
+    kind: valibot.literal("change"),
+    identity: NAME,
+    baseVersion: VERSION,
+    author: NAME,
+    upsert: valibot.strictObject({
+      failureDomains: NAMES,
+      services: valibot.optional(valibot.array(SERVICE)),
+      routes: valibot.optional(valibot.array(ROUTE)),
+      contracts: valibot.optional(valibot.array(CONTRACT)),
+    }),
+    remove: valibot.strictObject({
+      failureDomains: NAMES,
+      services: NAMES,
+      routes: NAMES,
+      contracts: NAMES,
+    }),
+  }),
+  valibot.strictObject({
+    schema: SCHEMA,
+    kind: valibot.literal("move"),
+    identity: NAME,
+    baseVersion: VERSION,
+    author: NAME,
+    service: NAME,
+    toVersion: NAME,
+    deadlineAt: INSTANT,
+  }),
+  valibot.strictObject({
+    schema: SCHEMA,
+    kind: valibot.literal("verdict"),
+    move: NAME,
+    outcome: valibot.picklist(["done", "taken-back"]),
+    reason: TEXT,
+    author: NAME,
+  }),
+]);
+
+/** Encodes a record or a snapshot as msgpack. */
+export function encodeRecord(record: unknown): Uint8Array {
+  return packr.pack(record);
+}
+
+export function decodeRecord(bytes: Uint8Array): Result<unknown, string> {
+  try {
+    const value = packr.unpack(bytes);
+    // The library returns this constant for 0xc1, a byte that msgpack never uses.
+    return value === C1
+      ? Err("record: is not valid msgpack: unused byte 0xc1")
+      : Ok(value);
+  } catch (error) {
+    return Err(`record: is not valid msgpack: ${describeError(error)}`);
+  }
+}
+
+/** Checks the form of a decoded record; the error names the place and the reason. */
+export function parseRecord(value: unknown): Result<LogRecord, string> {
+  const schema = (value as { schema?: unknown } | null)?.schema;
+  if (schema !== RECORD_SCHEMA) {
+    return Err(`schema: ${String(schema)} is not known`);
+  }
+  const checked = valibot.safeParse(RECORD, value);
+  if (checked.success) {
+    return Ok(checked.output);
+  }
+  const [issue] = checked.issues;
+  const place = valibot.getDotPath(issue) ?? "record";
+  return Err(`${place}: ${issue.message}`);
+}
--- /dev/null
+++ b/src/features/fold/common/state_codec.ts
@@ -0,0 +1,130 @@
+/**
+ * The stored form of a folded state. Equal states have the same text and hash.
+ *
+ * @module
+ */
+
+import * as valibot from "valibot";
+import { hashText } from "../../../base/common/hashing.ts";
+import { Err, Ok, type Result } from "../../../base/common/result.ts";
+import type { ObjectKey } from "../../../world/common/configuration.ts";
+import type { FoldState } from "./fold.ts";
+import {
+  CONTRACT,
+  decodeRecord,
+  encodeRecord,
+  MOVE,
+  ROUTE,
+  SERVICE,
+} from "./record_check.ts";
+
+const OFFSET = valibot.pipe(valibot.number(), valibot.integer());
+const STATE = valibot.strictObject({
+  position: OFFSET,
+  version: OFFSET,
+  failureDomains: valibot.array(valibot.string()),
+  services: valibot.array(SERVICE),
+  routes: valibot.array(ROUTE),
+  contracts: valibot.array(CONTRACT),
+  moves: valibot.array(MOVE),
+  objectVersions: valibot.array(valibot.tuple([valibot.string(), OFFSET])),
+  verdicts: valibot.array(valibot.tuple([
+    valibot.string(),
+    valibot.strictObject({
+      status: valibot.picklist(["accepted", "refused", "ignored"]),
+      reason: valibot.string(),
+      offset: OFFSET,
+    }),
+  ])),
+});
+const SNAPSHOT = valibot.strictObject({
+  schema: valibot.literal(1),
+  kind: valibot.literal("snapshot"),
+  offset: OFFSET,
+  hash: valibot.string(),
+  state: STATE,
+});
+
+type StateData = valibot.InferOutput<typeof STATE>;
+
+/** Encodes the snapshot record of a state; `offset` is the next entry to fold. */
+export function encodeSnapshot(state: FoldState): Uint8Array {
+  const data = toData(state);
+  return encodeRecord({
+    schema: 1,
+    kind: "snapshot",
+    offset: state.position,
+    hash: hashData(data),
+    state: data,
+  });
+}
+
+/** Decodes a snapshot record; one whose hash does not fit its state is refused. */
+export function decodeSnapshot(bytes: Uint8Array): Result<FoldState, string> {
+  const decoded = decodeRecord(bytes);
+  if (decoded.err) {
+    return decoded;
+  }
+  const checked = valibot.safeParse(SNAPSHOT, decoded.val);
+  if (!checked.success) {
+    const [issue] = checked.issues;
+    return Err(`${valibot.getDotPath(issue) ?? "snapshot"}: ${issue.message}`);
+  }
+  const { hash, offset, state } = checked.output;
+  if (hash !== hashData(state) || offset !== state.position) {
+    return Err("hash: does not fit the state");
+  }
+  return Ok(fromData(state));
+}
+
+/** A hash by which two daemons can compare their states. */
+export function hashState(state: FoldState): string {
+  return hashData(toData(state));
+}
+
+function hashData(data: StateData): string {
+  const text = JSON.stringify(data);
+  // Two 32-bit hashes: the library has no longer one.
+  return [hashText(text), hashText(`${text}|`)]
+    .map((part) => part.toString(16).padStart(8, "0")).join("");
+}
+
+function toData({ position, configuration, verdicts }: FoldState): StateData {
+  const sorted = <T>(map: ReadonlyMap<string, T>) =>
+    [...map].sort(([left], [right]) => left < right ? -1 : 1);
+  const valuesOf = <T>(map: ReadonlyMap<string, T>) =>
+    sorted(map).map(([, value]) => value);
+  return {
+    position,
+    version: configuration.version,
+    failureDomains: [...configuration.failureDomains].sort(),
+    services: valuesOf(configuration.services),
+    routes: valuesOf(configuration.routes),
+    contracts: valuesOf(configuration.contracts).map((contract) => ({
+      ...contract,
+      routes: [...contract.routes],
+    })),
+    // Moves and verdicts keep their order: the oldest are forgotten first.
+    moves: [...configuration.moves.values()],
+    objectVersions: sorted(configuration.objectVersions),
+    verdicts: [...verdicts],
+  };
+}
+
+function fromData(data: StateData): FoldState {
+  return {
+    position: data.position,
+    configuration: {
+      version: data.version,
+      failureDomains: new Set(data.failureDomains),
+      services: new Map(data.services.map((item) => [item.name, item])),
+      routes: new Map(data.routes.map((item) => [item.name, item])),
+      contracts: new Map(data.contracts.map((item) => [item.customer, item])),
+      moves: new Map(data.moves.map((item) => [item.identity, item])),
+      objectVersions: new Map(
+        data.objectVersions as [ObjectKey, number][],
+      ),
+    },
+    verdicts: new Map(data.verdicts),
+  };
+}
--- a/src/features/log/node/log_test.ts
+++ b/src/features/log/node/log_test.ts
@@ -46,10 +46,10 @@
     "appended",
     "appended",
   ]);
-  const page = log.read("configuration", { from: 0, now: 1_450 });
-  assert.equal(page?.first, 2);
+  const page = log.read("configuration", { from: 0, now: 1_600 });
+  assert.equal(page?.first, 3);
   assert.equal(page?.next, 4);
-  assert.deepEqual(page?.entries.map((entry) => entry.offset), [2, 3]);
+  assert.deepEqual(page?.entries.map((entry) => entry.offset), [3]);
 });
 
 test(
