--- a/src/features/membership/common/gossip.ts
+++ b/src/features/membership/common/gossip.ts
@@ -44,6 +44,9 @@
 /** One exchange at a time, so that a new member does not get all records from every peer. */
 const EXCHANGE_TIMEOUT_MS: Milliseconds = 1_000;
 
+/** A process younger than this is told of the dead. */
+const NEW_PROCESS_MS: Milliseconds = 30_000;
+
 /** The two kinds of records: members of the own failure domain and summaries of all. */
 export type RecordScope = "members" | "summaries";
 
@@ -186,6 +189,23 @@
       stamps,
     };
     network.send(peer.process.host, message);
+    introduceDead(peer, scope);
+  }
+
+  /**
+   * Digests leave out the dead, whom members forget at different times. A new member needs them
+   * to know that others may still count on them.
+   */
+  function introduceDead(peer: Peer, scope: RecordScope): void {
+    if (
+      scope === "members" &&
+      clock.now() - peer.process.startedAt < NEW_PROCESS_MS
+    ) {
+      const dead = [...stores.members.values()].filter(({ state }) =>
+        state === "dead"
+      );
+      sendRecords(peer.process.host, { members: dead }, true);
+    }
   }
 
   function takeStamps(peer: Peer, message: StampsMessage): void {
@@ -193,6 +213,7 @@
     if (!mayExchange(peer, scope) || !asList(stamps).every(isStampEntry)) {
       return;
     }
+    introduceDead(peer, scope);
     const { host } = peer.process;
     const { newer, wanted } = stores[scope].compare(asList(buckets), stamps);
     sendRecords(host, { [scope]: newer }, isBulk(newer));
--- a/src/features/membership/common/member_state.ts
+++ b/src/features/membership/common/member_state.ts
@@ -24,6 +24,9 @@
   type RecordStore,
 } from "./record_store.ts";
 
+/** Hosts on the other side of a cut return within this time of each other. */
+const RETURN_WINDOW_MS: Milliseconds = 15_000;
+
 /**
  * What came of a record: `taken` is news for others, `refuted` means that the own record has
  * changed, `replaced` that a later process runs under the own host name.
@@ -34,7 +37,7 @@
   readonly members: RecordStore<Member>;
   readonly departures: readonly Departure[];
   readonly own: Member;
-  /** Since when others have counted this process as a member without a break. */
+  /** Since when all others have counted this process as a member without a break. */
   readonly presentSince: Milliseconds;
   accept(record: Member, now: Milliseconds): AcceptOutcome;
   setUpstreams(upstreams: readonly UpstreamAnnouncement[]): void;
@@ -54,6 +57,7 @@
   const members = createRecordStore(MEMBER_RECORD);
   const departures = createDepartureList();
   const suspectedAt = new Map<HostName, Milliseconds>();
+  const returnedAt = new Map<HostName, Milliseconds>();
   const ownHost = self.process.host;
   let presentSince = self.process.startedAt;
   let own: Member = {
@@ -88,6 +92,29 @@
     return "refuted";
   }
 
+  /**
+   * Two or more hosts that return together after a suspicion may have worked without this process
+   * meanwhile, as the other side of a cut. They then counted this one as absent too, but do not
+   * say so when its incarnation has grown since.
+   */
+  function noteReturn(before: Member | undefined, now: Milliseconds): void {
+    if (before?.state !== "dead") {
+      return;
+    }
+    for (const [host, at] of returnedAt) {
+      if (now - at > RETURN_WINDOW_MS) {
+        returnedAt.delete(host);
+      }
+    }
+    returnedAt.set(before.process.host, now);
+    const lost = [...members.values()].filter(({ process, state }) =>
+      state === "dead" && !returnedAt.has(process.host)
+    );
+    if (lost.length + returnedAt.size >= 2) {
+      presentSince = now;
+    }
+  }
+
   function take(record: Member, now: Milliseconds): boolean {
     const { host } = record.process;
     const before = members.get(host);
@@ -106,6 +133,7 @@
       departures.add(before, "replaced", now);
     }
     if (isPresent(record)) {
+      noteReturn(before, now);
       departures.remove(record.process);
     } else {
       departures.add(record, record.state === "left" ? "left" : "dead", now);
