Keep connections to upstreams open and test the call chain

Without an agent Node closes a connection after each answer, so the pool never had an idle connection to reuse or to replace; disabling the replacement showed it, since its test passed. The request now keeps its connection alive, and the test counts the connections.

--- a/src/features/attempt/node/attempt.ts
+++ b/src/features/attempt/node/attempt.ts
@@ -120,6 +120,8 @@
         path: options.path,
         headers: options.headers as string[],
       });
+      // Without an agent Node closes the connection after the answer unless told otherwise.
+      outgoing.shouldKeepAlive = true;
       outgoing.on("finish", () => {
         phase = phase === "send" ? "first-byte" : phase;
       });
--- /dev/null
+++ b/src/programs/node/call_chain_test.ts
@@ -0,0 +1,192 @@
+import assert from "node:assert/strict";
+import { Agent, createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createEmitter } from "../../base/common/emitter.ts";
+import { createRandomSource } from "../../base/common/random_source.ts";
+import { SYSTEM_CLOCK } from "../../base/node/system_clock.ts";
+import {
+  createFixtureInstance,
+  createProxyFixture,
+  FIXTURE_HOST,
+  type FixtureAnswer,
+  LOOPBACK,
+  sendCall,
+} from "../../features/attempt/node/proxy_fixture.ts";
+import { createInstanceRouter } from "../../features/routing/common/router.ts";
+import { GOOD_BEHAVIOUR } from "../common/upstream_behaviour.ts";
+import { startUpstreamStandIn } from "./upstream_stand_in.ts";
+
+const STORM_CALLS = 40;
+const INSTANCES_PER_LAYER = 3;
+const LAYERS = 3;
+
+function startUpstream(port = 0, fault: "none" | "fail" = "none") {
+  return startUpstreamStandIn({
+    service: "booking",
+    version: "v1",
+    address: LOOPBACK,
+    port,
+    slots: 16,
+    serviceMilliseconds: fault === "fail" ? 1 : 30,
+    drainNoticeMilliseconds: 300,
+    behaviour: { ...GOOD_BEHAVIOUR, fault },
+  });
+}
+
+/** An upstream that calls the next service through a proxy and answers what it got. */
+async function startForwarder(
+  context: TestContext,
+  url: string,
+  relaysRetryHeader: boolean,
+): Promise<number> {
+  const server = createServer(async (_, response) => {
+    const answer = await sendCall(url);
+    const retry = answer.headers["guavarun-retry"];
+    response.writeHead(answer.status === "cut" ? 502 : answer.status, {
+      ...(relaysRetryHeader && retry !== undefined
+        ? { "guavarun-retry": retry }
+        : {}),
+    });
+    response.end();
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  context.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+/** The calls that reach the failing service, for each call of the caller. */
+async function measureAmplification(
+  context: TestContext,
+  retryShare: number,
+  relaysRetryHeader: boolean,
+): Promise<number> {
+  const upstreams = await Promise.all(
+    Array.from({ length: INSTANCES_PER_LAYER }, () => startUpstream(0, "fail")),
+  );
+  upstreams.forEach((upstream) => context.after(() => upstream.kill()));
+  let ports = upstreams.map(({ port }) => port);
+  let url = "";
+  for (let layer = 1; layer <= LAYERS; layer += 1) {
+    const fixture = await createProxyFixture({
+      ports,
+      retryShare,
+      route: { callClass: "idempotent", deadlineMilliseconds: 20_000 },
+    });
+    context.after(() => fixture.close());
+    url = fixture.url;
+    if (layer < LAYERS) {
+      ports = await Promise.all(
+        ports.map(() => startForwarder(context, url, relaysRetryHeader)),
+      );
+    }
+  }
+  for (let call = 0; call < STORM_CALLS; call += 1) {
+    assert.equal((await sendCall(url)).status, 500);
+  }
+  const arrived = upstreams.reduce((sum, { counts }) => sum + counts.calls, 0);
+  return arrived / STORM_CALLS;
+}
+
+test("a retry storm over three proxies stays within the budget of one layer", async (context) => {
+  for (const retryShare of [1, 0.2]) {
+    const without = await measureAmplification(context, retryShare, false);
+    const withNever = await measureAmplification(context, retryShare, true);
+    context.diagnostic(
+      `retryShare ${retryShare}: amplification ${without} without the header, ${withNever} with it`,
+    );
+    assert.ok(withNever <= 1 + retryShare, `${withNever}`);
+    assert.ok(without <= (1 + retryShare) ** LAYERS, `${without}`);
+    assert.ok(without > withNever);
+  }
+});
+
+function isWhole(answer: FixtureAnswer, path: string): boolean {
+  return answer.status === 200 && JSON.parse(answer.body).path === path;
+}
+
+test("an upstream that drains cuts no call and gets no new work after it is known to leave", async (context) => {
+  const upstreams = await Promise.all([startUpstream(), startUpstream()]);
+  const [leaving, staying] = upstreams;
+  const instances = upstreams.map(({ port }) => createFixtureInstance(port));
+  let present = instances;
+  const changed = createEmitter<void>();
+  const fixture = await createProxyFixture({
+    ports: [],
+    retryShare: 0,
+    route: { callClass: "non-idempotent" },
+    router: createInstanceRouter({
+      directory: {
+        self: FIXTURE_HOST,
+        get instances() {
+          return present;
+        },
+        onChanged: changed.event,
+      },
+      shift: {
+        splitOf: () => ({
+          stableVersion: "v1",
+          candidateVersion: undefined,
+          candidateShare: 0,
+          candidateInstances: Infinity,
+        }),
+      },
+      clock: SYSTEM_CLOCK,
+      random: createRandomSource(1),
+    }),
+  });
+  context.after(() => Promise.all([fixture.close(), staying.kill()]));
+  const calls = Array.from({ length: 200 }, async (_, index) => {
+    await sleep(index * 5);
+    const path = `/orders/${index}`;
+    return isWhole(
+      await sendCall(fixture.url, {
+        method: "POST",
+        path,
+        headers: { "idempotency-key": `tacoma.${index}` },
+      }),
+      path,
+    );
+  });
+  await sleep(200);
+  const drained = leaving.drain();
+  await sleep(100);
+  present = [instances[1]];
+  changed.fire();
+  const seen = leaving.counts.calls;
+  await drained;
+  assert.equal(leaving.inFlight, 0);
+  const whole = (await Promise.all(calls)).filter((value) => value).length;
+  assert.equal(whole, 200);
+  assert.ok(leaving.counts.calls <= seen + 1, "calls after it was withdrawn");
+  assert.deepEqual(
+    [...leaving.runs.listRepeated(), ...staying.runs.listRepeated()],
+    [],
+  );
+});
+
+test("a proxy that drains finishes the calls in flight and closes connections after their answers", async (context) => {
+  const upstream = await startUpstream();
+  const fixture = await createProxyFixture({ ports: [upstream.port] });
+  const agent = new Agent({ keepAlive: true });
+  context.after(() => Promise.all([upstream.kill(), fixture.close()]));
+  await sendCall(fixture.url, { agent });
+  const calls = Array.from(
+    { length: 12 },
+    (_, index) => sendCall(fixture.url, { path: `/${index}`, agent }),
+  );
+  await sleep(15);
+  assert.ok(fixture.proxy.callsInFlight > 0);
+  await Promise.all([fixture.proxy.drain(), fixture.listener.drain()]);
+  assert.equal(fixture.proxy.callsInFlight, 0);
+  const answers = await Promise.all(calls);
+  answers.forEach((answer, index) => {
+    assert.ok(isWhole(answer, `/${index}`));
+    assert.equal(answer.headers.connection, "close");
+  });
+  assert.equal((await sendCall(fixture.url)).status, "cut");
+});
--- a/src/programs/node/call_path_test.ts
+++ b/src/programs/node/call_path_test.ts
@@ -125,9 +125,7 @@
     if (path === "/late") {
       // The answer comes after the deadline, and on a connection of another call.
       setTimeout(() => {
-        for (const other of sockets) {
-          answerRaw(other === socket ? other : other, "late");
-        }
+        sockets.forEach((other) => answerRaw(other, "late"));
       }, 150);
       return;
     }
@@ -161,6 +159,10 @@
   await Promise.all(
     ["/a", "/b", "/c"].map((path) => sendCall(fixture.url, { path })),
   );
+  // Idle connections are kept, and reused one after the other.
+  for (let index = 0; index < 20; index += 1) {
+    assert.equal(bodyOf(await sendCall(fixture.url, { path: "/e" })), "/e");
+  }
   assert.equal(upstream.sockets.size, 3);
   assert.equal((await sendCall(fixture.url, { path: "/silent" })).status, 504);
   await sleep(30);
