--- a/src/features/move/common/judgement.ts
+++ b/src/features/move/common/judgement.ts
@@ -65,6 +65,12 @@
 
 /** Calls to the new version that a route needs for a step. */
 const ENOUGH_CALLS = 50;
+/**
+ * The share while the first step is overdue for want of calls: twice the first one and still
+ * under the 5 % that a bad version may receive. A route with a tenth of 100 calls per second gets
+ * its 50 calls in 125 s instead of 250 s.
+ */
+const HURRIED_SHARE = 0.04;
 /** Routes with a smaller part of the service's calls do not hold back a move. */
 const SMALLEST_ROUTE_PART = 0.01;
 /**
@@ -83,7 +89,20 @@
   evidence: MoveEvidence,
   now: Milliseconds,
 ): number {
-  return SHARE_STEPS[planStep(move, evidence, now)];
+  const step = planStep(move, evidence, now);
+  return isHurried(move, { ...evidence, step }, now)
+    ? HURRIED_SHARE
+    : SHARE_STEPS[step];
+}
+
+/** Whether the first step lacks nothing but calls when the next one is due. */
+function isHurried(
+  move: Move,
+  evidence: MoveEvidence,
+  now: Milliseconds,
+): boolean {
+  return evidence.step === 0 && now >= stepStartsAt(move, 1) &&
+    findBadness(evidence, SIGN_ALPHA) === undefined;
 }
 
 /** The step that the evidence allows now: the present one or the next. */
--- a/src/features/move/common/move_measure.ts
+++ b/src/features/move/common/move_measure.ts
@@ -54,6 +54,8 @@
   /** From the first call that the version failed or slowed to the last call to it. */
   readonly stopMilliseconds: Milliseconds | undefined;
   readonly bytesPerDaemonSecond: number;
+  /** The events of the move, each when the first daemon wrote it. */
+  readonly timeline: readonly string[];
 }
 
 interface Tally {
@@ -247,5 +249,22 @@
       ? tally.lastCandidateAt! - tally.firstAffectedAt
       : undefined,
     bytesPerDaemonSecond: mesh.sentBytes / mesh.daemons.length / seconds,
+    timeline: timelineOf(mesh, move),
   };
 }
+
+function timelineOf(mesh: Mesh, move: Move): string[] {
+  const firstAt = new Map<string, Milliseconds>();
+  for (
+    const { at, event, fields } of mesh.daemons.flatMap((item) => item.events)
+  ) {
+    const detail = fields.share ?? fields.outcome;
+    const text = [event, detail, fields.reason].filter((part) =>
+      part !== undefined && part !== ""
+    ).join(" ");
+    firstAt.set(text, Math.min(firstAt.get(text) ?? Infinity, at));
+  }
+  return [...firstAt].sort(([, left], [, right]) => left - right).map((
+    [text, at],
+  ) => `${((at - move.startedAt) / 1_000).toFixed(1)} s ${text}`);
+}
--- a/src/features/move/common/move_state.ts
+++ b/src/features/move/common/move_state.ts
@@ -17,6 +17,7 @@
   assess,
   type Judgement,
   type MoveEvidence,
+  planShare,
   planStep,
 } from "./judgement.ts";
 import { LAST_STEP, SHARE_STEPS, stepStartsAt } from "./move_schedule.ts";
@@ -42,6 +43,8 @@
   readonly move: Move;
   readonly store: EvidenceStore;
   step: number;
+  /** The share over all daemons while the version is not bad. */
+  share: number;
   stepEnteredAt: Milliseconds;
   windowStartedAt: Milliseconds;
   /**
@@ -64,6 +67,7 @@
     move,
     store: createEvidenceStore(),
     step: 0,
+    share: SHARE_STEPS[0],
     stepEnteredAt: now,
     windowStartedAt: now,
     heldUntil: now > move.startedAt + JOIN_MS ? now + HOLD_MS : now,
@@ -95,7 +99,7 @@
 export function shareOf(state: MoveState, now: Milliseconds): number {
   return state.verdicts.bad !== undefined || now < state.heldUntil
     ? 0
-    : SHARE_STEPS[state.step];
+    : state.share;
 }
 
 /**
@@ -113,6 +117,7 @@
     return false;
   }
   state.step = step;
+  state.share = SHARE_STEPS[step];
   state.stepEnteredAt = Math.min(
     now,
     Math.max(peer.enteredAt, stepStartsAt(state.move, step)),
@@ -153,11 +158,18 @@
   if (judgement === "bad" || (judgement === "good" && !wasFoundGood)) {
     return [{ kind: "verdict", outcome: judgement, reason }];
   }
+  if (now < state.heldUntil) {
+    return [];
+  }
   const step = planStep(state.move, evidence, now);
-  if (step === state.step || now < state.heldUntil) {
+  const share = planShare(state.move, evidence, now);
+  if (step !== state.step) {
+    state.step = step;
+    state.stepEnteredAt = now;
+  }
+  if (share === state.share) {
     return [];
   }
-  state.step = step;
-  state.stepEnteredAt = now;
-  return [{ kind: "step", share: SHARE_STEPS[step] }];
+  state.share = share;
+  return [{ kind: "step", share }];
 }
--- a/src/features/move/common/shift_service.ts
+++ b/src/features/move/common/shift_service.ts
@@ -178,7 +178,7 @@
     for (const effect of advanceMove(state, surroundingsOf(state, now), now)) {
       if (effect.kind === "step") {
         splits.delete(state.move.service);
-        log.write("info", "move.step", {
+        log.write("info", "move.share", {
           move: state.move.identity,
           share: effect.share,
         });
