--- a/src/features/administration/node/publisher.ts
+++ b/src/features/administration/node/publisher.ts
@@ -64,7 +64,7 @@
           change: record.identity,
           author: record.author,
           result: answer.result,
-          version: answer.offset,
+          version: answer.result === "accepted" ? answer.offset : undefined,
           reason: answer.reason === "" ? undefined : answer.reason,
         });
         return answer;
--- a/src/features/timeline/common/merge.ts
+++ b/src/features/timeline/common/merge.ts
@@ -39,8 +39,9 @@
     addOrder(nodes, { rank, clockError });
   }
   const filter = options.filter ?? {};
+  const versions = findVersions(events, filter);
   return takeInOrder(splitBySource(nodes)).filter((event) =>
-    fits(event, filter)
+    fits(event, filter, versions)
   );
 }
 
@@ -180,17 +181,36 @@
   );
 }
 
-function fits(event: TimelineEvent, filter: TimelineFilter): boolean {
-  const { fields } = event;
+/** The versions that the wanted change or move produced; its effects name only these. */
+function findVersions(
+  events: readonly TimelineEvent[],
+  { change, move }: TimelineFilter,
+): Set<string> {
+  const found = new Set<string>();
+  for (const { event, fields } of events) {
+    const isWanted = event.endsWith(".published") &&
+      fields.change !== undefined &&
+      (fields.change === change || fields.change === move);
+    if (isWanted && fields.version !== undefined) {
+      found.add(fields.version);
+    }
+  }
+  return found;
+}
+
+function fits(
+  { host, failureDomain, fields }: TimelineEvent,
+  filter: TimelineFilter,
+  versions: ReadonlySet<string>,
+): boolean {
   const is = (wanted: string | undefined, ...found: (string | undefined)[]) =>
     wanted === undefined || found.includes(wanted);
-  return is(filter.host, event.host) &&
-    is(filter.failureDomain, event.failureDomain) &&
+  const hasVersion = fields.version !== undefined &&
+    versions.has(fields.version);
+  return is(filter.host, host) &&
+    is(filter.failureDomain, failureDomain) &&
     is(filter.call, fields.call) &&
-    is(filter.change, fields.change) &&
-    is(
-      filter.move,
-      fields.move,
-      event.event === "move.published" ? fields.change : undefined,
-    );
+    (hasVersion ||
+      is(filter.change, fields.change) &&
+        is(filter.move, fields.move, fields.change));
 }
--- a/src/features/timeline/common/timeline_test.ts
+++ b/src/features/timeline/common/timeline_test.ts
@@ -69,12 +69,13 @@
 
 test("filters keep the events of one object or place", () => {
   const cases: [TimelineFilter, number][] = [
-    [{ change: "c1" }, 1],
-    [{ move: "m1" }, 5],
+    [{ change: "c1" }, 3],
+    [{ move: "m1" }, 8],
     [{ call: "k1" }, 2],
     [{ host: "t2" }, 3],
     [{ failureDomain: "salem" }, 4],
-    [{ failureDomain: "salem", move: "m1" }, 2],
+    [{ failureDomain: "salem", move: "m1" }, 3],
+    [{ change: "c2" }, 0],
   ];
   for (const [filter, count] of cases) {
     const merged = mergeTimeline(SESSION, { filter });
--- a/src/programs/node/assembly.ts
+++ b/src/programs/node/assembly.ts
@@ -5,14 +5,8 @@
  * @module
  */
 
-import type { Clock } from "../../base/common/clock.ts";
-import type { Disposable } from "../../base/common/disposable.ts";
 import type { EventLog } from "../../base/common/event_log.ts";
-import type { Milliseconds } from "../../base/common/milliseconds.ts";
-import {
-  createRandomSource,
-  type RandomSource,
-} from "../../base/common/random_source.ts";
+import { createRandomSource } from "../../base/common/random_source.ts";
 import { SYSTEM_CLOCK } from "../../base/node/system_clock.ts";
 import type { DaemonSettings } from "../common/daemon_settings.ts";
 import type { PlatformSettings } from "../common/platform_settings.ts";
@@ -57,30 +51,14 @@
   startUpstream,
 };
 
-/** The log server and the log in memory, as far as this module uses them. */
-interface LogModules {
-  createMemoryLog(options: {
-    readonly random: RandomSource;
-    readonly retentionMilliseconds: Milliseconds;
-    readonly appendsPerSecond: number;
-  }): object;
-  listenLogServer(options: {
-    readonly log: object;
-    readonly clock: Clock;
-    readonly address: string;
-    readonly port: number;
-  }): Promise<Disposable & { readonly port: number }>;
-}
-
 async function startPlatform(
   settings: PlatformSettings,
 ): Promise<RunningServer> {
-  const folder = "../../features/log";
-  const { createMemoryLog } = await load<LogModules>(
-    `${folder}/common/memory_log.js`,
+  const { createMemoryLog } = await import(
+    "../../features/log/common/memory_log.ts"
   );
-  const { listenLogServer } = await load<LogModules>(
-    `${folder}/node/log_server.js`,
+  const { listenLogServer } = await import(
+    "../../features/log/node/log_server.ts"
   );
   const server = await listenLogServer({
     log: createMemoryLog({
@@ -101,33 +79,11 @@
   };
 }
 
-/** The upstream stand-in, as far as this module uses it. */
-interface UpstreamModule {
-  startUpstreamStandIn(
-    settings:
-      & Pick<
-        UpstreamSettings,
-        "service" | "version" | "address" | "port" | "slots"
-      >
-      & {
-        readonly administration: string;
-        readonly serviceMilliseconds: Milliseconds;
-      },
-    dependencies: StartOptions,
-  ): Promise<{
-    readonly port: number;
-    setBehaviour(behaviour: { fault: "fail"; share: number }): void;
-    drain(): Promise<void>;
-  }>;
-}
-
 async function startUpstream(
   settings: UpstreamSettings,
   { log }: StartOptions,
 ): Promise<RunningServer> {
-  const { startUpstreamStandIn } = await load<UpstreamModule>(
-    "./upstream_stand_in.js",
-  );
+  const { startUpstreamStandIn } = await import("./upstream_stand_in.ts");
   const { service, version, address, port, slots } = settings;
   const upstream = await startUpstreamStandIn({
     service,
@@ -144,7 +100,7 @@
   return { port: upstream.port, stop: () => upstream.drain() };
 }
 
-/** A computed path keeps these modules out of the type check of the command line. */
+/** A computed path, since the daemon assembly is not in this branch yet. */
 function load<T>(path: string): Promise<T> {
   return import(new URL(path, import.meta.url).href);
 }
--- a/src/programs/node/command_line_test.ts
+++ b/src/programs/node/command_line_test.ts
@@ -64,6 +64,23 @@
   }));
 });
 
+test("SIGTERM ends a service with exit code 0, so that a restart is not a fault", async () => {
+  const folder = mkdtempSync(join(tmpdir(), "guavarun-"));
+  const settings = join(folder, "platform.jsonc");
+  writeFileSync(settings, `{ "address": "127.0.0.1", "port": 0 }`);
+  const child = spawn(process.execPath, [PROGRAM, "platform", settings]);
+  let text = "";
+  child.stderr.on("data", (part) => {
+    text += part;
+    if (text.includes("event=process.started")) {
+      child.kill("SIGTERM");
+    }
+  });
+  const code = await new Promise((resolve) => child.on("close", resolve));
+  assert.match(text, /event=process.stopped/);
+  assert.equal(code, 0);
+});
+
 test("a duration without a unit is not guessed", () => {
   const cases: [string, number | undefined][] = [
     ["500ms", 500],
--- a/src/programs/node/demo.ts
+++ b/src/programs/node/demo.ts
@@ -25,10 +25,10 @@
   const { print } = options;
   const token = randomUUID();
   const fleet = await createFleet(token);
-  const stops: (() => Promise<void>)[] = [];
+  const stages: Stoppable[][] = [];
   const faults: string[] = [];
   try {
-    await startFleet(fleet, options, stops);
+    await startFleet(fleet, options, stages);
     const result = await runScenario(fleet.daemons, {
       token,
       print,
@@ -38,32 +38,51 @@
   } catch (error) {
     faults.push(describeError(error));
   }
-  for (const stop of stops.reverse()) {
-    await stop().catch((error) => faults.push(describeError(error)));
+  for (const stage of stages.reverse()) {
+    const results = await Promise.allSettled(stage.map((one) => one.stop()));
+    faults.push(
+      ...results.flatMap((result) =>
+        result.status === "rejected" ? [describeError(result.reason)] : []
+      ),
+    );
   }
   faults.forEach((fault) => print(`Fault: ${fault}.`));
   print(faults.length === 0 ? "No call was lost." : "The demo failed.");
   return faults.length === 0 ? EXIT_SUCCESS : EXIT_REFUSED;
 }
 
+interface Stoppable {
+  stop(): Promise<void>;
+}
+
+/** Adds what it starts to the stages, so that a failed start leaves nothing running. */
 async function startFleet(
   fleet: Fleet,
   options: DemoOptions,
-  stops: (() => Promise<void>)[],
+  stages: Stoppable[][],
 ): Promise<void> {
   const assembly = options.assembly ?? ASSEMBLY;
   const log = options.log ?? SILENT_LOG;
-  const platform = await assembly.startPlatform(fleet.platform, { log });
-  stops.push(() => platform.stop());
-  for (const settings of fleet.daemons) {
-    const { host, failureDomain } = settings;
-    const daemon = await assembly.startDaemon(settings, {
-      log: log.extend({ host, failureDomain }),
-    });
-    stops.push(() => daemon.stop());
-  }
-  for (const settings of fleet.upstreams) {
-    const upstream = await assembly.startUpstream(settings, { log });
-    stops.push(() => upstream.stop());
+  async function startStage(starts: readonly Promise<Stoppable>[]) {
+    const stage: Stoppable[] = [];
+    stages.push(stage);
+    const results = await Promise.allSettled(starts);
+    for (const result of results) {
+      if (result.status === "fulfilled") {
+        stage.push(result.value);
+      }
+    }
+    await Promise.all(starts);
   }
+  await startStage([assembly.startPlatform(fleet.platform, { log })]);
+  await startStage(fleet.daemons.map((settings) => {
+    const { host, failureDomain } = settings;
+    const own = log.extend({ host, failureDomain });
+    return assembly.startDaemon(settings, { log: own });
+  }));
+  await startStage(
+    fleet.upstreams.map((settings) =>
+      assembly.startUpstream(settings, { log })
+    ),
+  );
 }
