Use the routing table and the claims in the daemon

Cause: the daemon still had a first table and refused every claimed call. Change: the table keeper and the claim client take their places, and a record is checked against the fold's rules before it is appended.

--- a/src/programs/node/daemon.ts
+++ b/src/programs/node/daemon.ts
@@ -20,18 +20,20 @@
 import { SYSTEM_CLOCK } from "../../base/node/system_clock.ts";
 import { createMetrics } from "../../features/administration/common/metrics.ts";
 import { createAdministration } from "../../features/administration/node/administration.ts";
+import { createClaimClient } from "../../features/claim/common/create_claim_client.ts";
+import { createTableKeeper } from "../../features/table/common/table_keeper.ts";
 import { createAdmissionController } from "../../features/admission/common/controller.ts";
 import { createProxy } from "../../features/attempt/node/proxy.ts";
 import { createPeerNetwork } from "../../features/link/node/peer_network.ts";
 import { createHttpLogClient } from "../../features/log/node/http_log_client.ts";
 import { createDirectory } from "../../features/membership/common/create_directory.ts";
 import { createTrafficShift } from "../../features/move/common/shift_service.ts";
+import { checkRecord } from "../../features/fold/common/fold.ts";
 import { createInstanceRouter } from "../../features/routing/common/router.ts";
 import { formatProcess, type HostIdentity } from "../../world/common/host.ts";
 import type { DaemonSettings } from "../common/daemon_settings.ts";
 import type { RunningDaemon, StartOptions } from "./assembly.ts";
 import { createThinConfigurationSource } from "./thin_configuration.ts";
-import { createThinTable } from "./thin_table.ts";
 
 export async function startDaemon(
   settings: DaemonSettings,
@@ -98,19 +100,14 @@
     clock,
     log,
   }));
-  const claims = {
-    claim: () =>
-      Promise.resolve(
-        { kind: "unavailable", reason: "claims are not available" } as const,
-      ),
-    dispose() {},
-  };
-  let table = createThinTable(configuration.current);
-  owned.add(configuration.onChanged((current) => {
-    table = createThinTable(current);
-  }));
+  const claims = owned.add(
+    createClaimClient({ self, directory, network, clock, log }),
+  );
+  const tables = owned.add(
+    createTableKeeper({ source: configuration, directory, clock, log }),
+  );
   const proxy = owned.add(createProxy({
-    table: () => (configuration.isReady ? table : undefined),
+    table: () => (configuration.isReady ? tables.current : undefined),
     admission,
     claims,
     router,
@@ -129,7 +126,10 @@
     events: buffer.events,
     metrics: createMetrics(),
     tokens: settings.tokens,
-    checkRecord: () => undefined,
+    checkRecord: (current, record, now) => {
+      const checked = checkRecord(current, record, now);
+      return checked.err ? checked.val : undefined;
+    },
     clock,
     log,
     maximumBodyBytes: settings.limits.maximumAdministrationBodyBytes,
