--- /dev/null
+++ b/src/features/distribution/common/floor_search.ts
@@ -0,0 +1,136 @@
+/**
+ * The version floor of a restarted daemon (G1): it serves nothing until its configuration is
+ * at or above the version that its host had in force before.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import {
+  createDisposableStore,
+  type Disposable,
+} from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { HostIdentity } from "../../../world/common/host.ts";
+import type {
+  ConfigurationVersion,
+  HostName,
+} from "../../../world/common/names.ts";
+import type {
+  LinkMessage,
+  PeerNetwork,
+} from "../../link/common/peer_network.ts";
+import type { Directory } from "../../membership/common/directory.ts";
+import { decideFloor } from "./distribution_rules.ts";
+import { type FloorMessage, parseFloor } from "./messages.ts";
+import type { Replica } from "./replica.ts";
+
+const SEARCH_INTERVAL_MS: Milliseconds = 300;
+const REQUEST_TIMEOUT_MS: Milliseconds = 1_000;
+const MAXIMUM_ASKED = 12;
+
+export interface FloorSearchOptions {
+  readonly self: HostIdentity;
+  readonly directory: Pick<Directory, "localMembers" | "remoteMembers">;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  getReplica(): Replica;
+  findVersion(host: HostName): ConfigurationVersion;
+}
+
+export interface FloorSearch extends Disposable {
+  readonly isReached: boolean;
+  /** Compares the configuration with the floor again. */
+  update(): void;
+  /** Every version that was ever in force is in the log, so its end satisfies the floor. */
+  reportLogEnd(): void;
+}
+
+export function startFloorSearch(options: FloorSearchOptions): FloorSearch {
+  const { self, network, clock, random, log } = options;
+  const owned = createDisposableStore();
+  let floor: ConfigurationVersion | undefined;
+  let isReached = false;
+  let isDisposed = false;
+
+  const getVersion = () => options.getReplica().fold.configuration.version;
+
+  function reach(reason: string): void {
+    if (!isReached) {
+      isReached = true;
+      log.write("info", "floor.reached", {
+        configurationVersion: getVersion(),
+        reason,
+      });
+    }
+  }
+
+  function update(): void {
+    if (floor !== undefined && getVersion() >= floor) {
+      reach("peers");
+    }
+  }
+
+  function listAsked(): HostName[] {
+    const { localMembers, remoteMembers } = options.directory;
+    const hosts = new Set(
+      [...network.peers, ...localMembers, ...remoteMembers]
+        .map(({ process }) => process.host),
+    );
+    hosts.delete(self.process.host);
+    return [...hosts].slice(0, MAXIMUM_ASKED);
+  }
+
+  async function ask(host: HostName): Promise<FloorMessage | undefined> {
+    const answer = await network.request(host, { kind: "floor-request" }, {
+      timeoutMilliseconds: REQUEST_TIMEOUT_MS,
+    });
+    return answer.ok ? parseFloor(answer.val) : undefined;
+  }
+
+  async function search(): Promise<void> {
+    const answers = await Promise.all(listAsked().map(ask));
+    floor ??= decideFloor(answers.filter((answer) => answer !== undefined));
+    update();
+    scheduleSearch();
+  }
+
+  function scheduleSearch(): void {
+    if (floor === undefined && !isReached && !isDisposed) {
+      const delay = SEARCH_INTERVAL_MS * (0.5 + random.nextFraction());
+      owned.add(clock.schedule(delay, start));
+    }
+  }
+
+  function start(): void {
+    search().catch((error) => {
+      log.write("error", "task.failed", { reason: String(error) });
+      scheduleSearch();
+    });
+  }
+
+  owned.add(network.onRequest("floor-request", (peer) =>
+    ({
+      kind: "floor",
+      hostVersion: options.findVersion(peer.process.host),
+      version: getVersion(),
+      isReady: isReached,
+    }) as LinkMessage));
+  start();
+
+  return {
+    get isReached() {
+      return isReached;
+    },
+    update,
+    reportLogEnd: () => reach("log"),
+    dispose() {
+      isDisposed = true;
+      owned.dispose();
+    },
+  };
+}
--- /dev/null
+++ b/src/features/distribution/common/messages.ts
@@ -0,0 +1,62 @@
+/**
+ * The messages by which daemons exchange log entries, states and version floors.
+ *
+ * @module
+ */
+
+import * as valibot from "valibot";
+import type { LinkMessage } from "../../link/common/peer_network.ts";
+
+const OFFSET = valibot.pipe(valibot.number(), valibot.integer());
+const ENTRY = valibot.object({
+  offset: OFFSET,
+  appendedAt: valibot.number(),
+  record: valibot.instance(Uint8Array),
+});
+
+const POSITION = valibot.object({
+  kind: valibot.literal("configuration-position"),
+  position: OFFSET,
+  /** The version that the sender has in force or brings into force next. */
+  version: OFFSET,
+  /** How long ago a domain reader saw the end of the log, as far as the sender knows. */
+  logEndAge: valibot.optional(valibot.number()),
+});
+const ENTRIES = valibot.object({
+  kind: valibot.literal("entries"),
+  version: OFFSET,
+  entries: valibot.array(ENTRY),
+});
+const ENTRIES_REQUEST = valibot.object({
+  kind: valibot.literal("entries-request"),
+  from: OFFSET,
+});
+const STATE = valibot.object({
+  kind: valibot.literal("state"),
+  snapshot: valibot.instance(Uint8Array),
+});
+const FLOOR = valibot.object({
+  kind: valibot.literal("floor"),
+  /** The highest version that the asking host is known to have had in force. */
+  hostVersion: OFFSET,
+  version: OFFSET,
+  isReady: valibot.boolean(),
+});
+
+export type PositionMessage = valibot.InferOutput<typeof POSITION>;
+export type EntriesMessage = valibot.InferOutput<typeof ENTRIES>;
+export type FloorMessage = valibot.InferOutput<typeof FLOOR>;
+
+function createParser<T>(schema: valibot.GenericSchema<unknown, T>) {
+  return (message: LinkMessage): T | undefined => {
+    const checked = valibot.safeParse(schema, message);
+    return checked.success ? checked.output : undefined;
+  };
+}
+
+/** Each parser returns undefined for a message of another kind or form. */
+export const parsePosition = createParser(POSITION);
+export const parseEntries = createParser(ENTRIES);
+export const parseEntriesRequest = createParser(ENTRIES_REQUEST);
+export const parseState = createParser(STATE);
+export const parseFloor = createParser(FLOOR);
--- /dev/null
+++ b/src/features/distribution/common/peer_sync.ts
@@ -0,0 +1,272 @@
+/**
+ * Exchange of entries and states with peers.
+ *
+ * @module
+ */
+
+import { computeBackoff } from "../../../base/common/backoff.ts";
+import type { Clock } from "../../../base/common/clock.ts";
+import {
+  createDisposableStore,
+  type Disposable,
+} from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { LogEntry } from "../../../world/common/log_record.ts";
+import type {
+  ConfigurationVersion,
+  HostName,
+} from "../../../world/common/names.ts";
+import { NO_VERSION } from "../../../world/common/names.ts";
+import type { FoldState } from "../../fold/common/fold.ts";
+import {
+  decodeSnapshot,
+  encodeSnapshot,
+} from "../../fold/common/state_codec.ts";
+import type {
+  LinkMessage,
+  PeerNetwork,
+} from "../../link/common/peer_network.ts";
+import { listPeersAhead, planPush } from "./distribution_rules.ts";
+import {
+  parseEntries,
+  parseEntriesRequest,
+  parsePosition,
+  parseState,
+  type PositionMessage,
+} from "./messages.ts";
+import { listEntries, type Replica } from "./replica.ts";
+
+export const POSITION_INTERVAL_MS: Milliseconds = 1_000;
+/** A tick that is late by this much shows that the process was paused. */
+const PAUSE_MS: Milliseconds = 3_000;
+/** Pushed entries usually arrive within this time, so no request is needed. */
+const REPAIR_DELAY_MS: Milliseconds = 100;
+const REQUEST_TIMEOUT_MS: Milliseconds = 2_000;
+const REPAIR_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 2_000 };
+const ANSWER_ENTRIES = 200;
+
+export interface PeerSyncOptions {
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  getReplica(): Replica;
+  takeEntries(entries: readonly LogEntry[]): void;
+  adoptState(state: FoldState): void;
+}
+
+export interface PeerSync extends Disposable {
+  /** Sends what peers lack, before the replica comes into force. */
+  announce(next: Replica): void;
+  /** The highest version that a host is known to have had in force. */
+  findVersion(host: HostName): ConfigurationVersion;
+}
+
+export function createPeerSync(options: PeerSyncOptions): PeerSync {
+  const { network, clock, random, log } = options;
+  const owned = createDisposableStore();
+  const positions = new Map<HostName, number>();
+  const versions = new Map<HostName, ConfigurationVersion>();
+  let snapshot: { position: number; bytes: Uint8Array } | undefined;
+  let repair: Disposable | undefined;
+  let failures = 0;
+  let isDisposed = false;
+  let tickedAt = clock.now();
+
+  const getPosition = () => options.getReplica().fold.position;
+
+  function createPosition({ fold }: Replica): PositionMessage {
+    return {
+      kind: "configuration-position",
+      position: fold.position,
+      version: fold.configuration.version,
+    };
+  }
+
+  function announce(next: Replica): void {
+    const position = createPosition(next);
+    for (const { process: { host } } of network.peers) {
+      const entries = planPush(next, positions.get(host));
+      if (entries === undefined || entries.length === 0) {
+        network.send(host, position);
+      } else if (
+        network.send(
+          host,
+          {
+            kind: "entries",
+            version: position.version,
+            entries,
+          } as LinkMessage,
+        )
+      ) {
+        positions.set(host, position.position);
+      }
+    }
+  }
+
+  function sendPositions(): void {
+    const position = createPosition(options.getReplica());
+    for (const { process } of network.peers) {
+      network.send(process.host, position);
+    }
+  }
+
+  function tick(): void {
+    const elapsed = clock.now() - tickedAt;
+    tickedAt = clock.now();
+    if (elapsed >= PAUSE_MS) {
+      log.write("warn", "distribution.resumed", {
+        pausedMilliseconds: elapsed,
+      });
+      positions.clear();
+    }
+    sendPositions();
+  }
+
+  function observe(
+    host: HostName,
+    at: { readonly position: number; readonly version: number },
+  ): void {
+    positions.set(host, at.position);
+    versions.set(
+      host,
+      Math.max(versions.get(host) ?? NO_VERSION, at.version),
+    );
+  }
+
+  function scheduleRepair(): void {
+    if (
+      repair !== undefined || isDisposed ||
+      listPeersAhead(positions, getPosition()).length === 0
+    ) {
+      return;
+    }
+    const delay = failures === 0
+      ? random.nextFraction() * REPAIR_DELAY_MS
+      : computeBackoff(failures, random, REPAIR_BACKOFF);
+    repair = clock.schedule(delay, () => {
+      runRepair().catch((error) =>
+        log.write("error", "task.failed", { reason: String(error) })
+      ).finally(() => {
+        repair = undefined;
+        scheduleRepair();
+      });
+    });
+  }
+
+  /** Asks one peer that is ahead, chosen at random so that a herd spreads over its peers. */
+  async function runRepair(): Promise<void> {
+    const ahead = listPeersAhead(positions, getPosition());
+    if (ahead.length === 0 || isDisposed) {
+      return;
+    }
+    const host = ahead[random.nextInteger(ahead.length)];
+    const from = getPosition();
+    const answer = await ask(
+      host,
+      { kind: "entries-request", from } as LinkMessage,
+    );
+    const entries = answer && parseEntries(answer);
+    if (entries !== undefined) {
+      options.takeEntries(entries.entries);
+    } else if (answer?.kind === "state-needed") {
+      await fetchState(host);
+    }
+    if (getPosition() > from) {
+      failures = 0;
+    } else {
+      failures += 1;
+      // The peer's next position message makes it a candidate again.
+      positions.delete(host);
+    }
+  }
+
+  async function fetchState(host: HostName): Promise<void> {
+    const answer = await ask(host, { kind: "state-request" });
+    const message = answer && parseState(answer);
+    const state = message && decodeSnapshot(message.snapshot);
+    if (state?.ok) {
+      options.adoptState(state.val);
+    } else {
+      log.write("warn", "state.refused", { peer: host, reason: state?.val });
+    }
+  }
+
+  async function ask(host: HostName, message: LinkMessage) {
+    const answer = await network.request(host, message, {
+      timeoutMilliseconds: REQUEST_TIMEOUT_MS,
+    });
+    return answer.ok && !isDisposed ? answer.val : undefined;
+  }
+
+  function answerEntries(message: LinkMessage): LinkMessage {
+    const replica = options.getReplica();
+    const request = parseEntriesRequest(message);
+    const entries = request && listEntries(replica, request.from);
+    if (entries === undefined) {
+      return { kind: "state-needed" };
+    }
+    return {
+      kind: "entries",
+      version: replica.fold.configuration.version,
+      entries: entries.slice(0, ANSWER_ENTRIES),
+    } as LinkMessage;
+  }
+
+  function answerState(): LinkMessage {
+    const { fold } = options.getReplica();
+    if (snapshot?.position !== fold.position) {
+      snapshot = { position: fold.position, bytes: encodeSnapshot(fold) };
+    }
+    return { kind: "state", snapshot: snapshot.bytes } as LinkMessage;
+  }
+
+  owned.add(network.onMessage("configuration-position", (peer, message) => {
+    const position = parsePosition(message);
+    if (position !== undefined) {
+      observe(peer.process.host, position);
+      scheduleRepair();
+    }
+  }));
+  owned.add(network.onMessage("entries", (peer, message) => {
+    const parsed = parseEntries(message);
+    const last = parsed?.entries.at(-1);
+    if (parsed !== undefined && last !== undefined) {
+      observe(peer.process.host, {
+        position: last.offset + 1,
+        version: parsed.version,
+      });
+      options.takeEntries(parsed.entries);
+      scheduleRepair();
+    }
+  }));
+  owned.add(
+    network.onRequest(
+      "entries-request",
+      (_, message) => answerEntries(message),
+    ),
+  );
+  owned.add(network.onRequest("state-request", answerState));
+  owned.add(
+    network.onLinkOpened((peer) =>
+      network.send(peer.process.host, createPosition(options.getReplica()))
+    ),
+  );
+  owned.add(
+    network.onLinkClosed((peer) => positions.delete(peer.process.host)),
+  );
+  owned.add(clock.repeat(POSITION_INTERVAL_MS, tick));
+  sendPositions();
+
+  return {
+    announce,
+    findVersion: (host) => versions.get(host) ?? NO_VERSION,
+    dispose() {
+      isDisposed = true;
+      repair?.dispose();
+      owned.dispose();
+    },
+  };
+}
