Use the distribution of configuration in the daemon

Cause: every daemon read the platform log by itself. Change: readers per failure domain, peers and the version floor take over.

--- a/src/programs/node/daemon.ts
+++ b/src/programs/node/daemon.ts
@@ -24,6 +24,7 @@
 import { createTableKeeper } from "../../features/table/common/table_keeper.ts";
 import { createAdmissionController } from "../../features/admission/common/controller.ts";
 import { createProxy } from "../../features/attempt/node/proxy.ts";
+import { createConfigurationSource } from "../../features/distribution/common/create_configuration_source.ts";
 import { createPeerNetwork } from "../../features/link/node/peer_network.ts";
 import { createHttpLogClient } from "../../features/log/node/http_log_client.ts";
 import { createDirectory } from "../../features/membership/common/create_directory.ts";
@@ -33,7 +34,6 @@
 import { formatProcess, type HostIdentity } from "../../world/common/host.ts";
 import type { DaemonSettings } from "../common/daemon_settings.ts";
 import type { RunningDaemon, StartOptions } from "./assembly.ts";
-import { createThinConfigurationSource } from "./thin_configuration.ts";
 
 export async function startDaemon(
   settings: DaemonSettings,
@@ -62,9 +62,6 @@
   const logClient = owned.add(createHttpLogClient({
     url: `http://${settings.platform.address}:${settings.platform.port}`,
   }));
-  const configuration = owned.add(
-    createThinConfigurationSource({ logClient, clock, log }),
-  );
   const directory = owned.add(createDirectory({
     self: {
       ...self,
@@ -80,6 +77,15 @@
     random,
     log,
   }));
+  const configuration = owned.add(createConfigurationSource({
+    self,
+    directory,
+    network,
+    logClient,
+    clock,
+    random,
+    log,
+  }));
   const shift = owned.add(createTrafficShift({
     self,
     directory,
