Measure the slopes for the capacity page

Cause: nothing showed how state and processor time grow with the fleet, and the measurements of the features could not be run by name.

--- a/src/programs/node/measurements.ts
+++ b/src/programs/node/measurements.ts
@@ -4,6 +4,13 @@
  * @module
  */
 
+import { measureCapacity } from "./capacity_measure.ts";
+import {
+  measureConvergenceTable,
+  measureLatencyTable,
+  measureMembershipTable,
+  measureRoutingTable,
+} from "./measurement_adapters.ts";
 import { measureMoves } from "../../features/move/common/move_table.ts";
 
 export interface MeasurementOptions {
@@ -26,5 +33,10 @@
 ) => Promise<readonly MeasurementTable[]>;
 
 export const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
+  capacity: measureCapacity,
+  convergence: measureConvergenceTable,
+  latency: measureLatencyTable,
+  membership: measureMembershipTable,
   moves: measureMoves,
+  routing: measureRoutingTable,
 };
