Send entries to few peers and positions only when they change

Entries now go to two peers of the own domain, the position to the others, and a known position is repeated every 5 s. The first read of the log no longer waits: a reader that started at the end of the log became ready only after its 5 s poll.

--- a/src/features/distribution/common/distribution_rules.ts
+++ b/src/features/distribution/common/distribution_rules.ts
@@ -14,11 +14,14 @@
   HostName,
 } from "../../../world/common/names.ts";
 import { NO_VERSION } from "../../../world/common/names.ts";
+import type { Peer } from "../../link/common/peer_network.ts";
 import type { FloorMessage } from "./messages.ts";
 import { listEntries, type Replica } from "./replica.ts";
 
 /** Daemons of a failure domain that read the platform. */
 export const DOMAIN_READERS = 2;
+const PUSHED_PEERS = 2;
+const FLOOR_PEERS = 2;
 const SNAPSHOT_RECORDS = 200;
 const SNAPSHOT_RETENTION_SHARE = 0.25;
 
@@ -71,6 +74,41 @@
     : listEntries(replica, peerPosition);
 }
 
+export interface Announcement {
+  /** Peers that get the entries, or the position when the entries cannot be sent. */
+  readonly push: readonly HostName[];
+  /** Peers that get the position and ask for the entries if no one else sends them. */
+  readonly notify: readonly HostName[];
+}
+
+/**
+ * Entries go to few peers, since a peer that lacks them usually gets them from several sides.
+ * At least two peers learn the version, so that one of them knows the floor of this host.
+ */
+export function planAnnouncement(
+  peers: readonly Peer[],
+  positions: ReadonlyMap<HostName, number>,
+  options: {
+    readonly ownDomain: FailureDomainName;
+    readonly position: number;
+  },
+): Announcement {
+  const hostOf = (peer: Peer) => peer.process.host;
+  const lacking = peers.filter((peer) =>
+    (positions.get(hostOf(peer)) ?? -1) < options.position
+  );
+  const push = lacking.filter((peer) =>
+    peer.failureDomain === options.ownDomain && positions.has(hostOf(peer))
+  ).slice(0, PUSHED_PEERS).map(hostOf);
+  const notify = lacking.map(hostOf).filter((host) => !push.includes(host));
+  const told = push.length + notify.length;
+  const others = peers.filter((peer) => !lacking.includes(peer)).map(hostOf);
+  return {
+    push,
+    notify: [...notify, ...others.slice(0, Math.max(0, FLOOR_PEERS - told))],
+  };
+}
+
 /** Peers that are ahead of a position. */
 export function listPeersAhead(
   positions: ReadonlyMap<HostName, number>,
--- a/src/features/distribution/common/log_reader.ts
+++ b/src/features/distribution/common/log_reader.ts
@@ -51,6 +51,7 @@
   const { clock, random, log } = options;
   let isDisposed = false;
   let failures = 0;
+  let hasReadEnd = false;
   let lastSnapshot: SnapshotMark | undefined;
   let snapshotCheckAt: Milliseconds | undefined;
 
@@ -70,7 +71,8 @@
       yield* loadSnapshot();
     }
     const from = options.getState().position;
-    const wait = { waitMilliseconds: POLL_WAIT_MS };
+    // The first answer must come at once: its end of the log makes a restarted daemon ready.
+    const wait = { waitMilliseconds: hasReadEnd ? POLL_WAIT_MS : 0 };
     const page = yield* waitFor(
       options.logClient.read("configuration", from, wait),
     );
@@ -98,6 +100,7 @@
     options.takeEntries(page.entries);
     const { position } = options.getState();
     if (position === page.next) {
+      hasReadEnd = true;
       options.reportLogEnd();
     } else if (position < page.first || page.next < from) {
       log.write("error", "log.unusable", { position, next: page.next });
--- a/src/features/distribution/common/peer_sync.ts
+++ b/src/features/distribution/common/peer_sync.ts
@@ -13,6 +13,7 @@
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { HostIdentity } from "../../../world/common/host.ts";
 import type { LogEntry } from "../../../world/common/log_record.ts";
 import type {
   ConfigurationVersion,
@@ -28,7 +29,11 @@
   LinkMessage,
   PeerNetwork,
 } from "../../link/common/peer_network.ts";
-import { listPeersAhead, planPush } from "./distribution_rules.ts";
+import {
+  listPeersAhead,
+  planAnnouncement,
+  planPush,
+} from "./distribution_rules.ts";
 import {
   parseEntries,
   parseEntriesRequest,
@@ -39,6 +44,8 @@
 import { listEntries, type Replica } from "./replica.ts";
 
 export const POSITION_INTERVAL_MS: Milliseconds = 1_000;
+/** Positions that a peer was told already are repeated at every fifth tick. */
+const TICKS_PER_REFRESH = 5;
 /** A tick that is late by this much shows that the process was paused. */
 const PAUSE_MS: Milliseconds = 3_000;
 /** Pushed entries usually arrive within this time, so no request is needed. */
@@ -48,6 +55,7 @@
 const ANSWER_ENTRIES = 200;
 
 export interface PeerSyncOptions {
+  readonly self: HostIdentity;
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -74,6 +82,8 @@
   let failures = 0;
   let isDisposed = false;
   let tickedAt = clock.now();
+  let tickCount = 0;
+  const sentPositions = new Map<HostName, number>();
 
   const getPosition = () => options.getReplica().fold.position;
 
@@ -86,34 +96,56 @@
   }
 
   function announce(next: Replica): void {
-    const position = createPosition(next);
-    for (const { process: { host } } of network.peers) {
+    const message = createPosition(next);
+    const hosts = planAnnouncement(network.peers, positions, {
+      ownDomain: options.self.failureDomain,
+      position: message.position,
+    });
+    for (const host of hosts.push) {
       const entries = planPush(next, positions.get(host));
-      if (entries === undefined || entries.length === 0) {
-        network.send(host, position);
-      } else if (
-        network.send(
-          host,
-          {
-            kind: "entries",
-            version: position.version,
-            entries,
-          } as LinkMessage,
-        )
-      ) {
-        positions.set(host, position.position);
+      if (entries === undefined || !sendEntries(host, message, entries)) {
+        sendPosition(host, message);
       }
     }
+    hosts.notify.forEach((host) => sendPosition(host, message));
   }
 
+  function sendEntries(
+    host: HostName,
+    { position, version }: PositionMessage,
+    entries: readonly LogEntry[],
+  ): boolean {
+    const message = { kind: "entries", version, entries } as LinkMessage;
+    const isSent = network.send(host, message);
+    if (isSent) {
+      positions.set(host, position);
+      sentPositions.set(host, position);
+    }
+    return isSent;
+  }
+
+  function sendPosition(
+    host: HostName,
+    message = createPosition(options.getReplica()),
+  ): void {
+    if (network.send(host, message)) {
+      sentPositions.set(host, message.position);
+    }
+  }
+
+  /** Tells peers that do not know the position; now and then all, in case one has forgotten. */
   function sendPositions(): void {
-    const position = createPosition(options.getReplica());
-    for (const { process } of network.peers) {
-      network.send(process.host, position);
+    const message = createPosition(options.getReplica());
+    const isForAll = tickCount % TICKS_PER_REFRESH === 0;
+    for (const { process: { host } } of network.peers) {
+      if (isForAll || sentPositions.get(host) !== message.position) {
+        sendPosition(host, message);
+      }
     }
   }
 
   function tick(): void {
+    tickCount += 1;
     const elapsed = clock.now() - tickedAt;
     tickedAt = clock.now();
     if (elapsed >= PAUSE_MS) {
@@ -121,6 +153,7 @@
         pausedMilliseconds: elapsed,
       });
       positions.clear();
+      sentPositions.clear();
     }
     sendPositions();
   }
@@ -226,7 +259,11 @@
   owned.add(network.onMessage("configuration-position", (peer, message) => {
     const position = parsePosition(message);
     if (position !== undefined) {
-      observe(peer.process.host, position);
+      const { host } = peer.process;
+      observe(host, position);
+      if (position.position < getPosition()) {
+        sendPosition(host);
+      }
       scheduleRepair();
     }
   }));
@@ -250,12 +287,13 @@
   );
   owned.add(network.onRequest("state-request", answerState));
   owned.add(
-    network.onLinkOpened((peer) =>
-      network.send(peer.process.host, createPosition(options.getReplica()))
-    ),
+    network.onLinkOpened((peer) => sendPosition(peer.process.host)),
   );
   owned.add(
-    network.onLinkClosed((peer) => positions.delete(peer.process.host)),
+    network.onLinkClosed(({ process: { host } }) => {
+      positions.delete(host);
+      sentPositions.delete(host);
+    }),
   );
   owned.add(clock.repeat(POSITION_INTERVAL_MS, tick));
   sendPositions();
