--- a/src/features/distribution/common/virtual_cluster.ts
+++ b/src/features/distribution/common/virtual_cluster.ts
@@ -6,7 +6,7 @@
  */
 
 import { startTask, waitFor } from "../../../base/common/channel.ts";
-import { VirtualClock } from "../../../base/common/clock.ts";
+import { Clock, VirtualClock } from "../../../base/common/clock.ts";
 import {
   createDisposableStore,
   type Disposable,
@@ -76,6 +76,11 @@
   readonly controlBytes: number;
   start(host: HostName): void;
   stop(host: HostName): void;
+  /** Freezes a daemon: its timers and answers wait and its links are silent. */
+  pause(host: HostName): void;
+  resume(host: HostName): void;
+  /** Cuts or restores the connection of two hosts. */
+  setHostCut(first: HostName, second: HostName, isCut: boolean): void;
   /** Cuts a failure domain off from the others, or from the platform. */
   setCut(
     domain: FailureDomainName,
@@ -106,6 +111,7 @@
   const daemons = new Map<HostName, VirtualDaemon & Disposable>();
   const stoppedAt = new Map<HostName, Milliseconds>();
   const withoutPlatform = new Set<FailureDomainName>();
+  const frozen = new Map<HostName, (() => void)[]>();
   let stoppedBytes = 0;
 
   const isKnownAlive = (host: HostName) =>
@@ -149,7 +155,8 @@
       );
     link();
     owned.add(clock.repeat(TARGETS_INTERVAL_MS, link));
-    const client = owned.add(createMemoryLogClient({ log, clock }));
+    const ownClock = new FreezableClock(clock, () => frozen.get(host));
+    const client = owned.add(createMemoryLogClient({ log, clock: ownClock }));
     const source = owned.add(createConfigurationSource({
       self: { process, failureDomain: domain, addresses: ADDRESSES },
       directory: {
@@ -164,7 +171,7 @@
       },
       network,
       logClient: cutWhen(client, () => withoutPlatform.has(domain)),
-      clock,
+      clock: ownClock,
       random: createRandomSource(random.nextInteger(2 ** 30)),
       log: options.log?.extend({ host }) ?? SILENT_LOG,
       retentionMilliseconds,
@@ -196,6 +203,18 @@
     },
     start,
     stop,
+    pause(host) {
+      frozen.set(host, []);
+      hosts.forEach((other) => exchange.cut(host, other));
+    },
+    resume(host) {
+      const callbacks = frozen.get(host) ?? [];
+      frozen.delete(host);
+      hosts.forEach((other) => exchange.restore(host, other));
+      callbacks.forEach((callback) => callback());
+    },
+    setHostCut: (first, second, isCut) =>
+      exchange[isCut ? "cut" : "restore"](first, second),
     setCut(domain, from, isCut) {
       if (from === "platform") {
         withoutPlatform[isCut ? "add" : "delete"](domain);
@@ -221,6 +240,37 @@
   };
 }
 
+/** A clock whose callbacks wait in a list while there is one. */
+class FreezableClock extends Clock {
+  readonly #clock: Clock;
+  readonly #findWaiting: () => (() => void)[] | undefined;
+
+  constructor(clock: Clock, findWaiting: () => (() => void)[] | undefined) {
+    super();
+    this.#clock = clock;
+    this.#findWaiting = findWaiting;
+  }
+
+  override now(): Milliseconds {
+    return this.#clock.now();
+  }
+
+  override schedule(delay: Milliseconds, callback: () => void): Disposable {
+    let isDisposed = false;
+    const run = () => isDisposed || callback();
+    const timer = this.#clock.schedule(delay, () => {
+      const waiting = this.#findWaiting();
+      waiting === undefined ? run() : waiting.push(run);
+    });
+    return {
+      dispose() {
+        isDisposed = true;
+        timer.dispose();
+      },
+    };
+  }
+}
+
 function listHosts(options: VirtualClusterOptions): HostName[] {
   return Array.from({ length: options.domains }, (_, domain) =>
     Array.from(
