Strengthen the randomised claim test

Change: fewer keys, claimed again over a longer time; tests of the reset of presence after a cut and of the news of the dead for new members.

--- a/src/features/claim/common/claim_random_test.ts
+++ b/src/features/claim/common/claim_random_test.ts
@@ -165,7 +165,7 @@
   if (clients.length === 0) {
     return;
   }
-  if (keys.length === 0 || random.nextInteger(3) === 0) {
+  if (keys.length === 0 || random.nextInteger(8) === 0) {
     // Callers' clocks differ from those of the daemons by up to 2 s.
     const createdAt = Math.round(
       fleet.clock.now() + (random.nextFraction() - 0.5) * 4_000,
@@ -173,7 +173,7 @@
     const text = createKey(createdAt, keys.length, "domain-1");
     keys.push({ text, holder: undefined, grants: 0, releases: 0 });
   }
-  const recent = Math.min(keys.length, 40);
+  const recent = Math.min(keys.length, random.nextInteger(2) === 0 ? 10 : 120);
   const key = keys[keys.length - 1 - random.nextInteger(recent)];
   const [host, client] = clients[random.nextInteger(clients.length)];
   client.claim("customer", key.text).then((answer) => {
--- a/src/features/membership/common/create_directory_test.ts
+++ b/src/features/membership/common/create_directory_test.ts
@@ -113,6 +113,18 @@
   assert.deepEqual(causes(), [[old, "replaced"]]);
 });
 
+test("a new member learns of the dead, whose claims it must reckon with", async () => {
+  const { fleet } = await startFleet(8);
+  fleet.freeze("h4");
+  await fleet.advance(10_000);
+  const { directory } = fleet.start("new");
+  await fleet.advance(3_000);
+  assert.deepEqual(
+    directory.departures.map(({ process, cause }) => [process.host, cause]),
+    [["h4", "dead"]],
+  );
+});
+
 test("a daemon that was paused judges nobody, rejoins and counts as absent before", async () => {
   const { fleet, allKnowAll } = await startFleet(20);
   const daemon = fleet.daemons.get("h4")!;
--- a/src/features/membership/common/member_state_test.ts
+++ b/src/features/membership/common/member_state_test.ts
@@ -84,6 +84,25 @@
   assert.equal(state.accept(successor, 7_000), "replaced");
 });
 
+test("hosts that return together may have been a side of a cut, a single one may not", () => {
+  const cases: [number[], number][] = [
+    [[20_000], 100],
+    [[20_000, 30_000], 30_000],
+    [[20_000, 40_000], 20_000],
+  ];
+  for (const [returns, presentSince] of cases) {
+    const state = createMemberState(member("a"));
+    const hosts = returns.map((_, index) => `b${index}`);
+    const record = (host: string, incarnation: number) =>
+      member(host, { process: { host, startedAt: 100 }, incarnation });
+    for (const host of hosts) {
+      state.accept({ ...record(host, 1), state: "dead" }, 10_000);
+    }
+    returns.forEach((at, index) => state.accept(record(hosts[index], 2), at));
+    assert.equal(state.presentSince, presentSince);
+  }
+});
+
 test("a suspect is dead after 3 s, later when this process was paused meanwhile", () => {
   const state = createMemberState(member("a"));
   state.accept(member("b"), 0);
