Count a process as present once it has met its seeds

Cause: in a trial of 400 sessions of the randomised claim test, the session granted two keys again: pairs of daemons that had started on small sides of several cuts knew only each other and missed nobody. Change: presentSince starts when more than half of the seeds have been met, or after the retention of departures. The test runs that seed too.

--- a/src/features/claim/common/claim_random_test.ts
+++ b/src/features/claim/common/claim_random_test.ts
@@ -19,6 +19,7 @@
 import { createClaimClient } from "./create_claim_client.ts";
 
 const SEEDS = [
+  100_356,
   1,
   2,
   3,
--- a/src/features/membership/common/create_directory.ts
+++ b/src/features/membership/common/create_directory.ts
@@ -36,6 +36,7 @@
   encodeHeartbeat,
   HEARTBEAT_KIND,
 } from "./heartbeat_message.ts";
+import { createJoinWatch } from "./join_watch.ts";
 import { toLinkTarget } from "./link_choice.ts";
 import { createMemberProbe } from "./member_probe.ts";
 import type {
@@ -73,6 +74,7 @@
   const summaries = createRecordStore<SummaryRecord>(SUMMARY_RECORD);
   const announcements = createAnnouncementList();
   const contacts = createRemoteContacts();
+  const join = createJoinWatch(self.process, options.seeds);
   const planner = createTargetPlanner(ownHost, options.seeds, random);
   const view = createDirectoryView({ self, members, summaries, contacts });
   const changed = createEmitter<void>();
@@ -120,13 +122,11 @@
 
   function acceptMember(record: Member): boolean {
     const outcome = state.accept(record, noteTime());
-    const { process } = record;
+    const member = formatProcess(record.process);
     if (outcome === "taken" && record.state !== "alive") {
-      log.write("info", `membership.${record.state}`, {
-        member: formatProcess(process),
-      });
+      log.write("info", `membership.${record.state}`, { member });
       if (record.state !== "suspect") {
-        detector.unwatch(process.host);
+        detector.unwatch(record.process.host);
       }
     } else if (outcome === "refuted") {
       log.write("warn", "membership.refuted", {
@@ -134,9 +134,7 @@
       });
       publishOwn();
     } else if (outcome === "replaced") {
-      log.write("error", "membership.replaced", {
-        member: formatProcess(process),
-      });
+      log.write("error", "membership.replaced", { member });
     }
     return outcome === "taken";
   }
@@ -308,16 +306,22 @@
       noteChange();
     }
     watch.check(now);
+    join.check(isMet, now);
     if (targetsAreStale) {
       updateTargets();
     }
   }
 
-  function findRemote(host: HostName): Member | undefined {
-    return contacts.get(host) ??
+  function findMember(host: HostName): Member | undefined {
+    return members.get(host) ?? contacts.get(host) ??
       view.remoteMembers.find(({ process }) => process.host === host);
   }
 
+  function isMet(host: HostName): boolean {
+    return findMember(host) !== undefined ||
+      network.peers.some(({ process }) => process.host === host);
+  }
+
   owned.add(network.onMessage(HEARTBEAT_KIND, takeHeartbeat));
   owned.add(network.onMessage(CONTACTS_KIND, takeContacts));
   owned.add(network.onLinkOpened((peer) => {
@@ -329,7 +333,7 @@
     sendHeartbeat(peer);
   }));
   network.setAddressBook((host) => {
-    const member = members.get(host) ?? findRemote(host);
+    const member = findMember(host);
     return member === undefined
       ? options.seeds.find((seed) => seed.host === host)
       : toLinkTarget(member);
@@ -358,15 +362,15 @@
       return state.departures;
     },
     get presentSince() {
-      noteTime();
-      return state.presentSince;
+      const now = noteTime();
+      return Math.max(join.joinedAt ?? now, state.presentSince);
     },
     get highestVersion() {
       return highestVersion;
     },
     onChanged: changed.event,
     onHeartbeat: heartbeats.event,
-    findMember: (host) => members.get(host) ?? findRemote(host),
+    findMember,
     announce(announcement) {
       if (announcements.renew(announcement, noteTime())) {
         state.setUpstreams(announcements.upstreams);
--- a/src/features/membership/common/create_directory_test.ts
+++ b/src/features/membership/common/create_directory_test.ts
@@ -3,7 +3,11 @@
 import { rankByRendezvous } from "../../../base/common/hashing.ts";
 import { encodeMessage } from "../../../base/node/message_codec.ts";
 import type { UpstreamState } from "../../../world/common/upstream_instance.ts";
-import { createMembershipFleet, type FleetDaemon } from "./membership_fleet.ts";
+import {
+  createMembershipFleet,
+  FLEET_START_AT,
+  type FleetDaemon,
+} from "./membership_fleet.ts";
 import { measureMembership } from "./membership_measure.ts";
 
 const PORT = 9_000;
@@ -125,6 +129,23 @@
   );
 });
 
+test("a process that meets too few seeds is not present before departures are forgotten", async () => {
+  const seeds = ["h0", "h1", "x0", "x1"];
+  const fleet = createMembershipFleet({ seed: 1, seeds });
+  const daemons = ["h0", "h1"].map((host) => fleet.start(host));
+  const presence = () =>
+    daemons.map(({ directory }) => directory.presentSince - FLEET_START_AT);
+  await fleet.advance(30_000);
+  assert.deepEqual(presence(), [30_000, 30_000]);
+  fleet.start("x0");
+  await fleet.advance(10_000);
+  presence().forEach((since) => assert.ok(since > 30_000 && since < 36_000));
+  const alone = createMembershipFleet({ seed: 1, seeds });
+  const { directory } = alone.start("h0");
+  await alone.advance(12 * 60_000);
+  assert.equal(directory.presentSince - FLEET_START_AT, 11 * 60_000);
+});
+
 test("a daemon that was paused judges nobody, rejoins and counts as absent before", async () => {
   const { fleet, allKnowAll } = await startFleet(20);
   const daemon = fleet.daemons.get("h4")!;
--- a/src/features/membership/common/membership_directory.ts
+++ b/src/features/membership/common/membership_directory.ts
@@ -27,8 +27,9 @@
 /** The directory with what claims and distribution need beyond the common interface. */
 export interface MembershipDirectory extends Directory {
   /**
-   * Since when others have counted this process as a member without a break: its start, the end
-   * of its last pause, or the time at which it last refuted a suspicion.
+   * Since when all others have counted this process as a member without a break: the time at
+   * which it had met more than half of its seeds, the end of its last pause, the time at which it
+   * last refuted a suspicion, or the time at which the other side of a cut last returned.
    */
   readonly presentSince: Milliseconds;
   /** The highest version that any known member has applied; an upper limit of every floor. */
