--- a/src/features/attempt/node/proxy.ts
+++ b/src/features/attempt/node/proxy.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Disposable } from "../../../base/common/disposable.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { describeError } from "../../../base/common/step_error.ts";
 import type { HttpHandler } from "../../../base/node/http_server.ts";
 import type { CustomerName } from "../../../world/common/names.ts";
@@ -15,14 +16,19 @@
 import type { CallContext, ProxyCounts, ProxyOptions } from "./call_context.ts";
 import { createConnectionPool } from "./connection_pool.ts";
 
+/** In this time most callers with open connections have made a call and closed theirs. */
+const DRAIN_NOTICE_MS: Milliseconds = 500;
+
 export interface Proxy extends Disposable {
   readonly handle: HttpHandler;
   readonly counts: Readonly<ProxyCounts>;
   /** Calls that have no whole answer yet. */
   readonly callsInFlight: number;
   /**
-   * Asks callers to close their connections with each answer and resolves when no call is in
-   * flight. Calls that still arrive on open connections are served, so that none is cut.
+   * Asks callers to close their connections with each answer, and resolves when the notice
+   * time has passed and no call is in flight. Calls that still arrive are served, so that
+   * none is cut. The listener drains afterwards: it closes idle connections at once, also
+   * one whose next request is on its way.
    */
   drain(): Promise<void>;
 }
@@ -90,9 +96,10 @@
     get callsInFlight() {
       return callsInFlight;
     },
-    drain() {
+    async drain() {
       draining = true;
-      return new Promise((resolve) => {
+      await options.clock.sleep(DRAIN_NOTICE_MS);
+      await new Promise<void>((resolve) => {
         if (callsInFlight === 0) {
           resolve();
         } else {
