Keep draining when SIGTERM is repeated or arrives during the start

The handler is now installed before the start and stays. A second SIGINT still ends the process at once.

--- a/src/programs/node/command_line_test.ts
+++ b/src/programs/node/command_line_test.ts
@@ -64,20 +64,28 @@
   }));
 });
 
-test("SIGTERM ends a service with exit code 0, so that a restart is not a fault", async () => {
+// The upstream stand-in drains for 3 s, in which the repeated signal arrives.
+test("SIGTERM, also repeated, ends a service with exit code 0", async () => {
   const folder = mkdtempSync(join(tmpdir(), "guavarun-"));
-  const settings = join(folder, "platform.jsonc");
-  writeFileSync(settings, `{ "address": "127.0.0.1", "port": 0 }`);
-  const child = spawn(process.execPath, [PROGRAM, "platform", settings]);
+  const settings = join(folder, "upstream.jsonc");
+  writeFileSync(
+    settings,
+    `{ "service": "s", "version": "1", "address": "127.0.0.1", "administrationPort": 1 }`,
+  );
+  const child = spawn(process.execPath, [PROGRAM, "upstream", settings]);
   let text = "";
+  let signals = 0;
   child.stderr.on("data", (part) => {
     text += part;
-    if (text.includes("event=process.started")) {
+    const awaited = ["event=process.started", "event=process.stopping"];
+    if (signals < awaited.length && text.includes(awaited[signals])) {
+      signals += 1;
       child.kill("SIGTERM");
     }
   });
   const code = await new Promise((resolve) => child.on("close", resolve));
   assert.match(text, /event=process.stopped/);
+  assert.equal(signals, 2);
   assert.equal(code, 0);
 });
 
--- a/src/programs/node/run_service.ts
+++ b/src/programs/node/run_service.ts
@@ -35,6 +35,8 @@
   file: string,
   assembly: Assembly = ASSEMBLY,
 ): Promise<number> {
+  // Before the start, so that a request to stop during it does not cut the process.
+  const stopRequested = waitForSignal();
   const started = await start(name, file, assembly);
   if (started === undefined) {
     return EXIT_REFUSED;
@@ -44,7 +46,7 @@
     return EXIT_NOT_RUN;
   }
   log.write("info", "process.started", service.ports);
-  const signal = await waitForSignal();
+  const signal = await stopRequested;
   log.write("info", "process.stopping", { signal });
   try {
     await service.stop();
@@ -171,10 +173,13 @@
   return settings.val;
 }
 
+/**
+ * Waits for the first request to stop. A repeated SIGTERM does not cut the calls in flight, since
+ * process managers repeat it; a second SIGINT ends the process at once.
+ */
 function waitForSignal(): Promise<string> {
   return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      process.once(signal, () => resolve(signal));
-    }
+    process.on("SIGTERM", () => resolve("SIGTERM"));
+    process.once("SIGINT", () => resolve("SIGINT"));
   });
 }
