Split the daemon into listeners, features and metrics

Cause: startDaemon was one long function, and the metrics of the features were not exported; a stop waited without limit for calls in flight. A failed start closes what it opened.

--- a/src/programs/node/daemon.ts
+++ b/src/programs/node/daemon.ts
@@ -1,10 +1,13 @@
 /**
- * The daemon: assembles the features of one host.
+ * The daemon: the listeners and features of one host.
  *
  * @module
  */
 
-import { createDisposableStore } from "../../base/common/disposable.ts";
+import {
+  createDisposableStore,
+  type DisposableStore,
+} from "../../base/common/disposable.ts";
 import {
   combineEventLogs,
   createEventBuffer,
@@ -20,143 +23,99 @@
 import { SYSTEM_CLOCK } from "../../base/node/system_clock.ts";
 import { createMetrics } from "../../features/administration/common/metrics.ts";
 import { createAdministration } from "../../features/administration/node/administration.ts";
-import { createClaimClient } from "../../features/claim/common/create_claim_client.ts";
-import { createTableKeeper } from "../../features/table/common/table_keeper.ts";
-import { createAdmissionController } from "../../features/admission/common/controller.ts";
-import { createProxy } from "../../features/attempt/node/proxy.ts";
-import { createConfigurationSource } from "../../features/distribution/common/create_configuration_source.ts";
-import { createPeerNetwork } from "../../features/link/node/peer_network.ts";
-import { createHttpLogClient } from "../../features/log/node/http_log_client.ts";
-import { createDirectory } from "../../features/membership/common/create_directory.ts";
-import { createTrafficShift } from "../../features/move/common/shift_service.ts";
 import { checkRecord } from "../../features/fold/common/fold.ts";
-import { createInstanceRouter } from "../../features/routing/common/router.ts";
+import { createPeerNetwork } from "../../features/link/node/peer_network.ts";
 import { formatProcess, type HostIdentity } from "../../world/common/host.ts";
 import type { DaemonSettings } from "../common/daemon_settings.ts";
 import type { RunningDaemon, StartOptions } from "./assembly.ts";
+import {
+  createDaemonFeatures,
+  type DaemonFeatures,
+} from "./daemon_features.ts";
+import { registerDaemonMetrics } from "./daemon_metrics.ts";
 
 export async function startDaemon(
   settings: DaemonSettings,
   options: StartOptions,
 ): Promise<RunningDaemon> {
-  const clock = SYSTEM_CLOCK;
   const owned = createDisposableStore();
   const listeners = await openListeners(settings);
-  const self = identify(settings, listeners);
+  try {
+    return await runDaemon(settings, { ...options, owned, listeners });
+  } catch (error) {
+    owned.dispose();
+    await Promise.all([
+      listeners.proxy.close(),
+      listeners.administration.close(),
+    ]);
+    throw error;
+  }
+}
+
+interface RunOptions extends StartOptions {
+  readonly owned: DisposableStore;
+  readonly listeners: Listeners;
+}
+
+async function runDaemon(
+  settings: DaemonSettings,
+  options: RunOptions,
+): Promise<RunningDaemon> {
+  const { owned, listeners } = options;
+  const clock = SYSTEM_CLOCK;
+  const identity = identify(settings, listeners);
+  const process = formatProcess(identity.process);
   const buffer = createEventBuffer(
     settings.limits.retainedEvents,
     () => clock.now(),
   );
   const log = combineEventLogs([options.log, buffer.log]).extend({
-    host: self.process.host,
-    failureDomain: self.failureDomain,
-    process: formatProcess(self.process),
+    host: settings.host,
+    failureDomain: settings.failureDomain,
+    process,
   });
-  const random = createRandomSource(hashText(formatProcess(self.process)) | 0);
+  const random = createRandomSource(hashText(process) | 0);
 
-  const network = owned.add(createPeerNetwork({ self, clock, random, log }));
+  const network = owned.add(
+    createPeerNetwork({ self: identity, clock, random, log }),
+  );
   const listening = await network.listening;
   if (listening.err) {
     throw listening.val;
   }
-  const logClient = owned.add(createHttpLogClient({
-    url: `http://${settings.platform.address}:${settings.platform.port}`,
-  }));
-  const directory = owned.add(createDirectory({
-    self: {
-      ...self,
-      addresses: { ...self.addresses, linkPort: listening.val.port },
-    },
-    network,
-    seeds: settings.seeds.map(({ host, address, linkPort }) => ({
-      host,
-      address,
-      port: linkPort,
-    })),
-    clock,
-    random,
-    log,
-  }));
-  const configuration = owned.add(createConfigurationSource({
-    self,
-    directory,
-    network,
-    logClient,
-    clock,
-    random,
-    log,
-  }));
-  const shift = owned.add(createTrafficShift({
-    self,
-    directory,
-    network,
-    configuration,
-    logClient,
-    clock,
-    random,
-    log,
-  }));
-  const router = owned.add(
-    createInstanceRouter({ directory, shift, clock, random }),
-  );
-  const admission = owned.add(createAdmissionController({
-    configuration: () => configuration.current,
-    directory,
-    network,
-    clock,
-    log,
-  }));
-  const claims = owned.add(
-    createClaimClient({ self, directory, network, clock, log }),
-  );
-  const tables = owned.add(
-    createTableKeeper({ source: configuration, directory, clock, log }),
-  );
-  const proxy = owned.add(createProxy({
-    table: () => (configuration.isReady ? tables.current : undefined),
-    admission,
-    claims,
-    router,
-    shift,
-    clock,
-    random,
-    log,
-    self,
-  }));
+  const linkPort = listening.val.port;
+  const self: HostIdentity = {
+    ...identity,
+    addresses: { ...identity.addresses, linkPort },
+  };
+  const context = { settings, self, network, clock, random, log, owned };
+  const features = createDaemonFeatures(context);
+  const metrics = createMetrics();
+  registerDaemonMetrics(metrics, features);
   const administration = createAdministration({
-    self,
-    configuration,
-    directory,
-    logClient,
-    shift,
+    ...context,
+    ...features,
     events: buffer.events,
-    metrics: createMetrics(),
+    metrics,
     tokens: settings.tokens,
     checkRecord: (current, record, now) => {
       const checked = checkRecord(current, record, now);
       return checked.err ? checked.val : undefined;
     },
-    clock,
-    log,
     maximumBodyBytes: settings.limits.maximumAdministrationBodyBytes,
   });
-  listeners.proxyHandler = proxy.handle;
+  listeners.proxyHandler = features.proxy.handle;
   listeners.administrationHandler = administration.handle;
-  log.write("info", "daemon.started", {
+  const ports = {
     proxyPort: listeners.proxy.port,
     administrationPort: listeners.administration.port,
-    linkPort: listening.val.port,
-  });
-
+    linkPort,
+  };
+  log.write("info", "daemon.started", ports);
   return {
-    proxyPort: listeners.proxy.port,
-    administrationPort: listeners.administration.port,
-    linkPort: listening.val.port,
+    ...ports,
     async stop() {
-      directory.leave();
-      const drained = listeners.proxy.drain();
-      await proxy.drain();
-      await drained;
+      await stopServing(features, listeners, settings);
       owned.dispose();
       await listeners.administration.close();
       log.write("info", "daemon.stopped");
@@ -164,6 +123,22 @@
   };
 }
 
+/** Says that the daemon leaves and waits for the calls in flight, up to the drain limit. */
+async function stopServing(
+  { directory, proxy }: DaemonFeatures,
+  listeners: Listeners,
+  settings: DaemonSettings,
+): Promise<void> {
+  directory.leave();
+  const drained = proxy.drain().then(() => listeners.proxy.drain());
+  const limit = SYSTEM_CLOCK.schedule(
+    settings.limits.drainMilliseconds,
+    () => void listeners.proxy.close(),
+  );
+  await drained;
+  limit.dispose();
+}
+
 interface Listeners {
   readonly proxy: HttpListener;
   readonly administration: HttpListener;
@@ -174,13 +149,9 @@
 /** Opens the ports first, since the identity of the daemon contains them. */
 async function openListeners(settings: DaemonSettings): Promise<Listeners> {
   const { address } = settings;
-  const notStarted: HttpHandler = (_request, response) =>
-    sendJson(response, 503, { reason: "The daemon is starting" }, {
-      "guavarun-outcome": "not-run",
-    });
   const handlers = {
-    proxyHandler: notStarted,
-    administrationHandler: notStarted,
+    proxyHandler: refuseBeforeStart,
+    administrationHandler: refuseBeforeStart,
   };
   const proxy = await listenHttp(
     (request, response) => handlers.proxyHandler(request, response),
@@ -193,6 +164,11 @@
   return Object.assign(handlers, { proxy, administration });
 }
 
+const refuseBeforeStart: HttpHandler = (_request, response) =>
+  sendJson(response, 503, { outcome: "not-run", reason: "starting" }, {
+    "guavarun-outcome": "not-run",
+  });
+
 function identify(
   settings: DaemonSettings,
   listeners: Listeners,
--- /dev/null
+++ b/src/programs/node/daemon_features.ts
@@ -0,0 +1,96 @@
+/**
+ * The features of a daemon, created in the order in which they depend on each other.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../base/common/clock.ts";
+import type { DisposableStore } from "../../base/common/disposable.ts";
+import type { EventLog } from "../../base/common/event_log.ts";
+import type { RandomSource } from "../../base/common/random_source.ts";
+import { createAdmissionController } from "../../features/admission/common/controller.ts";
+import { createProxy, type Proxy } from "../../features/attempt/node/proxy.ts";
+import { createClaimClient } from "../../features/claim/common/create_claim_client.ts";
+import type { ConfigurationSource } from "../../features/distribution/common/configuration_source.ts";
+import { createConfigurationSource } from "../../features/distribution/common/create_configuration_source.ts";
+import type { PeerNetwork } from "../../features/link/common/peer_network.ts";
+import type { LogClient } from "../../features/log/common/log_client.ts";
+import { createHttpLogClient } from "../../features/log/node/http_log_client.ts";
+import { createDirectory } from "../../features/membership/common/create_directory.ts";
+import type { Directory } from "../../features/membership/common/directory.ts";
+import {
+  createTrafficShift,
+  type OperatedTrafficShift,
+} from "../../features/move/common/shift_service.ts";
+import { createInstanceRouter } from "../../features/routing/common/router.ts";
+import {
+  createTableKeeper,
+  type TableKeeper,
+} from "../../features/table/common/table_keeper.ts";
+import type { HostIdentity } from "../../world/common/host.ts";
+import type { DaemonSettings } from "../common/daemon_settings.ts";
+
+export interface DaemonContext {
+  readonly settings: DaemonSettings;
+  readonly self: HostIdentity;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  /** Takes the ownership of the features. */
+  readonly owned: DisposableStore;
+}
+
+export interface DaemonFeatures {
+  readonly configuration: ConfigurationSource;
+  readonly directory: Directory;
+  readonly logClient: LogClient;
+  readonly network: PeerNetwork;
+  readonly proxy: Proxy;
+  readonly shift: OperatedTrafficShift;
+  readonly tables: TableKeeper;
+}
+
+export function createDaemonFeatures(context: DaemonContext): DaemonFeatures {
+  const { settings, network, clock, log, owned } = context;
+  const { address, port } = settings.platform;
+  const logClient = owned.add(
+    createHttpLogClient({ url: `http://${address}:${port}` }),
+  );
+  const directory = owned.add(createDirectory({
+    ...context,
+    seeds: settings.seeds.map((seed) => ({
+      host: seed.host,
+      address: seed.address,
+      port: seed.linkPort,
+    })),
+    readConfiguration: () => ({
+      logPosition: configuration.position,
+      appliedVersion: configuration.current.version,
+    }),
+  }));
+  const configuration: ConfigurationSource = owned.add(
+    createConfigurationSource({ ...context, directory, logClient }),
+  );
+  const tables = owned.add(
+    createTableKeeper({ source: configuration, directory, clock, log }),
+  );
+  const shift = owned.add(
+    createTrafficShift({ ...context, directory, configuration, logClient }),
+  );
+  const proxy = owned.add(createProxy({
+    ...context,
+    table: () => (configuration.isReady ? tables.current : undefined),
+    admission: owned.add(createAdmissionController({
+      configuration: () => configuration.current,
+      directory,
+      network,
+      clock,
+      log,
+    })),
+    claims: owned.add(createClaimClient({ ...context, directory })),
+    router: owned.add(createInstanceRouter({ ...context, directory, shift })),
+    shift,
+  }));
+  return { configuration, directory, logClient, network, proxy, shift, tables };
+}
