Report a daemon ready when it takes its part of the limits

Cause: /ready answered 200 once the configuration was there, but in the first 4 s a daemon holds no part of its contracts' limits. Change: the admission says whether it is established; /ready needs both.

--- a/src/features/administration/node/administration.ts
+++ b/src/features/administration/node/administration.ts
@@ -27,6 +27,8 @@
   readonly self: HostIdentity;
   readonly configuration: ConfigurationSource;
   readonly directory: Directory;
+  /** Whether callers may be sent to this daemon. */
+  readonly isReady: () => boolean;
   readonly logClient: LogClient;
   readonly shift?: TrafficShift;
   /** The newest events of this process, the oldest first. */
--- a/src/features/administration/node/administration_test.ts
+++ b/src/features/administration/node/administration_test.ts
@@ -89,6 +89,7 @@
       findVerdict: (identity) => platform.verdicts.get(identity),
       dispose() {},
     },
+    isReady: () => true,
     directory: {
       self: SELF,
       localMembers: [],
--- a/src/features/administration/node/endpoints.ts
+++ b/src/features/administration/node/endpoints.ts
@@ -127,9 +127,9 @@
       path: "/ready",
       access: "open",
       handle: () => ({
-        status: configuration.isReady ? 200 : 503,
+        status: options.isReady() ? 200 : 503,
         body: {
-          ready: configuration.isReady,
+          ready: options.isReady(),
           version: configuration.current.version,
         },
       }),
--- a/src/features/admission/common/admission.ts
+++ b/src/features/admission/common/admission.ts
@@ -15,5 +15,10 @@
   | { readonly admitted: false; readonly reason: AdmissionRefusal };
 
 export interface AdmissionController extends Disposable {
+  /**
+   * Whether this daemon has run long enough to be counted by the others, and so may take its
+   * part of the limits. Before that it admits only what it is granted by lease.
+   */
+  readonly isEstablished: boolean;
   admit(contract: Contract): Admission;
 }
--- a/src/features/admission/common/controller.ts
+++ b/src/features/admission/common/controller.ts
@@ -38,6 +38,7 @@
   computeEntitlement,
   computeQuota,
   countHosts,
+  ESTABLISH_MS,
   judgeEstablishment,
 } from "./quota.ts";
 
@@ -264,6 +265,9 @@
   owned.add(clock.repeat(RENEWAL_MS, renew));
 
   return {
+    get isEstablished() {
+      return clock.now() - ownIdentity.epoch >= ESTABLISH_MS;
+    },
     admit(contract): Admission {
       const account = accountOf(contract);
       const reason = account.admit(clock.now());
--- a/src/features/attempt/node/proxy_fixture.ts
+++ b/src/features/attempt/node/proxy_fixture.ts
@@ -59,6 +59,7 @@
   const proxy = createProxy({
     table: () => createFixtureTable(options),
     admission: {
+      isEstablished: true,
       admit: () => ({ admitted: true, permit: createDisposable(() => {}) }),
       dispose() {},
     },
--- a/src/programs/node/daemon_features.ts
+++ b/src/programs/node/daemon_features.ts
@@ -44,6 +44,7 @@
 export interface DaemonFeatures {
   readonly configuration: ConfigurationSource;
   readonly directory: Directory;
+  readonly isReady: () => boolean;
   readonly logClient: LogClient;
   readonly network: PeerNetwork;
   readonly proxy: Proxy;
@@ -78,19 +79,29 @@
   const shift = owned.add(
     createTrafficShift({ ...context, directory, configuration, logClient }),
   );
+  const admission = owned.add(createAdmissionController({
+    configuration: () => configuration.current,
+    directory,
+    network,
+    clock,
+    log,
+  }));
   const proxy = owned.add(createProxy({
     ...context,
     table: () => (configuration.isReady ? tables.current : undefined),
-    admission: owned.add(createAdmissionController({
-      configuration: () => configuration.current,
-      directory,
-      network,
-      clock,
-      log,
-    })),
+    admission,
     claims: owned.add(createClaimClient({ ...context, directory })),
     router: owned.add(createInstanceRouter({ ...context, directory, shift })),
     shift,
   }));
-  return { configuration, directory, logClient, network, proxy, shift, tables };
+  return {
+    configuration,
+    directory,
+    isReady: () => configuration.isReady && admission.isEstablished,
+    logClient,
+    network,
+    proxy,
+    shift,
+    tables,
+  };
 }
