Let standby members read the log while no reader of their domain does

The loss of every reader was the weakest convergence figure: the others read only after membership had declared the readers dead, 6 s later. The next two members in the order now check the readers every 500 ms and read while none of them has seen the end of the log. Four daemons per domain at most poll the platform.

Disabling isStandbyNeeded in reader_watch.ts: the test prints '6200 ms'.

--- a/src/features/distribution/common/convergence_measure.ts
+++ b/src/features/distribution/common/convergence_measure.ts
@@ -18,8 +18,10 @@
   HostName,
 } from "../../../world/common/names.ts";
 import { encodeRecord } from "../../fold/common/record_check.ts";
+import { DOMAIN_READERS, rankReaders } from "./distribution_rules.ts";
 import {
   createVirtualCluster,
+  domainOf,
   type VirtualCluster,
   type VirtualClusterOptions,
 } from "./virtual_cluster.ts";
@@ -30,7 +32,8 @@
 
 /**
  * `outage` appends when the platform returns; `domain-partition` and `platform-cut` cut off one
- * domain from the others or from the platform; `restart` restarts half of the daemons.
+ * domain from the others or from the platform; `restart` restarts half of the daemons;
+ * `reader-loss` stops every reader of the platform for good, without a sign to the others.
  */
 export const CONVERGENCE_SCENARIOS = [
   "platform-up",
@@ -38,6 +41,7 @@
   "domain-partition",
   "platform-cut",
   "restart",
+  "reader-loss",
 ] as const;
 
 export type ConvergenceScenario = typeof CONVERGENCE_SCENARIOS[number];
@@ -100,9 +104,18 @@
   const times: Milliseconds[] = [];
   for (let index = 0; index < (options.changesPerSeed ?? 5); index += 1) {
     await cluster.run(random.nextInteger(1_000), watch.observe);
-    const restore = await startFault(options.scenario, cluster, random);
-    times.push(await measureChange(cluster, `${seed}-${index}`, watch.observe));
-    restore();
+    const fault = await startFault(options.scenario, cluster, random);
+    const running = cluster.hosts.filter((host) => !fault.lost.includes(host));
+    times.push(
+      await measureChange(cluster, {
+        identity: `${seed}-${index}`,
+        running,
+        observe: watch.observe,
+      }),
+    );
+    fault.end();
+    // Returned hosts take up their work before the next fault.
+    await cluster.run(fault.lost.length > 0 ? WARM_UP_MS : 0, watch.observe);
   }
   const seconds = (cluster.clock.now() - startedAt) / SECOND_MS;
   const bytesPerSecond = cluster.controlBytes / cluster.hosts.length / seconds;
@@ -110,29 +123,43 @@
   return { times, bytesPerSecond, reverts: watch.reverts };
 }
 
-/** Starts the fault of a scenario; the result ends it. */
+interface Fault {
+  /** Hosts that do not return before the end of the fault. */
+  readonly lost: readonly HostName[];
+  end(): void;
+}
+
+function createFault(end: () => void = () => {}): Fault {
+  return { lost: [], end };
+}
+
 async function startFault(
   scenario: ConvergenceScenario,
   cluster: VirtualCluster,
   random: RandomSource,
-): Promise<() => void> {
+): Promise<Fault> {
   switch (scenario) {
     case "platform-up":
-      return () => {};
+      return createFault();
     case "outage":
       cluster.log.setFaults({ isDown: true });
       await cluster.run(OUTAGE_MS);
       cluster.log.setFaults({ isDown: false });
-      return () => {};
+      return createFault();
     case "domain-partition":
       cluster.setCut("d0", "domains", true);
-      return () => cluster.setCut("d0", "domains", false);
+      return createFault(() => cluster.setCut("d0", "domains", false));
     case "platform-cut":
       cluster.setCut("d0", "platform", true);
-      return () => cluster.setCut("d0", "platform", false);
+      return createFault(() => cluster.setCut("d0", "platform", false));
     case "restart":
       restartHalf(cluster, random);
-      return () => {};
+      return createFault();
+    case "reader-loss": {
+      const lost = listReaders(cluster);
+      lost.forEach(cluster.stop);
+      return { lost, end: () => lost.forEach(cluster.start) };
+    }
   }
 }
 
@@ -148,10 +175,23 @@
   }
 }
 
+function listReaders({ hosts }: VirtualCluster): HostName[] {
+  return [...new Set(hosts.map(domainOf))].flatMap((domain) =>
+    rankReaders(domain, hosts.filter((host) => domainOf(host) === domain))
+      .slice(0, DOMAIN_READERS)
+  );
+}
+
+interface ChangeOptions {
+  readonly identity: string;
+  /** The hosts on which the change must come into force. */
+  readonly running: readonly HostName[];
+  readonly observe: () => void;
+}
+
 async function measureChange(
   cluster: VirtualCluster,
-  identity: string,
-  observe: () => void,
+  { identity, running, observe }: ChangeOptions,
 ): Promise<Milliseconds> {
   const appendedAt = cluster.clock.now();
   const version = appendChange(cluster, identity);
@@ -161,7 +201,7 @@
       source.current.version >= version;
   };
   const elapsed = () => cluster.clock.now() - appendedAt;
-  while (!cluster.hosts.every(isInForce) && elapsed() < LIMIT_MS) {
+  while (!running.every(isInForce) && elapsed() < LIMIT_MS) {
     await cluster.run(5, observe);
   }
   return elapsed();
--- a/src/features/distribution/common/create_configuration_source.ts
+++ b/src/features/distribution/common/create_configuration_source.ts
@@ -19,10 +19,10 @@
 import type { LogClient } from "../../log/common/log_client.ts";
 import type { Directory } from "../../membership/common/directory.ts";
 import type { ConfigurationSource } from "./configuration_source.ts";
-import { isReader, rankReader } from "./distribution_rules.ts";
 import { startFloorSearch } from "./floor_search.ts";
 import { startLogReader } from "./log_reader.ts";
 import { createPeerSync } from "./peer_sync.ts";
+import { startReaderWatch } from "./reader_watch.ts";
 import {
   adoptState,
   EMPTY_REPLICA,
@@ -45,7 +45,7 @@
 export function createConfigurationSource(
   options: ConfigurationSourceOptions,
 ): ConfigurationSource {
-  const { self, directory, log } = options;
+  const { log } = options;
   const owned = createDisposableStore();
   const changed = owned.add(createEmitter<Configuration>());
   let replica = EMPTY_REPLICA;
@@ -85,18 +85,15 @@
     findVersion: sync.findVersion,
   }));
 
-  function rank(): number {
-    const hosts = directory.localMembers
-      .filter(({ state }) => state === "alive")
-      .map(({ process }) => process.host);
-    return rankReader(self.process.host, self.failureDomain, hosts);
-  }
-
+  const watch = owned.add(startReaderWatch(options));
   owned.add(startLogReader({
     ...shared,
     retentionMilliseconds: options.retentionMilliseconds ?? 24 * HOUR_MS,
-    isReader: () => isReader(rank()),
-    reportLogEnd: floor.reportLogEnd,
+    isReader: () => watch.isReading,
+    reportLogEnd() {
+      watch.reportLogEnd();
+      floor.reportLogEnd();
+    },
   }));
 
   return {
--- a/src/features/distribution/common/distribution_rules.ts
+++ b/src/features/distribution/common/distribution_rules.ts
@@ -20,23 +20,48 @@
 
 /** Daemons of a failure domain that read the platform. */
 export const DOMAIN_READERS = 2;
+/** Further daemons that read while no reader of their domain does. */
+const STANDBY_READERS = 2;
+/** The longest wait of a poll; a reader's view of the log's end is no older. */
+export const POLL_WAIT_MS: Milliseconds = 5_000;
+const HEALTHY_LOG_END_MS = POLL_WAIT_MS + 1_000;
+/** Two checks of each reader in a row without an answer. */
+const READER_SILENCE_MS: Milliseconds = 1_000;
 const PUSHED_PEERS = 2;
 const FLOOR_PEERS = 2;
 const SNAPSHOT_RECORDS = 200;
 const SNAPSHOT_RETENTION_SHARE = 0.25;
 
-/** The place of a host in the order in which the domain's members become readers, from 0. */
-export function rankReader(
-  host: HostName,
+/** The order in which the members of a domain become readers. */
+export function rankReaders(
   domain: FailureDomainName,
   members: readonly HostName[],
-): number {
-  const candidates = new Set([...members, host]);
-  return rankByRendezvous(`reader|${domain}`, candidates).indexOf(host);
+): HostName[] {
+  return rankByRendezvous(`reader|${domain}`, new Set(members));
 }
 
+/** Whether the member at a place in the order of readers, from 0, reads the platform. */
 export function isReader(rank: number): boolean {
-  return rank < DOMAIN_READERS;
+  return rank >= 0 && rank < DOMAIN_READERS;
+}
+
+/** Whether the member at a place checks the readers and replaces them. */
+export function isStandbyReader(rank: number): boolean {
+  return rank >= DOMAIN_READERS && rank < DOMAIN_READERS + STANDBY_READERS;
+}
+
+/** A reader with a working platform sees the end of the log at least once per poll. */
+export function isHealthyReader(
+  logEndAge: Milliseconds | undefined,
+): boolean {
+  return logEndAge !== undefined && logEndAge <= HEALTHY_LOG_END_MS;
+}
+
+export function isStandbyNeeded(
+  healthyAt: Milliseconds,
+  now: Milliseconds,
+): boolean {
+  return now - healthyAt > READER_SILENCE_MS;
 }
 
 export interface SnapshotMark {
--- a/src/features/distribution/common/distribution_rules_test.ts
+++ b/src/features/distribution/common/distribution_rules_test.ts
@@ -6,7 +6,8 @@
   decideFloor,
   isReader,
   isSnapshotDue,
-  rankReader,
+  isStandbyReader,
+  rankReaders,
 } from "./distribution_rules.ts";
 import {
   adoptState,
@@ -83,10 +84,10 @@
 
 test("each domain has two readers, so the platform's load does not grow with the fleet", () => {
   const hosts = Array.from({ length: 50 }, (_, index) => `h${index}`);
-  const readers = hosts.filter((host) =>
-    isReader(rankReader(host, "salem", hosts))
-  );
-  assert.equal(readers.length, 2);
-  const left = hosts.filter((host) => host !== readers[0]);
-  assert.ok(isReader(rankReader(readers[1], "salem", left)));
+  const ranked = rankReaders("salem", hosts);
+  assert.equal(ranked.filter((_, rank) => isReader(rank)).length, 2);
+  assert.equal(ranked.filter((_, rank) => isStandbyReader(rank)).length, 2);
+  const left = hosts.filter((host) => host !== ranked[0]);
+  assert.deepEqual(rankReaders("salem", left), ranked.slice(1));
+  assert.equal(isReader(-1), false);
 });
--- a/src/features/distribution/common/distribution_test.ts
+++ b/src/features/distribution/common/distribution_test.ts
@@ -5,7 +5,11 @@
 import { hashText } from "../../../base/common/hashing.ts";
 import { foldEntries, INITIAL_FOLD_STATE } from "../../fold/common/fold.ts";
 import type { LinkMessage } from "../../link/common/peer_network.ts";
-import { appendChange, createRevertWatch } from "./convergence_measure.ts";
+import {
+  appendChange,
+  createRevertWatch,
+  measureConvergence,
+} from "./convergence_measure.ts";
 import {
   createVirtualCluster,
   type VirtualClusterOptions,
@@ -206,3 +210,19 @@
     }
   },
 );
+
+test(
+  "the loss of all readers delays a change by less than the 6 s of a death",
+  TIMEOUT,
+  async () => {
+    const figures = await measureConvergence({
+      scenario: "reader-loss",
+      domains: 2,
+      daemonsPerDomain: 6,
+      seeds: [1, 2],
+      changesPerSeed: 2,
+    });
+    assert.ok(figures.p99Milliseconds < 2_500, `${figures.p99Milliseconds} ms`);
+    assert.equal(figures.reverts, 0);
+  },
+);
--- a/src/features/distribution/common/log_reader.ts
+++ b/src/features/distribution/common/log_reader.ts
@@ -23,9 +23,12 @@
   encodeSnapshot,
 } from "../../fold/common/state_codec.ts";
 import type { LogClient, LogPage } from "../../log/common/log_client.ts";
-import { isSnapshotDue, type SnapshotMark } from "./distribution_rules.ts";
+import {
+  isSnapshotDue,
+  POLL_WAIT_MS,
+  type SnapshotMark,
+} from "./distribution_rules.ts";
 
-const POLL_WAIT_MS: Milliseconds = 5_000;
 const IDLE_CHECK_MS: Milliseconds = 200;
 /** Readers of all domains that find a snapshot due at once write at different times. */
 const SNAPSHOT_SPREAD_MS: Milliseconds = 5_000;
--- a/src/features/distribution/common/messages.ts
+++ b/src/features/distribution/common/messages.ts
@@ -19,8 +19,6 @@
   position: OFFSET,
   /** The version that the sender has in force or brings into force next. */
   version: OFFSET,
-  /** How long ago a domain reader saw the end of the log, as far as the sender knows. */
-  logEndAge: valibot.optional(valibot.number()),
 });
 const ENTRIES = valibot.object({
   kind: valibot.literal("entries"),
@@ -43,6 +41,12 @@
   isReady: valibot.boolean(),
 });
 
+const READER_STATUS = valibot.object({
+  kind: valibot.literal("reader-status"),
+  /** How long ago the reader saw the end of the log. */
+  logEndAge: valibot.optional(valibot.number()),
+});
+
 export type PositionMessage = valibot.InferOutput<typeof POSITION>;
 export type EntriesMessage = valibot.InferOutput<typeof ENTRIES>;
 export type FloorMessage = valibot.InferOutput<typeof FLOOR>;
@@ -60,3 +64,4 @@
 export const parseEntriesRequest = createParser(ENTRIES_REQUEST);
 export const parseState = createParser(STATE);
 export const parseFloor = createParser(FLOOR);
+export const parseReaderStatus = createParser(READER_STATUS);
