Limit pushed entries and test malformed messages and passed retention

A push of many entries would block a link for other messages; a peer that lacks more than 200 now gets the position and asks. New tests: a running reader that retention has passed, malformed messages, and two daemons over HTTP with the system clock through an outage.

--- a/src/features/distribution/common/convergence_measure.ts
+++ b/src/features/distribution/common/convergence_measure.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Clock } from "../../../base/common/clock.ts";
 import {
   type Milliseconds,
   SECOND_MS,
@@ -17,6 +18,7 @@
   ConfigurationVersion,
   HostName,
 } from "../../../world/common/names.ts";
+import type { MemoryLog } from "../../log/common/memory_log.ts";
 import { encodeRecord } from "../../fold/common/record_check.ts";
 import { DOMAIN_READERS, rankReaders } from "./distribution_rules.ts";
 import {
@@ -209,7 +211,7 @@
 
 /** Appends a change of its own object, so that no base is stale. */
 export function appendChange(
-  { log, clock }: VirtualCluster,
+  { log, clock }: { readonly log: MemoryLog; readonly clock: Clock },
   identity: string,
 ): ConfigurationVersion {
   const record = encodeRecord({
--- a/src/features/distribution/common/distribution_rules.ts
+++ b/src/features/distribution/common/distribution_rules.ts
@@ -27,6 +27,8 @@
 const HEALTHY_LOG_END_MS = POLL_WAIT_MS + 1_000;
 /** Two checks of each reader in a row without an answer. */
 const READER_SILENCE_MS: Milliseconds = 1_000;
+/** A longer list of entries would block a link for other messages. */
+export const MESSAGE_ENTRIES = 200;
 const PUSHED_PEERS = 2;
 const FLOOR_PEERS = 2;
 const SNAPSHOT_RECORDS = 200;
@@ -89,14 +91,15 @@
       now - last.at >= retentionMilliseconds * SNAPSHOT_RETENTION_SHARE);
 }
 
-/** The entries that a peer at a position lacks; undefined when it must ask for the state. */
+/** The entries that a peer at a position lacks; undefined when it must ask for them itself. */
 export function planPush(
   replica: Replica,
-  peerPosition: number | undefined,
+  peerPosition: number,
 ): readonly LogEntry[] | undefined {
-  return peerPosition === undefined
+  const entries = listEntries(replica, peerPosition);
+  return entries === undefined || entries.length > MESSAGE_ENTRIES
     ? undefined
-    : listEntries(replica, peerPosition);
+    : entries;
 }
 
 export interface Announcement {
--- a/src/features/distribution/common/distribution_test.ts
+++ b/src/features/distribution/common/distribution_test.ts
@@ -1,9 +1,18 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
-import { createEventBuffer } from "../../../base/common/event_log.ts";
+import {
+  createEventBuffer,
+  SILENT_LOG,
+} from "../../../base/common/event_log.ts";
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import { hashText } from "../../../base/common/hashing.ts";
 import { foldEntries, INITIAL_FOLD_STATE } from "../../fold/common/fold.ts";
+import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
+import { createMemoryExchange } from "../../link/common/memory_network.ts";
+import { createMemoryLog } from "../../log/common/memory_log.ts";
+import { createHttpLogClient } from "../../log/node/http_log_client.ts";
+import { listenLogServer } from "../../log/node/log_server.ts";
+import { createConfigurationSource } from "./create_configuration_source.ts";
 import type { LinkMessage } from "../../link/common/peer_network.ts";
 import {
   appendChange,
@@ -15,6 +24,12 @@
   type VirtualClusterOptions,
 } from "./virtual_cluster.ts";
 
+const ADDRESSES = {
+  address: "127.0.0.1",
+  proxyPort: 1,
+  administrationPort: 2,
+  linkPort: 3,
+};
 const TIMEOUT = { timeout: 60_000 };
 
 function createBench(
@@ -132,6 +147,65 @@
   },
 );
 
+test(
+  "a running reader that retention has passed goes on from the snapshot",
+  TIMEOUT,
+  async (context) => {
+    const bench = createBench(context, {
+      domains: 1,
+      daemonsPerDomain: 2,
+      retentionMilliseconds: 20_000,
+    });
+    const [slow, other] = bench.cluster.hosts;
+    appendChange(bench.cluster, "before");
+    await bench.run(500);
+    bench.cluster.pause(slow);
+    for (let index = 0; index < 40; index += 1) {
+      appendChange(bench.cluster, `c${index}`);
+      await bench.run(1_000);
+    }
+    bench.cluster.resume(slow);
+    bench.cluster.setHostCut(slow, other, true);
+    // Later a due snapshot would be looked for in any case.
+    await bench.run(1_000);
+    assert.deepEqual(
+      bench.sourceOf(slow).current,
+      bench.sourceOf(other).current,
+    );
+    assert.equal(bench.sourceOf(slow).current.version, 40);
+    assert.equal(bench.watch.reverts, 0);
+  },
+);
+
+test(
+  "a malformed message changes nothing, so that a faulty peer cannot do harm",
+  TIMEOUT,
+  async (context) => {
+    const bench = createBench(context, { domains: 1, daemonsPerDomain: 2 });
+    appendChange(bench.cluster, "a");
+    await bench.run(1_000);
+    const [host, peer] = bench.cluster.hosts;
+    const { network } = bench.cluster.daemons.get(peer)!;
+    const before = bench.sourceOf(host).current;
+    const cases = [
+      { kind: "configuration-position", position: "9", version: 1 },
+      { kind: "entries", version: 1, entries: [{ offset: 1, record: "x" }] },
+      { kind: "entries", entries: null },
+    ];
+    cases.forEach((message) => network.send(host, message));
+    await bench.run(1_000);
+    assert.equal(bench.sourceOf(host).current, before);
+    assert.equal(bench.sourceOf(host).position, 1);
+    const answer = await Promise.race([
+      network.request(host, { kind: "entries-request" }, {
+        timeoutMilliseconds: 100,
+      }),
+      bench.run(500),
+    ]);
+    assert.equal(answer?.ok && answer.val.kind, "state-needed");
+  },
+);
+
 test(
   "a daemon beyond the entries of its peers takes the whole state from one of them",
   TIMEOUT,
@@ -226,3 +300,58 @@
     assert.equal(figures.reverts, 0);
   },
 );
+
+test(
+  "two daemons converge over HTTP and the system clock through an outage",
+  TIMEOUT,
+  async (context) => {
+    const clock = SYSTEM_CLOCK;
+    const log = createMemoryLog({ random: createRandomSource(1) });
+    const server = await listenLogServer({
+      log,
+      clock,
+      address: "127.0.0.1",
+      port: 0,
+    });
+    const exchange = createMemoryExchange({ clock, latencyMilliseconds: 1 });
+    const sources = ["a", "b"].map((host, index) => {
+      const process = { host, startedAt: clock.now() };
+      const network = exchange.createNetwork({ process, failureDomain: "d" });
+      const logClient = createHttpLogClient({
+        url: `http://127.0.0.1:${server.port}`,
+      });
+      const source = createConfigurationSource({
+        self: { process, failureDomain: "d", addresses: ADDRESSES },
+        directory: { localMembers: [], remoteMembers: [] },
+        network,
+        logClient,
+        clock,
+        random: createRandomSource(index),
+        log: SILENT_LOG,
+      });
+      context.after(() => {
+        source.dispose();
+        logClient.dispose();
+        network.dispose();
+      });
+      return source;
+    });
+    context.after(() => server.dispose());
+    const waitForVersion = async (version: number) => {
+      const endAt = clock.now() + 5_000;
+      while (sources.some(({ current }) => current.version < version)) {
+        assert.ok(clock.now() < endAt, `version ${version} within 5 s`);
+        await clock.sleep(20);
+      }
+    };
+    appendChange({ log, clock }, "first");
+    await waitForVersion(0);
+    log.setFaults({ isDown: true });
+    await clock.sleep(300);
+    log.setFaults({ isDown: false });
+    appendChange({ log, clock }, "second");
+    await waitForVersion(1);
+    assert.ok(sources.every(({ isReady }) => isReady));
+    assert.equal(sources[0].findVerdict("second")?.status, "accepted");
+  },
+);
--- a/src/features/distribution/common/peer_sync.ts
+++ b/src/features/distribution/common/peer_sync.ts
@@ -31,6 +31,7 @@
 } from "../../link/common/peer_network.ts";
 import {
   listPeersAhead,
+  MESSAGE_ENTRIES,
   planAnnouncement,
   planPush,
 } from "./distribution_rules.ts";
@@ -52,7 +53,6 @@
 const REPAIR_DELAY_MS: Milliseconds = 100;
 const REQUEST_TIMEOUT_MS: Milliseconds = 2_000;
 const REPAIR_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 2_000 };
-const ANSWER_ENTRIES = 200;
 
 export interface PeerSyncOptions {
   readonly self: HostIdentity;
@@ -102,7 +102,7 @@
       position: message.position,
     });
     for (const host of hosts.push) {
-      const entries = planPush(next, positions.get(host));
+      const entries = planPush(next, positions.get(host) ?? 0);
       if (entries === undefined || !sendEntries(host, message, entries)) {
         sendPosition(host, message);
       }
@@ -244,7 +244,7 @@
     return {
       kind: "entries",
       version: replica.fold.configuration.version,
-      entries: entries.slice(0, ANSWER_ENTRIES),
+      entries: entries.slice(0, MESSAGE_ENTRIES),
     } as LinkMessage;
   }
 
