Test links, membership and claims together over sockets

Cause: the features had been tested with the memory network only; a request that met a temporary link while it closed failed, and a disposed claim client went on sending ends for 5 s. Change: five daemons of two domains on loopback join, drain an upstream, and claim a key once; a closing temporary link is replaced; ends stop on dispose.

--- /dev/null
+++ b/src/features/claim/common/claim_sockets_test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:net";
+import { test } from "node:test";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
+import type { LinkTarget } from "../../link/common/peer_network.ts";
+import { createPeerNetwork } from "../../link/node/peer_network.ts";
+import { createDirectory } from "../../membership/common/create_directory.ts";
+import { createKey } from "./claim_session.ts";
+import { createClaimClient } from "./create_claim_client.ts";
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as { port: number };
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function startDaemon(
+  { host, address, port }: LinkTarget,
+  failureDomain: string,
+  seeds: readonly LinkTarget[],
+) {
+  const base = {
+    self: {
+      process: { host, startedAt: SYSTEM_CLOCK.now() },
+      failureDomain,
+      addresses: {
+        address,
+        proxyPort: 1,
+        administrationPort: 2,
+        linkPort: port,
+      },
+    },
+    clock: SYSTEM_CLOCK,
+    random: createRandomSource(port),
+    log: SILENT_LOG,
+  };
+  const network = createPeerNetwork(base);
+  const directory = createDirectory({ ...base, network, seeds });
+  const client = createClaimClient({ ...base, network, directory });
+  return {
+    host,
+    directory,
+    client,
+    dispose() {
+      client.dispose();
+      directory.dispose();
+      network.dispose();
+    },
+  };
+}
+
+async function until(what: string, condition: () => boolean, limit: number) {
+  const beganAt = SYSTEM_CLOCK.now();
+  while (!condition()) {
+    assert.ok(SYSTEM_CLOCK.now() - beganAt < limit, `${what} took ${limit} ms`);
+    await SYSTEM_CLOCK.sleep(20);
+  }
+}
+
+test("links, membership and claims work together over real sockets", async () => {
+  const targets: LinkTarget[] = [];
+  for (const host of ["a1", "a2", "a3", "b1", "b2"]) {
+    targets.push({ host, address: "127.0.0.1", port: await findPort() });
+  }
+  const seeds = [targets[0], targets[3]];
+  const daemons = targets.map((target) =>
+    startDaemon(target, `d${target.host[0]}`, seeds)
+  );
+  const upstream = {
+    service: "s",
+    version: "1",
+    address: "127.0.0.1",
+    port: 9_000,
+    slots: 4,
+    state: "ready" as const,
+  };
+  const local = daemons.slice(0, 3);
+  const count = () => local.map(({ directory }) => directory.instances.length);
+  try {
+    daemons[1].directory.announce(upstream);
+    await until("the join", () => count().every((one) => one === 1), 3_000);
+    daemons[1].directory.announce({ ...upstream, state: "draining" });
+    await until("the drain", () => count().every((one) => one === 0), 3_000);
+    await until(
+      "the contact of the other domain",
+      () =>
+        daemons[3].directory.remoteMembers.length > 0 &&
+        daemons.every(({ directory }) =>
+          SYSTEM_CLOCK.now() - directory.presentSince > 5_500
+        ),
+      15_000,
+    );
+    const key = createKey(SYSTEM_CLOCK.now(), 1, "da");
+    const first = await daemons[3].client.claim("customer", key);
+    assert.equal(first.kind, "granted");
+    const repeats = await Promise.all(
+      daemons.map(({ client }) => client.claim("customer", key)),
+    );
+    assert.deepEqual(
+      repeats.map(({ kind }) => kind),
+      daemons.map(() => "claimed"),
+    );
+  } finally {
+    daemons.forEach((daemon) => daemon.dispose());
+  }
+});
--- a/src/features/claim/common/create_claim_client.ts
+++ b/src/features/claim/common/create_claim_client.ts
@@ -69,6 +69,7 @@
   const table = createClaimTable(options.claimLimit);
   const owned = createDisposableStore();
   let lastAttempt = 0;
+  let disposed = false;
 
   function listMembers(): HostName[] {
     return directory.localMembers.map(({ process }) => process.host);
@@ -161,7 +162,7 @@
       const result = await network.request(host, message, {
         timeoutMilliseconds: OWNER_TIMEOUT_MS,
       });
-      if (result.ok) {
+      if (result.ok || disposed) {
         return;
       }
       await clock.sleep(END_RETRY_MS);
@@ -319,6 +320,9 @@
           : forward(attempt, hosts));
       return toAnswer(attempt, result, hosts);
     },
-    dispose: () => owned.dispose(),
+    dispose() {
+      disposed = true;
+      owned.dispose();
+    },
   };
 }
--- a/src/features/link/node/temporary_links.ts
+++ b/src/features/link/node/temporary_links.ts
@@ -53,6 +53,10 @@
   }
 
   function open(host: HostName, target: LinkTarget): Entry {
+    const former = entries.get(host);
+    if (former !== undefined) {
+      settle(former, undefined, `The link to ${host} closed`);
+    }
     const entry: Entry = { link: undefined, socket: undefined, waiting: [] };
     entries.set(host, entry);
     entry.socket = connect(target, {
@@ -77,9 +81,10 @@
   return {
     use(host, target, use) {
       const entry = entries.get(host);
+      const isClosing = entry?.link?.isOpen === false;
       if (entry?.link?.isOpen && entry.link.peer !== undefined) {
         use(entry.link, "");
-      } else if (entry !== undefined) {
+      } else if (entry !== undefined && !isClosing) {
         entry.waiting.push(use);
       } else if (target === undefined) {
         use(undefined, `The address of ${host} is not known`);
