Make the drain and late-answer tests see their mechanisms

With the mechanism's line disabled the earlier tests passed: Node itself drops bytes on an idle connection, and the drain tests took refusals for good.

--- a/src/features/attempt/node/proxy_fixture.ts
+++ b/src/features/attempt/node/proxy_fixture.ts
@@ -63,7 +63,6 @@
       dispose() {},
     },
     claims: createFixtureClaims(claims),
-    router: createRotatingRouter(options.ports, results),
     shift: {
       splitOf: () => undefined,
       record: (sample) => samples.push(sample),
@@ -74,6 +73,10 @@
     log: SILENT_LOG,
     self: FIXTURE_HOST,
     ...options,
+    router: recordResults(
+      options.router ?? createRotatingRouter(options.ports),
+      results,
+    ),
   });
   const listener = await listenHttp(proxy.handle, {
     address: LOOPBACK,
@@ -186,10 +189,7 @@
 }
 
 /** Takes the instances in turn. */
-function createRotatingRouter(
-  ports: readonly number[],
-  results: AttemptResult[],
-): InstanceRouter {
+function createRotatingRouter(ports: readonly number[]): InstanceRouter {
   let turn = 0;
   const instances = ports.map((port) => createFixtureInstance(port));
   return {
@@ -203,7 +203,7 @@
       turn += 1;
       return {
         instance: free[turn % free.length],
-        finish: (result) => results.push(result),
+        finish() {},
       };
     },
     dispose() {},
@@ -264,3 +264,22 @@
     }
   });
 }
+
+function recordResults(
+  router: InstanceRouter,
+  results: AttemptResult[],
+): InstanceRouter {
+  return {
+    assign(call) {
+      const assignment = router.assign(call);
+      return typeof assignment === "string" ? assignment : {
+        ...assignment,
+        finish(result, duration) {
+          results.push(result);
+          assignment.finish(result, duration);
+        },
+      };
+    },
+    dispose: () => router.dispose(),
+  };
+}
--- a/src/programs/node/call_chain_test.ts
+++ b/src/programs/node/call_chain_test.ts
@@ -170,6 +170,11 @@
     [],
   );
   assert.equal(leaving.counts.calls, seen, "calls after it was withdrawn");
+  // A call that was assigned during the notice still finds the upstream open.
+  assert.deepEqual(
+    fixture.results.filter((result) => result === "not-connected"),
+    [],
+  );
   assert.deepEqual(
     [...leaving.runs.listRepeated(), ...staying.runs.listRepeated()],
     [],
@@ -181,15 +186,20 @@
   const fixture = await createProxyFixture({ ports: [upstream.port] });
   const agent = new Agent({ keepAlive: true });
   context.after(() => Promise.all([upstream.kill(), fixture.close()]));
-  await sendCall(fixture.url, { agent });
+  const idle = new Agent({ keepAlive: true });
+  await sendCall(fixture.url, { agent: idle });
   const calls = Array.from(
     { length: 6 },
     (_, index) => sendCall(fixture.url, { path: `/${index}`, agent }),
   );
   await sleep(15);
   assert.ok(fixture.proxy.callsInFlight > 0);
-  await fixture.proxy.drain();
-  await fixture.listener.drain();
+  const drained = fixture.proxy.drain().then(() => fixture.listener.drain());
+  // A connection that was idle when the drain began still gets its call answered.
+  await sleep(100);
+  const late = await sendCall(fixture.url, { path: "/late", agent: idle });
+  assert.equal(describe(late, "/late"), "whole");
+  await drained;
   assert.equal(fixture.proxy.callsInFlight, 0);
   const answers = await Promise.all(calls);
   answers.forEach((answer, index) => {
--- a/src/programs/node/call_path_test.ts
+++ b/src/programs/node/call_path_test.ts
@@ -142,6 +142,8 @@
   assert.equal(bodyOf(await sendCall(fixture.url, { path: "/a" })), "/a");
   assert.equal((await late).status, 504);
   await sleep(60);
+  // A connection with unexpected bytes is closed, since more of them may follow.
+  assert.equal(upstream.sockets.size, 0);
   assert.equal(bodyOf(await sendCall(fixture.url, { path: "/b" })), "/b");
 });
 
