--- a/src/programs/node/demo_fleet.ts
+++ b/src/programs/node/demo_fleet.ts
@@ -39,10 +39,17 @@
   readonly upstreams: readonly UpstreamSettings[];
 }
 
+export interface FleetSize {
+  readonly hostsPerDomain?: number;
+}
+
 /** Makes the settings of the fleet on free loopback ports, with one token for all customers. */
-export async function createFleet(token: string): Promise<Fleet> {
+export async function createFleet(
+  token: string,
+  { hostsPerDomain = HOSTS_PER_DOMAIN }: FleetSize = {},
+): Promise<Fleet> {
   const hosts = FAILURE_DOMAINS.flatMap((failureDomain) =>
-    Array.from({ length: HOSTS_PER_DOMAIN }, (_, index) => ({
+    Array.from({ length: hostsPerDomain }, (_, index) => ({
       host: `${failureDomain}-${index + 1}`,
       failureDomain,
     }))
