Test the outcomes of the log client in memory

Tests and measurements rely on it to report a lost answer as unknown, so it now runs the table of the HTTP client.

--- a/src/features/fold/common/fold.ts
+++ b/src/features/fold/common/fold.ts
@@ -14,6 +14,7 @@
   ChangeIdentity,
   ConfigurationVersion,
 } from "../../../world/common/names.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { Err, Ok, type Result } from "../../../base/common/result.ts";
 import { applyChange } from "./change_check.ts";
 import { applyMove, applyVerdict, type RecordPlace } from "./move_check.ts";
@@ -164,7 +165,7 @@
 export function checkRecord(
   configuration: Configuration,
   value: unknown,
-  now: number,
+  now: Milliseconds,
 ): Result<LogRecord, string> {
   const parsed = parseRecord(value);
   if (parsed.err) {
--- a/src/features/log/node/log_test.ts
+++ b/src/features/log/node/log_test.ts
@@ -5,6 +5,7 @@
 import { createHttpClient } from "../../../base/node/http_client.ts";
 import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
 import { createMemoryLog, type LogFaults } from "../common/memory_log.ts";
+import { createMemoryLogClient } from "../common/memory_log_client.ts";
 import { createHttpLogClient } from "./http_log_client.ts";
 import { listenLogServer } from "./log_server.ts";
 
@@ -80,11 +81,19 @@
     for (const { name, faults, outcome, kept } of cases) {
       const { log, client } = await startServer(context);
       log.setFaults(faults);
-      const answer = await client.append("configuration", RECORD);
-      log.setFaults({ isDown: false });
-      const page = log.read("configuration", { from: 0, now: Date.now() });
-      assert.equal(answer.ok ? "ok" : answer.val.outcome, outcome, name);
-      assert.equal(page?.entries.length, kept, name);
+      const inMemory = createMemoryLogClient({
+        log,
+        clock: SYSTEM_CLOCK,
+        timeoutMilliseconds: 200,
+      });
+      for (const [index, tried] of [client, inMemory].entries()) {
+        const answer = await tried.append("configuration", RECORD);
+        assert.equal(answer.ok ? "ok" : answer.val.outcome, outcome, name);
+        log.setFaults({ isDown: false });
+        const page = log.read("configuration", { from: 0, now: Date.now() });
+        assert.equal(page?.entries.length, kept * (index + 1), name);
+        log.setFaults(faults);
+      }
     }
     const refused = createHttpLogClient({ url: "http://127.0.0.1:1" });
     const answer = await refused.append("configuration", RECORD);
