Refuse a call whose body is not whole at its deadline

The proxy destroyed the connection of such a caller, although it could say that nothing ran. The preparation of bodies moves to a module of its own.

--- a/src/features/attempt/common/refusal.ts
+++ b/src/features/attempt/common/refusal.ts
@@ -58,3 +58,8 @@
 export function statusOfRefusal(reason: RefusalReason): number {
   return STATUS[reason];
 }
+
+/** A refusal of a call of which no byte went to an upstream. */
+export function notRun(reason: RefusalReason, message: string): Refusal {
+  return { reason, outcome: "not-run", message };
+}
--- a/src/features/attempt/node/call.ts
+++ b/src/features/attempt/node/call.ts
@@ -5,11 +5,9 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { readBody } from "../../../base/node/http_server.ts";
 import type { Claim } from "../../claim/common/claim_client.ts";
 import type { RouteMatch } from "../../table/common/routing_table.ts";
 import { judgeAnswer } from "../common/attempt_outcome.ts";
-import { MAXIMUM_REPLAYABLE_BYTES, planBody } from "../common/body_plan.ts";
 import {
   copyEndToEndHeaders,
   CUSTOMER_HEADER,
@@ -18,13 +16,14 @@
   OUTCOME_HEADER,
 } from "../common/call_headers.ts";
 import { computeDeadline } from "../common/deadline.ts";
-import type { Refusal, RefusalReason } from "../common/refusal.ts";
+import { notRun, type Refusal, type RefusalReason } from "../common/refusal.ts";
 import { cacheKeyOf, isStorable } from "../common/stale_cache.ts";
 import { relayStream, sendRefusal, sendStale, sendWhole } from "./answer.ts";
 import type { Answer, AttemptBody } from "./attempt.ts";
 import { type LoopEnd, runAttempts } from "./attempt_loop.ts";
 import type { CallContext } from "./call_context.ts";
 import { createInterruption, type Interruption } from "./interruption.ts";
+import { prepareBody } from "./request_body.ts";
 
 /** Headers that this hop consumes or sets anew. */
 const CONSUMED_HEADERS = new Set([DEADLINE_HEADER, OUTCOME_HEADER, "expect"]);
@@ -116,7 +115,7 @@
   context: CallContext,
   exchange: Exchange,
 ): Promise<void> {
-  const body = await prepareBody(exchange);
+  const body = await prepareBody(exchange.request, exchange.interruption);
   if ("reason" in body) {
     refuse(context, exchange.response, body);
     return;
@@ -138,31 +137,6 @@
   }
 }
 
-async function prepareBody(
-  { request, interruption }: Exchange,
-): Promise<AttemptBody | Refusal> {
-  const plan = planBody({
-    contentLength: request.headers["content-length"],
-    transferEncoding: request.headers["transfer-encoding"],
-  });
-  switch (plan) {
-    case "none":
-      return { kind: "whole", bytes: undefined };
-    case "stream":
-      return { kind: "stream", source: request };
-    case "refuse":
-      return notRun("body-too-large", "The body is larger than the limit");
-    case "replay": {
-      const registration = interruption.onInterrupted(() => request.destroy());
-      const read = await readBody(request, MAXIMUM_REPLAYABLE_BYTES);
-      registration.dispose();
-      return read.ok
-        ? { kind: "whole", bytes: read.val }
-        : notRun("body-incomplete", read.val.message);
-    }
-  }
-}
-
 async function claimKey(
   context: CallContext,
   { request, match, interruption }: Exchange,
@@ -374,10 +348,6 @@
   return typeof value === "string" ? value : undefined;
 }
 
-function notRun(reason: RefusalReason, message: string): Refusal {
-  return { reason, outcome: "not-run", message };
-}
-
 function refuse(
   context: CallContext,
   response: ServerResponse,
--- a/src/programs/node/call_path_test.ts
+++ b/src/programs/node/call_path_test.ts
@@ -356,6 +356,14 @@
   });
   assert.equal(refused.status, 413);
   assert.equal(refused.headers["guavarun-outcome"], "not-run");
+  const tooSlow = await sendCall(fixture.url, {
+    method: "POST",
+    headers: { "content-length": "9", "guavarun-deadline-milliseconds": "50" },
+    agent: createAgent(context),
+    abandonAfterMilliseconds: 1_000,
+  });
+  assert.equal(tooSlow.status, 504);
+  assert.equal(tooSlow.headers["guavarun-outcome"], "not-run");
   await sendCall(fixture.url, { abandonAfterMilliseconds: 60 });
   await sleep(50);
   assert.equal(upstream.counts.cancelled, 1);
