--- a/src/features/move/common/comparison.ts
+++ b/src/features/move/common/comparison.ts
@@ -8,7 +8,7 @@
  * longer than nine in ten calls of the replaced version at the same class of load; the test needs
  * no assumption on the shape of the latencies, and a replaced version that is slow itself sets a
  * slow threshold. The reference is weighted by the classes of load at which the new version was
- * called. The difference must remain when the instance host and, apart from that, the observing
+ * called. The difference must remain when the instance host and the observing
  * process that contribute most to it are left out, because one broken host is not a bad version.
  *
  * @module
@@ -122,17 +122,25 @@
   if (!isWorse(contributions, context)) {
     return false;
   }
-  const hosts = new Set(contributions.map(({ host }) => host));
-  if (hosts.size === 1) {
-    if (context.candidateHosts > 1) {
-      return false;
-    }
-  } else if (!isWorse(leaveOut(contributions, "host", context), context)) {
+  const hosts = countDistinct(contributions, "host");
+  const observers = countDistinct(contributions, "observer");
+  if (hosts === 1 && context.candidateHosts > 1) {
     return false;
   }
-  const observers = new Set(contributions.map(({ observer }) => observer));
-  return observers.size === 1 ||
-    isWorse(leaveOut(contributions, "observer", context), context);
+  // Both are left out together, since a broken host and a broken observer can occur at a time.
+  let rest = contributions;
+  rest = hosts > 1 ? leaveOut(rest, "host", context) : rest;
+  if (observers > 1) {
+    rest = leaveOut(rest, "observer", context);
+  }
+  return isWorse(rest, context);
+}
+
+function countDistinct(
+  contributions: readonly Contribution[],
+  key: "host" | "observer",
+): number {
+  return new Set(contributions.map((item) => item[key])).size;
 }
 
 function isWorse(
--- a/src/features/move/common/evidence.ts
+++ b/src/features/move/common/evidence.ts
@@ -39,10 +39,15 @@
 export const ROW_FIELDS = LOAD_CLASSES * CLASS_FIELDS + FIRST_BUCKET_FIELD;
 
 /**
- * How long the latency of a host does not count after the observer's first call to it. A new
- * instance compiles code and fills caches and pools with its first calls.
+ * How long a host must have been in use by the observer before its latency counts. A new instance
+ * compiles code and fills caches and pools with its first calls.
  */
 const COLD_START_MS: Milliseconds = 2_000;
+/**
+ * A pause counts as use for no longer than this. A host that gets short bursts is still cold after
+ * some seconds, since it has had few calls.
+ */
+const LONGEST_PAUSE_MS: Milliseconds = 250;
 
 /** Rows kept per move, so that evidence stays within a few megabytes. */
 const MAXIMUM_ROWS = 4_096;
@@ -73,10 +78,16 @@
   lastRotation: Uint32Array;
 }
 
+/** How much the observer has used a host since its first call to it. */
+export interface HostUse {
+  usedMilliseconds: Milliseconds;
+  lastCallAt: Milliseconds;
+}
+
 export interface EvidenceStore {
   readonly rows: Map<string, EvidenceRow>;
   readonly stableTotals: Map<RouteName, StableTotals>;
-  readonly firstCallAt: Map<HostName, Milliseconds>;
+  readonly hostUses: Map<HostName, HostUse>;
   revision: number;
 }
 
@@ -84,7 +95,7 @@
   return {
     rows: new Map(),
     stableTotals: new Map(),
-    firstCallAt: new Map(),
+    hostUses: new Map(),
     revision: 0,
   };
 }
@@ -133,7 +144,7 @@
   if (row === undefined) {
     return;
   }
-  const isCold = now - findFirstCall(store, sample.host, now) < COLD_START_MS;
+  const isCold = useHost(store, sample.host, now) < COLD_START_MS;
   const base = (isCold ? COLD_CLASS : classOfLoad(sample.load)) * CLASS_FIELDS;
   const fields = [base + CALLS_FIELD];
   if (sample.result === "failure") {
@@ -232,15 +243,18 @@
   return totals;
 }
 
-function findFirstCall(
+/** Adds a call to the use of a host and returns how long it has been in use. */
+function useHost(
   store: EvidenceStore,
   host: HostName,
   now: Milliseconds,
 ): Milliseconds {
-  const known = store.firstCallAt.get(host);
-  if (known === undefined) {
-    store.firstCallAt.set(host, now);
-    return now;
+  let use = store.hostUses.get(host);
+  if (use === undefined) {
+    use = { usedMilliseconds: 0, lastCallAt: now };
+    store.hostUses.set(host, use);
   }
-  return known;
+  use.usedMilliseconds += Math.min(LONGEST_PAUSE_MS, now - use.lastCallAt);
+  use.lastCallAt = now;
+  return use.usedMilliseconds;
 }
