Mix the seed of a random source

Cause: the first numbers of neighbouring small seeds were almost equal (1.000 for 10008 to 10011), so that daemons with such seeds jittered in step. Change: the seed is hashed first.

--- a/src/base/common/base_test.ts
+++ b/src/base/common/base_test.ts
@@ -35,6 +35,17 @@
   }
 });
 
+test("neighbouring seeds differ at once, so that daemons do not jitter in step", () => {
+  const firsts = Array.from(
+    { length: 100 },
+    (_, seed) => createRandomSource(seed).nextFraction(),
+  );
+  for (let tenth = 0; tenth < 10; tenth += 1) {
+    const inTenth = firsts.filter((value) => Math.floor(value * 10) === tenth);
+    assert.ok(inTenth.length >= 2 && inTenth.length <= 25, `${inTenth.length}`);
+  }
+});
+
 test("a virtual clock runs timers in the order in which they are due", () => {
   const clock = new VirtualClock();
   const order: string[] = [];
--- a/src/base/common/random_source.ts
+++ b/src/base/common/random_source.ts
@@ -7,6 +7,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { hashText } from "./hashing.ts";
 
 export interface RandomSource {
   /** A number from 0 (included) to 1 (excluded). */
@@ -16,7 +17,8 @@
 }
 
 export function createRandomSource(seed: number): RandomSource {
-  const generator = xoroshiro128plus(seed);
+  // The first numbers of neighbouring small seeds are almost equal without the hash.
+  const generator = xoroshiro128plus(hashText(String(seed)) | 0);
   return {
     nextFraction: () => uniformFloat64(generator),
     nextInteger: (limit) => uniformInt(generator, 0, limit - 1),
