--- a/src/base/node/message_codec.ts
+++ b/src/base/common/message_codec.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
-import { Packr } from "msgpackr";
-import { Err, Ok, type Result } from "../common/result.ts";
-import { describeError, StepError } from "../common/step_error.ts";
+import { C1, Packr } from "msgpackr";
+import { Err, Ok, type Result } from "./result.ts";
+import { describeError, StepError } from "./step_error.ts";
 
 // Plain msgpack maps keep messages readable for other implementations and other releases.
 const packr = new Packr({ useRecords: false, mapsAsObjects: true });
@@ -21,7 +21,11 @@
   step: string,
 ): Result<unknown, StepError> {
   try {
-    return Ok(packr.unpack(bytes));
+    const value = packr.unpack(bytes);
+    // The library returns this constant for 0xc1, a byte that msgpack never uses.
+    return value === C1
+      ? Err(new StepError(step, "Cannot decode a message: unused byte 0xc1"))
+      : Ok(value);
   } catch (error) {
     return Err(
       new StepError(step, `Cannot decode a message: ${describeError(error)}`, {
--- a/src/features/administration/node/administration_test.ts
+++ b/src/features/administration/node/administration_test.ts
@@ -6,7 +6,7 @@
 import { Err, Ok, type Result } from "../../../base/common/result.ts";
 import { StepError } from "../../../base/common/step_error.ts";
 import { listenHttp } from "../../../base/node/http_server.ts";
-import { decodeMessage } from "../../../base/node/message_codec.ts";
+import { decodeMessage } from "../../../base/common/message_codec.ts";
 import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
 import { EMPTY_CONFIGURATION } from "../../../world/common/configuration.ts";
 import type { UpstreamAnnouncement } from "../../../world/common/upstream_instance.ts";
--- a/src/features/administration/node/publisher.ts
+++ b/src/features/administration/node/publisher.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
-import { encodeMessage } from "../../../base/node/message_codec.ts";
+import { encodeMessage } from "../../../base/common/message_codec.ts";
 import type { Configuration } from "../../../world/common/configuration.ts";
 import type {
   ChangeRecord,
--- a/src/features/fold/common/record_check.ts
+++ b/src/features/fold/common/record_check.ts
@@ -4,16 +4,17 @@
  * @module
  */
 
-import { C1, Packr } from "msgpackr";
 import * as valibot from "valibot";
 import { Err, Ok, type Result } from "../../../base/common/result.ts";
-import { describeError } from "../../../base/common/step_error.ts";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/common/message_codec.ts";
 import {
   type LogRecord,
   RECORD_SCHEMA,
 } from "../../../world/common/log_record.ts";
 
-const packr = new Packr({ useRecords: false, mapsAsObjects: true });
 const MAXIMUM_NAME_LENGTH = 128;
 
 const NAME = valibot.pipe(
@@ -120,19 +121,13 @@
 
 /** Encodes a record or a snapshot as msgpack. */
 export function encodeRecord(record: unknown): Uint8Array {
-  return packr.pack(record);
+  return encodeMessage(record);
 }
 
 export function decodeRecord(bytes: Uint8Array): Result<unknown, string> {
-  try {
-    const value = packr.unpack(bytes);
-    // The library returns this constant for 0xc1, a byte that msgpack never uses.
-    return value === C1
-      ? Err("record: is not valid msgpack: unused byte 0xc1")
-      : Ok(value);
-  } catch (error) {
-    return Err(`record: is not valid msgpack: ${describeError(error)}`);
-  }
+  return decodeMessage(bytes, "fold.decode").mapErr((error) =>
+    `record: is not valid msgpack: ${error.message}`
+  );
 }
 
 /** Checks the form of a decoded record; the error names the place and the reason. */
--- a/src/features/link/node/link.ts
+++ b/src/features/link/node/link.ts
@@ -10,7 +10,7 @@
 import {
   decodeMessage,
   encodeMessage,
-} from "../../../base/node/message_codec.ts";
+} from "../../../base/common/message_codec.ts";
 import type { HostName } from "../../../world/common/names.ts";
 import {
   fromWireFrame,
--- a/src/features/link/node/peer_network_test.ts
+++ b/src/features/link/node/peer_network_test.ts
@@ -3,7 +3,7 @@
 import { WebSocket, WebSocketServer } from "ws";
 import { createEventBuffer } from "../../../base/common/event_log.ts";
 import { createRandomSource } from "../../../base/common/random_source.ts";
-import { encodeMessage } from "../../../base/node/message_codec.ts";
+import { encodeMessage } from "../../../base/common/message_codec.ts";
 import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
 import { toWireFrame } from "../common/link_frame.ts";
 import { createAcceptLimiter, replacesLink } from "../common/link_rules.ts";
--- a/src/features/log/node/http_log_client.ts
+++ b/src/features/log/node/http_log_client.ts
@@ -12,7 +12,7 @@
   createHttpClient,
   type HttpAnswer,
 } from "../../../base/node/http_client.ts";
-import { decodeMessage } from "../../../base/node/message_codec.ts";
+import { decodeMessage } from "../../../base/common/message_codec.ts";
 import {
   type AppendAnswer,
   LogClient,
--- a/src/features/log/node/log_server.ts
+++ b/src/features/log/node/log_server.ts
@@ -18,7 +18,7 @@
   readBody,
   sendJson,
 } from "../../../base/node/http_server.ts";
-import { encodeMessage } from "../../../base/node/message_codec.ts";
+import { encodeMessage } from "../../../base/common/message_codec.ts";
 import type { StreamName } from "../common/log_client.ts";
 import {
   DEFAULT_PAGE_ENTRIES,
--- a/src/features/membership/common/create_directory_test.ts
+++ b/src/features/membership/common/create_directory_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { rankByRendezvous } from "../../../base/common/hashing.ts";
-import { encodeMessage } from "../../../base/node/message_codec.ts";
+import { encodeMessage } from "../../../base/common/message_codec.ts";
 import type { UpstreamState } from "../../../world/common/upstream_instance.ts";
 import {
   createMembershipFleet,
--- a/src/features/move/common/judgement_test.ts
+++ b/src/features/move/common/judgement_test.ts
@@ -261,7 +261,7 @@
     },
     {
       name: "a sign of badness below the level of a verdict",
-      calls: 150,
+      calls: 250,
       treat: onCandidate({ failureRate: 0.2 }),
       now: due,
       step: 0,
--- a/src/features/move/common/memory_mesh.ts
+++ b/src/features/move/common/memory_mesh.ts
@@ -37,7 +37,10 @@
   createTrafficShift,
   type OperatedTrafficShift,
 } from "./shift_service.ts";
-import { decodeRecord, measureMessage } from "./verdict_codec.ts";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/common/message_codec.ts";
 
 /** The time from an append until the daemons have folded the record. */
 const FOLD_DELAY_MS: Milliseconds = 300;
@@ -96,7 +99,7 @@
   const exchange = createMemoryExchange({
     clock,
     latencyMilliseconds: options.latencyMilliseconds,
-    measure: measureMessage,
+    measure: (message) => encodeMessage(message).length,
   });
   const nodes = new Map<HostName, Node>();
   const records: PlatformRecord[] = [];
@@ -131,7 +134,7 @@
         }),
       );
     }
-    take(decodeRecord(bytes));
+    take(decodeMessage(bytes, "log.append").unwrap() as VerdictRecord);
     return Ok({ offset: records.length, appendedAt: clock.now() });
   }
 
--- a/src/features/move/common/verdict_writer.ts
+++ b/src/features/move/common/verdict_writer.ts
@@ -23,7 +23,7 @@
 import type { LogClient } from "../../log/common/log_client.ts";
 import type { Directory } from "../../membership/common/directory.ts";
 import type { Verdict } from "./move_state.ts";
-import { encodeRecord } from "./verdict_codec.ts";
+import { encodeMessage } from "../../../base/common/message_codec.ts";
 
 /** After an append that worked, the record should be folded everywhere within this time. */
 const FOLD_WAIT_MS: Milliseconds = 5_000;
@@ -75,7 +75,7 @@
     const fields = { move: verdict.move, outcome: record.outcome };
     const result = await logClient.append(
       "configuration",
-      encodeRecord(record),
+      encodeMessage(record),
     );
     state.isPending = false;
     if (result.ok) {
--- a/src/programs/node/capacity_measure.ts
+++ b/src/programs/node/capacity_measure.ts
@@ -8,7 +8,7 @@
 import { performance } from "node:perf_hooks";
 import { createRandomSource } from "../../base/common/random_source.ts";
 import { VirtualClock } from "../../base/common/clock.ts";
-import { encodeMessage } from "../../base/node/message_codec.ts";
+import { encodeMessage } from "../../base/common/message_codec.ts";
 import { createClaimTable } from "../../features/claim/common/claim_table.ts";
 import {
   foldEntries,
--- a/src/programs/node/measurement_adapters.ts
+++ b/src/programs/node/measurement_adapters.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { encodeMessage } from "../../base/node/message_codec.ts";
+import { encodeMessage } from "../../base/common/message_codec.ts";
 import { measureLatency } from "../../features/attempt/node/latency_measure.ts";
 import {
   CONVERGENCE_SCENARIOS,
