--- a/src/base/common/event_log.ts
+++ b/src/base/common/event_log.ts
@@ -27,6 +27,21 @@
   extend(fields: LogFields): EventLog;
 }
 
+const LEVELS: readonly LogLevel[] = ["error", "warn", "info", "debug"];
+
+/** A log that discards events below a level. */
+export function filterEventLog(log: EventLog, level: LogLevel): EventLog {
+  const limit = LEVELS.indexOf(level);
+  return {
+    write(own, event, fields) {
+      if (LEVELS.indexOf(own) <= limit) {
+        log.write(own, event, fields);
+      }
+    },
+    extend: (fields) => filterEventLog(log.extend(fields), level),
+  };
+}
+
 /** Keeps events in memory, for tests and for the daemon's own event list. */
 export function createEventBuffer(capacity: number, now: () => Milliseconds) {
   const events: LogEvent[] = [];
--- a/src/features/attempt/common/call_headers.ts
+++ b/src/features/attempt/common/call_headers.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+/** The identity of a call, the same at every hop. */
+export const CALL_HEADER = "guavarun-call";
 export const CUSTOMER_HEADER = "guavarun-customer";
 export const DEADLINE_HEADER = "guavarun-deadline-milliseconds";
 export const OUTCOME_HEADER = "guavarun-outcome";
--- a/src/features/attempt/node/attempt_loop.ts
+++ b/src/features/attempt/node/attempt_loop.ts
@@ -130,6 +130,14 @@
     remaining,
   });
   const judged = judgeEnd(end);
+  context.log.write("debug", "call.attempted", {
+    call: options.callIdentity,
+    route: options.match.route.name,
+    peer: instance.identity,
+    serviceVersion: instance.version,
+    result: judged.result,
+    outcome: judged.outcome,
+  });
   state.retryNever ||= judged.retryNever;
   if (judged.outcome !== "answered") {
     state.outcome = combineOutcomes(state.outcome, judged.outcome);
--- a/src/features/attempt/node/call.ts
+++ b/src/features/attempt/node/call.ts
@@ -9,6 +9,7 @@
 import type { RouteMatch } from "../../table/common/routing_table.ts";
 import { judgeAnswer } from "../common/attempt_outcome.ts";
 import {
+  CALL_HEADER,
   copyEndToEndHeaders,
   CUSTOMER_HEADER,
   DEADLINE_HEADER,
@@ -26,7 +27,15 @@
 import { prepareBody } from "./request_body.ts";
 
 /** Headers that this hop consumes or sets anew. */
-const CONSUMED_HEADERS = new Set([DEADLINE_HEADER, OUTCOME_HEADER, "expect"]);
+const CONSUMED_HEADERS = new Set([
+  CALL_HEADER,
+  DEADLINE_HEADER,
+  OUTCOME_HEADER,
+  "expect",
+]);
+
+/** A longer or stranger identity from outside is replaced, since it goes into log lines. */
+const CALL_IDENTITY = /^[\w.:-]{1,128}$/;
 
 /** Methods that have no body unless a header says so (RFC 9110, section 8.6). */
 const BODILESS_METHODS = new Set(["GET", "HEAD", "DELETE", "OPTIONS", "TRACE"]);
@@ -34,10 +43,16 @@
 /** Dot segments would let a path match one route here and another at the upstream. */
 const DOT_SEGMENT = /(^|[/\\])(\.|%2e){1,2}([/\\]|$)/i;
 
+/** A call and how it is answered. */
+interface CallReply {
+  /** Identifies the call in the events of all proxies that it passes. */
+  readonly call: string;
+  readonly response: ServerResponse;
+}
+
 /** A call that was matched and admitted. */
-interface Exchange {
+interface Exchange extends CallReply {
   readonly request: IncomingMessage;
-  readonly response: ServerResponse;
   readonly match: RouteMatch;
   readonly interruption: Interruption;
   readonly cacheKey: string | undefined;
@@ -48,11 +63,12 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
+  const reply = { call: identifyCall(context, request), response };
   const match = matchCall(context, request);
   if (typeof match === "string") {
     refuse(
       context,
-      response,
+      reply,
       notRun(match, `No route for this call: ${match}`),
     );
     return;
@@ -61,7 +77,7 @@
   if (!admission.admitted) {
     refuse(
       context,
-      response,
+      reply,
       notRun(admission.reason, `The contract does not admit the call now`),
     );
     return;
@@ -80,8 +96,8 @@
       headers: request.headers,
     }, match.route);
     await runAdmitted(context, {
+      ...reply,
       request,
-      response,
       match,
       interruption,
       cacheKey,
@@ -117,7 +133,7 @@
 ): Promise<void> {
   const body = await prepareBody(exchange.request, exchange.interruption);
   if ("reason" in body) {
-    refuse(context, exchange.response, body);
+    refuse(context, exchange, body);
     return;
   }
   if (exchange.match.route.callClass !== "non-idempotent") {
@@ -126,7 +142,7 @@
   }
   const claim = await claimKey(context, exchange);
   if ("reason" in claim) {
-    refuse(context, exchange.response, claim);
+    refuse(context, exchange, claim);
     return;
   }
   let settled: keyof Claim = "abandon";
@@ -175,14 +191,13 @@
   exchange: Exchange,
   body: AttemptBody,
 ): Promise<keyof Claim> {
-  const { request, interruption, match } = exchange;
+  const { call, request, interruption, match } = exchange;
   const end = await runAttempts(context, {
     match,
-    callIdentity: headerOf(request, IDEMPOTENCY_HEADER) ??
-      createCallIdentity(context),
+    callIdentity: call,
     method: request.method ?? "",
     path: request.url ?? "",
-    headers: prepareHeaders(request, body),
+    headers: prepareHeaders(exchange, body),
     body,
     interruption,
   });
@@ -207,7 +222,7 @@
   const { response, interruption } = exchange;
   const { last } = end;
   if (last === undefined || last.kind === "failed") {
-    refuse(context, response, describeFailure(end, interruption));
+    refuse(context, exchange, describeFailure(end, interruption));
     return end.outcome === "not-run" ? "release" : "abandon";
   }
   const notes = {
@@ -323,11 +338,11 @@
 }
 
 function prepareHeaders(
-  request: IncomingMessage,
+  { call, request }: Exchange,
   body: AttemptBody,
 ): string[] {
   const headers = copyEndToEndHeaders(request.rawHeaders, CONSUMED_HEADERS);
-  headers.push("connection", "keep-alive");
+  headers.push("connection", "keep-alive", CALL_HEADER, call);
   const hasLength = request.headers["content-length"] !== undefined;
   if (body.kind === "stream" && !hasLength) {
     headers.push("transfer-encoding", "chunked");
@@ -337,10 +352,15 @@
   return headers;
 }
 
-function createCallIdentity(context: CallContext): string {
-  return `${context.self.process.host}-${
-    context.random.nextInteger(2 ** 31).toString(36)
-  }-${context.counts.calls}`;
+/** The identity that an earlier hop gave, the idempotency key, or a new one. */
+function identifyCall(context: CallContext, request: IncomingMessage): string {
+  const given = headerOf(request, CALL_HEADER) ??
+    headerOf(request, IDEMPOTENCY_HEADER);
+  if (given !== undefined && CALL_IDENTITY.test(given)) {
+    return given;
+  }
+  const unique = context.random.nextInteger(2 ** 31).toString(36);
+  return `${context.self.process.host}-${unique}-${context.counts.calls}`;
 }
 
 function headerOf(request: IncomingMessage, name: string): string | undefined {
@@ -350,12 +370,15 @@
 
 function refuse(
   context: CallContext,
-  response: ServerResponse,
+  { call, response }: CallReply,
   refusal: Refusal,
 ): void {
   context.counts.refusals += 1;
-  context.log.write("debug", "call.refused", {
+  // An unknown outcome is what an operator is asked about; the others may be very many.
+  const level = refusal.outcome === "unknown" ? "warn" : "debug";
+  context.log.write(level, "call.refused", {
     step: "attempt.call",
+    call,
     reason: refusal.reason,
     outcome: refusal.outcome,
   });
--- a/src/programs/node/assembly.ts
+++ b/src/programs/node/assembly.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import type { EventLog } from "../../base/common/event_log.ts";
 import type { DaemonSettings } from "../common/daemon_settings.ts";
 import type { PlatformSettings } from "../common/platform_settings.ts";
@@ -12,6 +13,8 @@
 
 export interface StartOptions {
   readonly log: EventLog;
+  /** The start of the process, which identifies it; the present when absent. */
+  readonly startedAt?: Milliseconds;
 }
 
 export interface RunningDaemon {
--- a/src/programs/node/daemon.ts
+++ b/src/programs/node/daemon.ts
@@ -11,7 +11,9 @@
 import {
   combineEventLogs,
   createEventBuffer,
+  filterEventLog,
 } from "../../base/common/event_log.ts";
+import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { hashText } from "../../base/common/hashing.ts";
 import { createRandomSource } from "../../base/common/random_source.ts";
 import {
@@ -63,13 +65,17 @@
 ): Promise<RunningDaemon> {
   const { owned, listeners } = options;
   const clock = SYSTEM_CLOCK;
-  const identity = identify(settings, listeners);
+  const startedAt = options.startedAt ?? clock.now();
+  const identity = identify(settings, listeners, startedAt);
   const process = formatProcess(identity.process);
   const buffer = createEventBuffer(
     settings.limits.retainedEvents,
     () => clock.now(),
   );
-  const log = combineEventLogs([options.log, buffer.log]).extend({
+  const log = combineEventLogs([
+    options.log,
+    filterEventLog(buffer.log, settings.log.level),
+  ]).extend({
     host: settings.host,
     failureDomain: settings.failureDomain,
     process,
@@ -172,9 +178,10 @@
 function identify(
   settings: DaemonSettings,
   listeners: Listeners,
+  startedAt: Milliseconds,
 ): HostIdentity {
   return {
-    process: { host: settings.host, startedAt: SYSTEM_CLOCK.now() },
+    process: { host: settings.host, startedAt },
     failureDomain: settings.failureDomain,
     addresses: {
       address: settings.address,
--- a/src/programs/node/run_service.ts
+++ b/src/programs/node/run_service.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "../../base/common/event_log.ts";
 import type { Result } from "../../base/common/result.ts";
 import { describeError, type StepError } from "../../base/common/step_error.ts";
+import { formatProcess } from "../../world/common/host.ts";
 import { createProcessLog } from "../../base/node/process_log.ts";
 import { readSettingsFile } from "../../base/node/settings_file.ts";
 import {
@@ -100,11 +101,11 @@
         {
           host: settings.host,
           failureDomain: settings.failureDomain,
-          process: startedAt,
+          process: formatProcess({ host: settings.host, startedAt }),
         },
         async (log) => {
           const { proxyPort, administrationPort, linkPort, stop } =
-            await assembly.startDaemon(settings, { log });
+            await assembly.startDaemon(settings, { log, startedAt });
           return { ports: { proxyPort, administrationPort, linkPort }, stop };
         },
       );
