Replay distribution sessions, and let no cut-off daemon vouch for a floor

Golden sessions over the virtual cluster: outage, partition, pause, version floor, crossed updates, retention, restart of half, and two faults at once (outage with restart, partition with pause, an old peer as the only contact of a restarted host).

A ready daemon now vouches for a floor only while it sees the end of the log, or hears from another daemon and knows of no higher version, or when it knows no other daemon. - The virtual cluster restored every cut of a host when it woke from a pause, so no test combined the two.

--- a/src/features/distribution/common/create_configuration_source.ts
+++ b/src/features/distribution/common/create_configuration_source.ts
@@ -32,7 +32,10 @@
 
 export interface ConfigurationSourceOptions {
   readonly self: HostIdentity;
-  readonly directory: Pick<Directory, "localMembers" | "remoteMembers">;
+  readonly directory: Pick<
+    Directory,
+    "localMembers" | "remoteMembers" | "departures"
+  >;
   readonly network: PeerNetwork;
   readonly logClient: LogClient;
   readonly clock: Clock;
@@ -83,6 +86,7 @@
   const floor = owned.add(startFloorSearch({
     ...shared,
     findVersion: sync.findVersion,
+    isCurrentWithout: sync.isCurrentWithout,
   }));
 
   const watch = owned.add(startReaderWatch(options));
--- /dev/null
+++ b/src/features/distribution/common/distribution_golden_test.ts
@@ -0,0 +1,190 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { compareWithGoldenFile } from "../../../base/node/golden_file.ts";
+import {
+  type DistributionCase,
+  runDistributionCase,
+} from "./distribution_session.ts";
+
+const GOLDEN_FOLDER = "src/features/distribution/common/golden";
+
+const CASES: Record<string, DistributionCase> = {
+  outage: {
+    name: "the platform is down in the middle of changes; new daemons start",
+    options: { domains: 2, daemonsPerDomain: 2 },
+    steps: [
+      [500, "publish a"],
+      [3, "platform down"],
+      [500, "stop d0-h1"],
+      [7_000, "start d0-h1"],
+      [1_000, "stop d1-h0 d1-h1"],
+      [500, "start d1-h0 d1-h1"],
+      [2_000, "platform up"],
+      [10, "publish b"],
+      [10, "publish c"],
+      [3_000, "wait"],
+    ],
+  },
+  partition: {
+    name: "a domain is cut off from the others, then from the platform as well",
+    options: { domains: 2, daemonsPerDomain: 2 },
+    steps: [
+      [500, "publish a"],
+      [2, "split d0 domains"],
+      [500, "publish b"],
+      [2, "split d0 platform"],
+      [500, "publish c"],
+      [6_000, "heal d0 domains"],
+      [2_000, "publish d"],
+      [2_000, "heal d0 platform"],
+      [6_000, "wait"],
+    ],
+  },
+  pause: {
+    name: "a paused daemon wakes with old state",
+    options: { daemonsPerDomain: 5 },
+    steps: [
+      [500, "publish a"],
+      [500, "pause d0-h1"],
+      [500, "publish b"],
+      [10_000, "publish c"],
+      [500, "wake d0-h1"],
+      [3_000, "wait"],
+    ],
+  },
+  floor: {
+    name:
+      "an old peer that knows the version of a restarted host, not its entry",
+    options: { daemonsPerDomain: 3 },
+    steps: [
+      [500, "publish a"],
+      [500, "split d0 platform"],
+      [10, "publish b"],
+      [10, "cut d0-h0 d0-h1"],
+      [10, "cut d0-h2 d0-h1"],
+      [10, "deliver d0-h2 d0-h0 1"],
+      [500, "join d0-h0 d0-h1"],
+      [3, "cut d0-h0 all"],
+      [10, "stop d0-h0"],
+      [500, "start d0-h0"],
+      [10, "join d0-h0 d0-h1"],
+      [3_000, "join d0-h0 d0-h2"],
+      [2_000, "join d0-h1 d0-h2"],
+      [2_000, "wait"],
+    ],
+  },
+  "stale-contact": {
+    name: "an old peer that never learned the version of a restarted host",
+    options: { daemonsPerDomain: 3 },
+    steps: [
+      [500, "publish a"],
+      [500, "cut d0-h1 all"],
+      [10, "pause d0-h1"],
+      [10, "publish b"],
+      [500, "split d0 platform"],
+      [500, "stop d0-h0"],
+      [10, "cut d0-h0 all"],
+      [500, "start d0-h0"],
+      [7_000, "wake d0-h1"],
+      [10, "cut d0-h1 d0-h2"],
+      [10, "join d0-h0 d0-h1"],
+      [5_000, "join d0-h0 d0-h2"],
+      [2_000, "join d0-h1 d0-h2"],
+      [5_000, "wait"],
+    ],
+  },
+  crossed: {
+    name: "updates arrive crossed, twice and from behind",
+    options: { daemonsPerDomain: 2 },
+    steps: [
+      [500, "publish a"],
+      [500, "split d0 platform"],
+      [6_000, "publish b"],
+      [10, "publish c"],
+      [10, "publish d"],
+      [10, "deliver d0-h0 d0-h1 3 2"],
+      [10, "deliver d0-h0 d0-h1 2"],
+      [10, "deliver d0-h0 d0-h1 0 0"],
+      [10, "deliver d0-h0 d0-h1 1 3 1"],
+      [10, "deliver d0-h0 d0-h1 0 1 2"],
+      [3_000, "heal d0 platform"],
+      [3_000, "wait"],
+    ],
+  },
+  retention: {
+    name:
+      "retention passes a slow reader; a later start takes snapshot and tail",
+    options: { daemonsPerDomain: 2, retentionMilliseconds: 20_000 },
+    steps: [
+      [500, "publish a"],
+      [500, "pause d0-h0"],
+      [5_000, "publish b"],
+      [10_000, "publish c"],
+      [10_000, "publish d"],
+      [10_000, "publish e"],
+      [1_000, "cut d0-h0 d0-h1"],
+      [10, "wake d0-h0"],
+      [10, "cut d0-h0 d0-h1"],
+      [5_000, "join d0-h0 d0-h1"],
+      [500, "publish f"],
+      [500, "stop d0-h0 d0-h1"],
+      [100, "start d0-h0 d0-h1"],
+      [3_000, "wait"],
+    ],
+  },
+  restart: {
+    name: "half of the daemons restart while changes go on",
+    options: { domains: 2, daemonsPerDomain: 4 },
+    steps: [
+      [500, "publish a"],
+      [500, "stop d0-h0 d0-h2 d1-h1 d1-h3"],
+      [10, "publish b"],
+      [500, "start d0-h0 d0-h2 d1-h1 d1-h3"],
+      [20, "publish c"],
+      [3_000, "wait"],
+    ],
+  },
+  "outage-and-restart": {
+    name: "half of the daemons restart during an outage of the platform",
+    options: { domains: 2, daemonsPerDomain: 4 },
+    steps: [
+      [500, "publish a"],
+      [2, "platform down"],
+      [500, "stop d0-h0 d0-h2 d1-h1 d1-h3"],
+      [500, "start d0-h0 d0-h2 d1-h1 d1-h3"],
+      [3_000, "platform up"],
+      [10, "publish b"],
+      [6_000, "wait"],
+    ],
+  },
+  "partition-and-pause": {
+    name: "a daemon is paused while its domain is cut off",
+    options: { domains: 2, daemonsPerDomain: 3 },
+    steps: [
+      [500, "publish a"],
+      [500, "split d0 domains"],
+      [10, "split d0 platform"],
+      [10, "pause d0-h0"],
+      [10, "publish b"],
+      [7_000, "wake d0-h0"],
+      [500, "heal d0 domains"],
+      [500, "split d0 domains"],
+      [3_000, "heal d0 domains"],
+      [10, "heal d0 platform"],
+      [3_000, "wait"],
+    ],
+  },
+};
+
+for (const [file, session] of Object.entries(CASES)) {
+  test(
+    `no host goes back and all end in one state: ${session.name}`,
+    { timeout: 60_000 },
+    async () => {
+      const { lines, reverts, states } = await runDistributionCase(session);
+      compareWithGoldenFile(`${GOLDEN_FOLDER}/${file}.txt`, lines);
+      assert.equal(reverts, 0);
+      assert.equal(states, 1);
+    },
+  );
+}
--- a/src/features/distribution/common/distribution_rules.ts
+++ b/src/features/distribution/common/distribution_rules.ts
@@ -163,3 +163,17 @@
     NO_VERSION,
   );
 }
+
+/**
+ * Whether a ready daemon may vouch for the floor of a host. One that is cut off or that woke
+ * from a pause may be older than the host was, so it must be in touch with the platform or
+ * with another daemon, unless the two are the only ones.
+ */
+export function canVouch(contact: {
+  readonly logEndAge: Milliseconds | undefined;
+  readonly isCurrentWithPeers: boolean;
+  readonly knowsOthers: boolean;
+}): boolean {
+  return isHealthyReader(contact.logEndAge) || contact.isCurrentWithPeers ||
+    !contact.knowsOthers;
+}
--- a/src/features/distribution/common/distribution_test.ts
+++ b/src/features/distribution/common/distribution_test.ts
@@ -14,6 +14,7 @@
 import { listenLogServer } from "../../log/node/log_server.ts";
 import { createConfigurationSource } from "./create_configuration_source.ts";
 import type { LinkMessage } from "../../link/common/peer_network.ts";
+import { parseFloor } from "./messages.ts";
 import {
   appendChange,
   createRevertWatch,
@@ -116,6 +117,39 @@
   },
 );
 
+test(
+  "a daemon that knows of a higher version than its own vouches for no floor",
+  TIMEOUT,
+  async (context) => {
+    const bench = createBench(context, { domains: 1 });
+    const [host, ahead, asker] = bench.cluster.hosts.map((name) =>
+      bench.cluster.daemons.get(name)!.network
+    );
+    await bench.run(500);
+    bench.cluster.setCut("d0", "platform", true);
+    await bench.run(10_000);
+    const askFloor = async () => {
+      const answer = asker.request(host.self.process.host, {
+        kind: "floor-request",
+      }, { timeoutMilliseconds: 500 });
+      await bench.run(100);
+      return parseFloor((await answer).unwrap())?.isReady;
+    };
+    assert.equal(await askFloor(), true);
+    ahead.send(
+      host.self.process.host,
+      {
+        kind: "configuration-position",
+        position: 9,
+        version: 8,
+      } as LinkMessage,
+    );
+    // The entries that the position promises cannot be had.
+    await bench.run(3_000);
+    assert.equal(await askFloor(), false);
+  },
+);
+
 test(
   "a start after the retention passed takes the snapshot and its tail",
   TIMEOUT,
@@ -322,7 +356,7 @@
       });
       const source = createConfigurationSource({
         self: { process, failureDomain: "d", addresses: ADDRESSES },
-        directory: { localMembers: [], remoteMembers: [] },
+        directory: { localMembers: [], remoteMembers: [], departures: [] },
         network,
         logClient,
         clock,
--- a/src/features/distribution/common/floor_search.ts
+++ b/src/features/distribution/common/floor_search.ts
@@ -23,7 +23,7 @@
   PeerNetwork,
 } from "../../link/common/peer_network.ts";
 import type { Directory } from "../../membership/common/directory.ts";
-import { decideFloor } from "./distribution_rules.ts";
+import { canVouch, decideFloor } from "./distribution_rules.ts";
 import { type FloorMessage, parseFloor } from "./messages.ts";
 import type { Replica } from "./replica.ts";
 
@@ -33,13 +33,17 @@
 
 export interface FloorSearchOptions {
   readonly self: HostIdentity;
-  readonly directory: Pick<Directory, "localMembers" | "remoteMembers">;
+  readonly directory: Pick<
+    Directory,
+    "localMembers" | "remoteMembers" | "departures"
+  >;
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
   getReplica(): Replica;
   findVersion(host: HostName): ConfigurationVersion;
+  isCurrentWithout(host: HostName): boolean;
 }
 
 export interface FloorSearch extends Disposable {
@@ -56,6 +60,7 @@
   let floor: ConfigurationVersion | undefined;
   let isReached = false;
   let isDisposed = false;
+  let logEndAt: Milliseconds | undefined;
 
   const getVersion = () => options.getReplica().fold.configuration.version;
 
@@ -113,12 +118,24 @@
     });
   }
 
-  owned.add(network.onRequest("floor-request", (peer) =>
+  function knowsOthersThan(host: HostName): boolean {
+    const { localMembers, remoteMembers, departures } = options.directory;
+    return [...localMembers, ...remoteMembers, ...departures].some(
+      ({ process }) =>
+        process.host !== host && process.host !== self.process.host,
+    );
+  }
+
+  owned.add(network.onRequest("floor-request", ({ process: { host } }) =>
     ({
       kind: "floor",
-      hostVersion: options.findVersion(peer.process.host),
+      hostVersion: options.findVersion(host),
       version: getVersion(),
-      isReady: isReached,
+      isReady: isReached && canVouch({
+        logEndAge: logEndAt === undefined ? undefined : clock.now() - logEndAt,
+        isCurrentWithPeers: options.isCurrentWithout(host),
+        knowsOthers: knowsOthersThan(host),
+      }),
     }) as LinkMessage));
   start();
 
@@ -127,7 +144,10 @@
       return isReached;
     },
     update,
-    reportLogEnd: () => reach("log"),
+    reportLogEnd() {
+      logEndAt = clock.now();
+      reach("log");
+    },
     dispose() {
       isDisposed = true;
       owned.dispose();
--- a/src/features/distribution/common/peer_sync.ts
+++ b/src/features/distribution/common/peer_sync.ts
@@ -70,6 +70,8 @@
   announce(next: Replica): void;
   /** The highest version that a host is known to have had in force. */
   findVersion(host: HostName): ConfigurationVersion;
+  /** Whether a linked peer other than the host was heard from and no higher version is known. */
+  isCurrentWithout(host: HostName): boolean;
 }
 
 export function createPeerSync(options: PeerSyncOptions): PeerSync {
@@ -77,6 +79,8 @@
   const owned = createDisposableStore();
   const positions = new Map<HostName, number>();
   const versions = new Map<HostName, ConfigurationVersion>();
+  /** Peers heard from since their link opened and since the last pause of this process. */
+  const heard = new Set<HostName>();
   let snapshot: { position: number; bytes: Uint8Array } | undefined;
   let repair: Disposable | undefined;
   let failures = 0;
@@ -153,6 +157,7 @@
         pausedMilliseconds: elapsed,
       });
       positions.clear();
+      heard.clear();
       sentPositions.clear();
     }
     sendPositions();
@@ -162,6 +167,7 @@
     host: HostName,
     at: { readonly position: number; readonly version: number },
   ): void {
+    heard.add(host);
     positions.set(host, at.position);
     versions.set(
       host,
@@ -291,6 +297,7 @@
   );
   owned.add(
     network.onLinkClosed(({ process: { host } }) => {
+      heard.delete(host);
       positions.delete(host);
       sentPositions.delete(host);
     }),
@@ -301,6 +308,10 @@
   return {
     announce,
     findVersion: (host) => versions.get(host) ?? NO_VERSION,
+    isCurrentWithout: (host) =>
+      [...heard].some((other) => other !== host) &&
+      Math.max(...versions.values()) <=
+        options.getReplica().fold.configuration.version,
     dispose() {
       isDisposed = true;
       repair?.dispose();
--- a/src/features/distribution/common/virtual_cluster.ts
+++ b/src/features/distribution/common/virtual_cluster.ts
@@ -112,6 +112,7 @@
   const stoppedAt = new Map<HostName, Milliseconds>();
   const withoutPlatform = new Set<FailureDomainName>();
   const frozen = new Map<HostName, (() => void)[]>();
+  const cutPairs = new Set<string>();
   let stoppedBytes = 0;
 
   const isKnownAlive = (host: HostName) =>
@@ -168,6 +169,15 @@
           return rankByRendezvous(host, others).slice(0, REMOTE_SUMMARY)
             .map(createMember);
         },
+        get departures() {
+          return hosts.filter((other) =>
+            domainOf(other) === domain && !isKnownAlive(other)
+          ).map((other) => ({
+            process: createMember(other).process,
+            failureDomain: domain,
+            departedAt: (stoppedAt.get(other) ?? 0) + DEAD_AFTER_MS,
+          }));
+        },
       },
       network,
       logClient: cutWhen(client, () => withoutPlatform.has(domain)),
@@ -191,6 +201,21 @@
     }
   }
 
+  const keyOf = (first: HostName, second: HostName) =>
+    [first, second].sort().join("|");
+
+  /** Messages pass between two hosts while neither is paused and no cut separates them. */
+  function connect(first: HostName, second: HostName): void {
+    const isApart = frozen.has(first) || frozen.has(second) ||
+      cutPairs.has(keyOf(first, second));
+    exchange[isApart ? "cut" : "restore"](first, second);
+  }
+
+  function setHostCut(first: HostName, second: HostName, isCut: boolean): void {
+    cutPairs[isCut ? "add" : "delete"](keyOf(first, second));
+    connect(first, second);
+  }
+
   hosts.forEach(start);
   return {
     clock,
@@ -205,16 +230,15 @@
     stop,
     pause(host) {
       frozen.set(host, []);
-      hosts.forEach((other) => exchange.cut(host, other));
+      hosts.forEach((other) => connect(host, other));
     },
     resume(host) {
       const callbacks = frozen.get(host) ?? [];
       frozen.delete(host);
-      hosts.forEach((other) => exchange.restore(host, other));
+      hosts.forEach((other) => connect(host, other));
       callbacks.forEach((callback) => callback());
     },
-    setHostCut: (first, second, isCut) =>
-      exchange[isCut ? "cut" : "restore"](first, second),
+    setHostCut,
     setCut(domain, from, isCut) {
       if (from === "platform") {
         withoutPlatform[isCut ? "add" : "delete"](domain);
@@ -224,7 +248,7 @@
         for (
           const outside of hosts.filter((name) => domainOf(name) !== domain)
         ) {
-          exchange[isCut ? "cut" : "restore"](inside, outside);
+          setHostCut(inside, outside, isCut);
         }
       }
     },
