--- a/src/features/table/common/table_test.ts
+++ b/src/features/table/common/table_test.ts
@@ -1,45 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { VirtualClock } from "../../../base/common/clock.ts";
-import { createEmitter } from "../../../base/common/emitter.ts";
-import { createEventBuffer } from "../../../base/common/event_log.ts";
-import {
-  type Configuration,
-  EMPTY_CONFIGURATION,
-} from "../../../world/common/configuration.ts";
-import type { Route } from "../../../world/common/route.ts";
-import type { UpstreamInstance } from "../../../world/common/upstream_instance.ts";
 import { buildTable } from "./build_table.ts";
-import { createTableKeeper } from "./table_keeper.ts";
-
-function createConfiguration(
-  version: number,
-  paths: Readonly<Record<string, string>>,
-): Configuration {
-  const routes = Object.entries(paths).map(([name, target]): Route => {
-    const [service, method, pathPrefix] = target.split(" ");
-    return {
-      name,
-      service,
-      method,
-      pathPrefix,
-      callClass: "read",
-      stalenessMilliseconds: 0,
-      deadlineMilliseconds: 1_000,
-    };
-  });
-  const limits = { requestsPerSecond: 1, concurrency: 1, retryShare: 0 };
-  const contract = { customer: "mto", routes: Object.keys(paths), limits };
-  return {
-    ...EMPTY_CONFIGURATION,
-    version,
-    services: new Map(
-      routes.map(({ service }) => [service, { name: service, version: "v1" }]),
-    ),
-    routes: new Map(routes.map((route) => [route.name, route])),
-    contracts: new Map([["mto", contract]]),
-  };
-}
+import { createConfiguration, createTableBench } from "./table_bench.ts";
 
 test("a call goes to the longest matching path, so that no route takes another's calls", () => {
   const { table } = buildTable(createConfiguration(1, {
@@ -71,32 +33,8 @@
   );
 });
 
-function createBench() {
-  const clock = new VirtualClock();
-  const changed = createEmitter<Configuration>();
-  const directoryChanged = createEmitter<void>();
-  const instances: UpstreamInstance[] = [];
-  const buffer = createEventBuffer(100, () => clock.now());
-  const keeper = createTableKeeper({
-    source: { current: EMPTY_CONFIGURATION, onChanged: changed.event },
-    directory: { instances, onChanged: directoryChanged.event },
-    clock,
-    log: buffer.log,
-  });
-  return {
-    clock,
-    keeper,
-    publish: (configuration: Configuration) => changed.fire(configuration),
-    announce(service: string) {
-      instances.push({ service } as UpstreamInstance);
-      directoryChanged.fire();
-    },
-    events: buffer.events,
-  };
-}
-
 test("a table with a missing reference leaves the old one in force, whole", () => {
-  const bench = createBench();
+  const bench = createTableBench();
   bench.announce("bib");
   bench.publish(createConfiguration(1, { issue: "bib POST /bibs" }));
   const old = bench.keeper.current;
@@ -115,7 +53,7 @@
 });
 
 test("a new service is waited for at most 2 s, and no version returns", () => {
-  const bench = createBench();
+  const bench = createTableBench();
   bench.announce("bib");
   bench.publish(createConfiguration(1, { issue: "bib POST /bibs" }));
   const both = { issue: "bib POST /bibs", heats: "results GET /heats" };
