Replay membership sessions, and settle a split without lost instances

Golden sessions over the fleet: join, false suspicion refuted, pause and wake, death, restart on the same host, leaving upstream, expired announcement, split and rejoin, and two faults at once (drain and restart in a split, pause in a split).

A linked peer that a record says is dead or suspect is now sent it at once: it refutes at 21.004 s and no daemon is without instances.

--- a/src/features/membership/common/gossip.ts
+++ b/src/features/membership/common/gossip.ts
@@ -172,6 +172,22 @@
     if (members.length + summaries.length > 0) {
       options.onTaken();
     }
+    askToRefute(members.filter((record) => record !== undefined));
+  }
+
+  /**
+   * A linked peer that others say is gone probably runs, as after a split. It must learn so at
+   * once: until it refutes, its instances are given no work.
+   */
+  function askToRefute(records: readonly Member[]): void {
+    const linked = new Set(network.peers.map(({ process }) => process.host));
+    const doubted = records.filter(({ process, state }) =>
+      (state === "suspect" || state === "dead") && linked.has(process.host)
+    );
+    doubted.forEach(({ process }) => publish("members", process.host));
+    if (doubted.length > 0) {
+      flush();
+    }
   }
 
   function takeDigests(peer: Peer, { scope, digests }: DigestsMessage): void {
--- /dev/null
+++ b/src/features/membership/common/membership_golden_test.ts
@@ -0,0 +1,162 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { compareWithGoldenFile } from "../../../base/node/golden_file.ts";
+import {
+  type MembershipCase,
+  type MembershipStep,
+  runMembershipCase,
+} from "./membership_session.ts";
+
+const GOLDEN_FOLDER = "src/features/membership/common/golden";
+const ONE_DOMAIN = { d1: ["a", "b", "c", "d"] };
+const TWO_DOMAINS = { d1: ["a", "b", "c", "d"], d2: ["x", "y"] };
+const UPSTREAMS: readonly MembershipStep[] = [
+  [0, "start a b c d"],
+  [0, "upstream a ready"],
+  [0, "upstream d ready"],
+];
+
+interface Expected extends MembershipCase {
+  /** What every running daemon of `d1` knows at the end. */
+  readonly end: string;
+}
+
+const ALL = "members [a b c d] instances [a d]";
+
+const CASES: Record<string, Expected> = {
+  join: {
+    name: "a host joins, and its upstream becomes ready",
+    domains: { d1: ["a", "b", "c", "d"] },
+    end: ALL,
+    steps: [
+      [0, "start a b c"],
+      [0, "upstream a ready"],
+      [3_000, "start d"],
+      [500, "upstream d starting"],
+      [1_500, "upstream d ready"],
+      [3_000, "wait"],
+    ],
+  },
+  suspicion: {
+    name: "a link is cut while others work, then all for too short a time",
+    domains: ONE_DOMAIN,
+    end: ALL,
+    steps: [
+      ...UPSTREAMS,
+      [4_000, "cut d a"],
+      [9_000, "cut d b c"],
+      [2_500, "join d a b c"],
+      [6_000, "wait"],
+    ],
+  },
+  pause: {
+    name: "a daemon is paused until it counts as dead, and wakes",
+    domains: ONE_DOMAIN,
+    end: ALL,
+    steps: [
+      ...UPSTREAMS,
+      [4_000, "pause d"],
+      [9_000, "wake d"],
+      [5_000, "wait"],
+    ],
+  },
+  death: {
+    name: "a host falls silent for good",
+    domains: ONE_DOMAIN,
+    end: "members [a b c] instances [a]",
+    steps: [...UPSTREAMS, [4_000, "freeze d"], [9_000, "wait"]],
+  },
+  restart: {
+    name: "a daemon is killed and starts again on the same host",
+    domains: ONE_DOMAIN,
+    end: ALL,
+    steps: [
+      ...UPSTREAMS,
+      [4_000, "kill d"],
+      [1_000, "start d"],
+      [6_000, "wait"],
+    ],
+  },
+  leaving: {
+    name: "an upstream drains, then its daemon leaves",
+    domains: ONE_DOMAIN,
+    end: "members [a b c] instances [a]",
+    steps: [
+      ...UPSTREAMS,
+      [4_000, "upstream d draining"],
+      [2_000, "leave d"],
+      [1_000, "kill d"],
+      [3_000, "wait"],
+    ],
+  },
+  expiry: {
+    name: "an upstream stops its announcements, and returns",
+    domains: ONE_DOMAIN,
+    end: ALL,
+    steps: [
+      ...UPSTREAMS,
+      [4_000, "silence d"],
+      [6_000, "upstream d ready"],
+      [2_000, "wait"],
+    ],
+  },
+  split: {
+    name: "a failure domain splits into halves, which find each other again",
+    domains: TWO_DOMAINS,
+    end: ALL,
+    steps: [
+      [0, "start x y"],
+      ...UPSTREAMS,
+      [4_000, "cut a c d"],
+      [0, "cut b c d"],
+      [15_000, "join a c d"],
+      [0, "join b c d"],
+      [30_000, "wait"],
+    ],
+  },
+  "drain-in-split": {
+    name: "an upstream drains while its half is cut off, and a host restarts",
+    domains: TWO_DOMAINS,
+    end: "members [a b c d] instances [a]",
+    steps: [
+      [0, "start x y"],
+      ...UPSTREAMS,
+      [4_000, "cut a c d"],
+      [0, "cut b c d"],
+      [1_000, "upstream d draining"],
+      [1_000, "kill b"],
+      [1_000, "start b"],
+      [10_000, "join a c d"],
+      [0, "join b c d"],
+      [30_000, "wait"],
+    ],
+  },
+  "pause-in-split": {
+    name: "a daemon is paused through a split and wakes after the repair",
+    domains: TWO_DOMAINS,
+    end: ALL,
+    steps: [
+      [0, "start x y"],
+      ...UPSTREAMS,
+      [4_000, "cut a c d"],
+      [0, "cut b c d"],
+      [500, "pause d"],
+      [9_000, "join a c d"],
+      [0, "join b c d"],
+      [5_000, "wake d"],
+      [30_000, "wait"],
+    ],
+  },
+};
+
+for (const [file, { end, ...session }] of Object.entries(CASES)) {
+  test(`all members come to one view: ${session.name}`, async () => {
+    const { lines, views } = await runMembershipCase(session);
+    compareWithGoldenFile(`${GOLDEN_FOLDER}/${file}.txt`, lines);
+    for (const [host, view] of views) {
+      if (session.domains.d1.includes(host)) {
+        assert.equal(view, end, host);
+      }
+    }
+  });
+}
