Forget the versions of objects that were removed long ago

The configuration kept the version of every removed object forever, so the state grew without bound. Versions of existing objects are kept.

--- a/src/features/fold/common/change_check.ts
+++ b/src/features/fold/common/change_check.ts
@@ -11,6 +11,12 @@
 import type { ChangeRecord } from "../../../world/common/log_record.ts";
 import type { ConfigurationVersion } from "../../../world/common/names.ts";
 
+/**
+ * The version of a removed object is kept for this number of records, about 1.5 days at 6,700
+ * changes a day, since the state would grow without bound otherwise.
+ */
+export const REMOVED_VERSION_RECORDS = 10_000;
+
 interface Touch {
   readonly key: ObjectKey;
   readonly place: string;
@@ -33,12 +39,45 @@
     return refusal;
   }
   const next = replaceObjects(configuration, change, offset);
-  const objectVersions = new Map(configuration.objectVersions);
-  for (const { key } of touched) {
-    objectVersions.set(key, offset);
-  }
   return findDanglingReference(next) ?? findAmbiguousPath(next) ??
-    { ...next, objectVersions };
+    noteVersions(next, touched, offset);
+}
+
+/** Notes the version of the touched objects and forgets old removals. */
+function noteVersions(
+  configuration: Configuration,
+  touched: readonly Touch[],
+  offset: ConfigurationVersion,
+): Configuration {
+  const objectVersions = new Map<ObjectKey, ConfigurationVersion>();
+  let { forgottenVersion } = configuration;
+  for (const [key, version] of configuration.objectVersions) {
+    if (
+      version >= offset - REMOVED_VERSION_RECORDS ||
+      hasObject(configuration, key)
+    ) {
+      objectVersions.set(key, version);
+    } else {
+      forgottenVersion = Math.max(forgottenVersion, version);
+    }
+  }
+  touched.forEach(({ key }) => objectVersions.set(key, offset));
+  return { ...configuration, objectVersions, forgottenVersion };
+}
+
+function hasObject(configuration: Configuration, key: ObjectKey): boolean {
+  const separator = key.indexOf(":");
+  const name = key.slice(separator + 1);
+  switch (key.slice(0, separator)) {
+    case "failure-domain":
+      return configuration.failureDomains.has(name);
+    case "service":
+      return configuration.services.has(name);
+    case "route":
+      return configuration.routes.has(name);
+    default:
+      return configuration.contracts.has(name);
+  }
 }
 
 function listTouched({ upsert, remove }: ChangeRecord): Touch[] {
@@ -103,6 +142,9 @@
     if (version !== undefined && version > baseVersion) {
       return `${place}: ${key} was changed at ${version}, after the base ${baseVersion}`;
     }
+    if (version === undefined && configuration.forgottenVersion > baseVersion) {
+      return `${place}: ${key} may have been removed after the base ${baseVersion}, removals up to ${configuration.forgottenVersion} are forgotten`;
+    }
   }
   return undefined;
 }
--- a/src/features/fold/common/fold_test.ts
+++ b/src/features/fold/common/fold_test.ts
@@ -11,6 +11,7 @@
   INITIAL_FOLD_STATE,
   MAXIMUM_REMEMBERED_IDENTITIES,
 } from "./fold.ts";
+import { REMOVED_VERSION_RECORDS } from "./change_check.ts";
 import { encodeRecord } from "./record_check.ts";
 import { decodeSnapshot, encodeSnapshot, hashState } from "./state_codec.ts";
 
@@ -294,3 +295,46 @@
   assert.equal(state.verdicts.size, MAXIMUM_REMEMBERED_IDENTITIES);
   assert.ok(!state.verdicts.has("i4") && state.verdicts.has("i5"));
 });
+
+test("old removals are forgotten, and a base from before them is refused as stale", () => {
+  const fold = (state: FoldState, offset: number, record: unknown) =>
+    foldEntry(state, { offset, appendedAt: 0, record: encodeRecord(record) });
+  const service = (name: string) => ({ services: [{ name, version: "v1" }] });
+  const add = (name: string, baseVersion: number, identity = `add-${name}`) =>
+    change(identity, {
+      baseVersion,
+      upsert: service(name),
+    });
+  const remove = { remove: { services: ["old"] }, baseVersion: 1 };
+  let { state } = foldEntries(INITIAL_FOLD_STATE, toEntries([FIRST]));
+  state = fold(state, 1, add("old", 0)).state;
+  state = fold(state, 2, change("remove", remove)).state;
+  const last = 2 + REMOVED_VERSION_RECORDS;
+  state = fold(state, last, add("kept", 2)).state;
+  assert.equal(state.configuration.objectVersions.get("service:old"), 2);
+  state = fold(state, last + 1, add("later", 2)).state;
+  assert.equal(state.configuration.objectVersions.has("service:old"), false);
+  assert.equal(
+    state.configuration.objectVersions.get("service:booking"),
+    0,
+    "the version of an object that exists is kept",
+  );
+  const loaded = decodeSnapshot(encodeSnapshot(state)).unwrap();
+  const cases = [
+    { name: "old", baseVersion: 1, status: "refused" },
+    { name: "never", baseVersion: -1, status: "refused" },
+    { name: "old", baseVersion: 2, status: "accepted" },
+    { name: "kept", baseVersion: 2, status: "refused" },
+    { name: "booking", baseVersion: 0, status: "accepted" },
+  ];
+  for (const { name, baseVersion, status } of cases) {
+    for (const start of [state, loaded]) {
+      const { verdict } = fold(
+        start,
+        last + 2,
+        add(name, baseVersion, "again"),
+      );
+      assert.equal(verdict.status, status, `${name}: ${verdict.reason}`);
+    }
+  }
+});
--- a/src/features/fold/common/state_codec.ts
+++ b/src/features/fold/common/state_codec.ts
@@ -28,6 +28,7 @@
   contracts: valibot.array(CONTRACT),
   moves: valibot.array(MOVE),
   objectVersions: valibot.array(valibot.tuple([valibot.string(), OFFSET])),
+  forgottenVersion: OFFSET,
   verdicts: valibot.array(valibot.tuple([
     valibot.string(),
     valibot.strictObject({
@@ -107,6 +108,7 @@
     // Moves and verdicts keep their order: the oldest are forgotten first.
     moves: [...configuration.moves.values()],
     objectVersions: sorted(configuration.objectVersions),
+    forgottenVersion: configuration.forgottenVersion,
     verdicts: [...verdicts],
   };
 }
@@ -124,6 +126,7 @@
       objectVersions: new Map(
         data.objectVersions as [ObjectKey, number][],
       ),
+      forgottenVersion: data.forgottenVersion,
     },
     verdicts: new Map(data.verdicts),
   };
--- a/src/world/common/configuration.ts
+++ b/src/world/common/configuration.ts
@@ -33,8 +33,10 @@
   readonly routes: ReadonlyMap<RouteName, Route>;
   readonly contracts: ReadonlyMap<CustomerName, Contract>;
   readonly moves: ReadonlyMap<ChangeIdentity, Move>;
-  /** The version that changed or removed an object last. */
+  /** The version that changed or removed an object last; old removals are forgotten. */
   readonly objectVersions: ReadonlyMap<ObjectKey, ConfigurationVersion>;
+  /** The highest version of a removal that was forgotten. */
+  readonly forgottenVersion: ConfigurationVersion;
 }
 
 export const EMPTY_CONFIGURATION: Configuration = {
@@ -45,4 +47,5 @@
   contracts: new Map(),
   moves: new Map(),
   objectVersions: new Map(),
+  forgottenVersion: NO_VERSION,
 };
