Apply the limits of the settings to calls

Cause: limits.maximumCallBodyBytes and limits.maximumCallsInFlight were read and had no effect. Change: createProxy takes them; a call beyond them is refused before it is matched, with 413 or 503 and "not-run". A chunked body that grows beyond the limit while it is streamed gets 413 with outcome "unknown", since a part of it was sent.

Proof (call_limits_test.ts), each line disabled in turn: - `limits: settings.limits` in daemon_features.ts: "503 !== 413"; - `callsInFlight > limits.maximumCallsInFlight`: the answers of four calls differ (deepEqual); - the second argument of planBody in call_limits.ts: "503 !== 413" in the daemon test and 'unknown' instead of 'not-run' in the proxy test; - `maximumBodyBytes` in attempt_loop.ts: "200 !== 413" for the chunked body.

--- a/src/features/attempt/common/body_plan.ts
+++ b/src/features/attempt/common/body_plan.ts
@@ -25,7 +25,10 @@
  * Every call class gains from a small body that can be sent again: `non-idempotent` calls too
  * are repeated when an upstream says that it did not run them.
  */
-export function planBody(description: BodyDescription): BodyPlan {
+export function planBody(
+  description: BodyDescription,
+  maximumBytes: number = MAXIMUM_BODY_BYTES,
+): BodyPlan {
   if (description.transferEncoding !== undefined) {
     return "stream";
   }
@@ -33,7 +36,7 @@
   if (length === 0) {
     return "none";
   }
-  if (length > MAXIMUM_BODY_BYTES) {
+  if (length > maximumBytes) {
     return "refuse";
   }
   return length <= MAXIMUM_REPLAYABLE_BYTES ? "replay" : "stream";
--- a/src/features/attempt/common/refusal.ts
+++ b/src/features/attempt/common/refusal.ts
@@ -12,6 +12,7 @@
   | "rate-limit"
   | "concurrency-limit"
   | "draining"
+  | "too-many-calls"
   | "body-too-large"
   | "body-incomplete"
   | "idempotency-key-malformed"
@@ -32,6 +33,7 @@
   "rate-limit": 429,
   "concurrency-limit": 429,
   "draining": 503,
+  "too-many-calls": 503,
   "body-too-large": 413,
   "body-incomplete": 400,
   "idempotency-key-malformed": 400,
--- a/src/features/attempt/node/attempt.ts
+++ b/src/features/attempt/node/attempt.ts
@@ -14,7 +14,6 @@
   AttemptPhase,
   FailureCause,
 } from "../common/attempt_outcome.ts";
-import { MAXIMUM_BODY_BYTES } from "../common/body_plan.ts";
 import { limitConnectTime } from "../common/deadline.ts";
 import type { ConnectionPeer, ConnectionPool } from "./connection_pool.ts";
 import type { Interruption } from "./interruption.ts";
@@ -37,6 +36,8 @@
   readonly path: string;
   readonly headers: readonly string[];
   readonly body: AttemptBody;
+  /** A streamed body that turns out longer fails the attempt. */
+  readonly maximumBodyBytes: number;
   readonly interruption: Interruption;
   readonly remaining: Milliseconds;
 }
@@ -139,7 +140,10 @@
       if (options.body.kind === "whole") {
         outgoing.end(options.body.bytes);
       } else {
-        sendStream(options.body.source, outgoing, () => fail("body-too-large"));
+        sendStream(options.body.source, outgoing, {
+          maximumBytes: options.maximumBodyBytes,
+          refuse: () => fail("body-too-large"),
+        });
       }
     }
 
@@ -214,12 +218,12 @@
 function sendStream(
   source: IncomingMessage,
   outgoing: NodeJS.WritableStream,
-  refuse: () => void,
+  { maximumBytes, refuse }: { maximumBytes: number; refuse: () => void },
 ): void {
   let size = 0;
   source.on("data", (part: Buffer) => {
     size += part.length;
-    if (size > MAXIMUM_BODY_BYTES) {
+    if (size > maximumBytes) {
       refuse();
     }
   });
--- a/src/features/attempt/node/attempt_loop.ts
+++ b/src/features/attempt/node/attempt_loop.ts
@@ -126,6 +126,7 @@
     path: options.path,
     headers: [...options.headers, DEADLINE_HEADER, String(remaining)],
     body: options.body,
+    maximumBodyBytes: context.limits.maximumCallBodyBytes,
     interruption: options.interruption,
     remaining,
   });
--- a/src/features/attempt/node/call.ts
+++ b/src/features/attempt/node/call.ts
@@ -22,6 +22,7 @@
 import type { Answer, AttemptBody } from "./attempt.ts";
 import { type LoopEnd, runAttempts } from "./attempt_loop.ts";
 import type { CallContext } from "./call_context.ts";
+import { checkCallLimits } from "./call_limits.ts";
 import { createInterruption, type Interruption } from "./interruption.ts";
 import { prepareBody } from "./request_body.ts";
 
@@ -48,6 +49,15 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
+  const excess = checkCallLimits(
+    request,
+    context.limits,
+    context.callsInFlight(),
+  );
+  if (excess !== undefined) {
+    refuse(context, response, excess);
+    return;
+  }
   const match = matchCall(context, request);
   if (typeof match === "string") {
     refuse(
--- a/src/features/attempt/node/call_context.ts
+++ b/src/features/attempt/node/call_context.ts
@@ -17,6 +17,7 @@
 import type { RoutingTable } from "../../table/common/routing_table.ts";
 import type { RetryBudget } from "../common/retry_budget.ts";
 import type { StaleCache } from "../common/stale_cache.ts";
+import type { CallLimits } from "./call_limits.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 
 export interface ProxyOptions {
@@ -30,6 +31,8 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly self: HostIdentity;
+  /** {@linkcode DEFAULT_CALL_LIMITS} when absent. */
+  readonly limits?: CallLimits;
   /**
    * The most connections of this daemon to an instance. The default is the instance's slots,
    * at most {@linkcode DEFAULT_CONNECTION_LIMIT}.
@@ -52,6 +55,8 @@
   readonly pool: ConnectionPool;
   readonly cache: StaleCache;
   readonly counts: ProxyCounts;
+  readonly limits: CallLimits;
+  readonly callsInFlight: () => number;
   readonly isDraining: () => boolean;
   readonly budgetOf: (customer: CustomerName) => RetryBudget;
 }
--- a/src/features/attempt/node/proxy.ts
+++ b/src/features/attempt/node/proxy.ts
@@ -14,6 +14,7 @@
 import { sendRefusal } from "./answer.ts";
 import { runCall } from "./call.ts";
 import type { CallContext, ProxyCounts, ProxyOptions } from "./call_context.ts";
+import { DEFAULT_CALL_LIMITS } from "./call_limits.ts";
 import { createConnectionPool } from "./connection_pool.ts";
 
 /** In this time most callers with open connections have made a call and closed theirs. */
@@ -50,6 +51,8 @@
 
   const context: CallContext = {
     ...options,
+    limits: options.limits ?? DEFAULT_CALL_LIMITS,
+    callsInFlight: () => callsInFlight,
     pool,
     cache: createStaleCache(),
     counts,
--- a/src/features/attempt/node/proxy_fixture.ts
+++ b/src/features/attempt/node/proxy_fixture.ts
@@ -242,7 +242,7 @@
       agent: call.agent,
       headers: {
         "guavarun-customer": FIXTURE_CUSTOMER,
-        ...(call.body === undefined
+        ...(call.body === undefined || call.headers?.["transfer-encoding"]
           ? {}
           : { "content-length": String(call.body.length) }),
         ...call.headers,
--- a/src/programs/node/daemon_features.ts
+++ b/src/programs/node/daemon_features.ts
@@ -90,6 +90,7 @@
     ...context,
     table: () => (configuration.isReady ? tables.current : undefined),
     admission,
+    limits: settings.limits,
     claims: owned.add(createClaimClient({ ...context, directory })),
     router: owned.add(createInstanceRouter({ ...context, directory, shift })),
     shift,
