--- a/src/features/attempt/node/call.ts
+++ b/src/features/attempt/node/call.ts
@@ -23,6 +23,7 @@
 import type { Answer, AttemptBody } from "./attempt.ts";
 import { type LoopEnd, runAttempts } from "./attempt_loop.ts";
 import type { CallContext } from "./call_context.ts";
+import { checkCallLimits } from "./call_limits.ts";
 import { createInterruption, type Interruption } from "./interruption.ts";
 import { prepareBody } from "./request_body.ts";
 
@@ -64,6 +65,15 @@
   response: ServerResponse,
 ): Promise<void> {
   const reply = { call: identifyCall(context, request), response };
+  const excess = checkCallLimits(
+    request,
+    context.limits,
+    context.callsInFlight(),
+  );
+  if (excess !== undefined) {
+    refuse(context, reply, excess);
+    return;
+  }
   const match = matchCall(context, request);
   if (typeof match === "string") {
     refuse(
--- a/src/programs/common/daemon_settings.ts
+++ b/src/programs/common/daemon_settings.ts
@@ -39,6 +39,16 @@
 });
 
 const limitsSchema = valibot.strictObject({
+  /** A longer body of a call is refused before any of it is sent on. */
+  maximumCallBodyBytes: valibot.optional(
+    wholeNumber({ least: KIBIBYTE, most: 64 * MEBIBYTE }),
+    8 * MEBIBYTE,
+  ),
+  /** Further calls are refused, whatever their customer. */
+  maximumCallsInFlight: valibot.optional(
+    wholeNumber({ least: 1, most: 65_536 }),
+    1_024,
+  ),
   maximumAdministrationBodyBytes: valibot.optional(
     wholeNumber({ least: KIBIBYTE, most: 16 * MEBIBYTE }),
     MEBIBYTE,
