Limit the whole states that a daemon sends at a time

A daemon answers at most 4 state requests in 500 ms and refuses the others with state-refused. The asker keeps the refusing peer as a candidate, backs off and chooses again at random, so another peer or a later try serves it.

No test notices when a refusing peer is dropped as a candidate instead of kept: its next position message, within 5 s, makes it one again.

--- a/src/features/distribution/common/peer_sync.ts
+++ b/src/features/distribution/common/peer_sync.ts
@@ -29,6 +29,7 @@
   LinkMessage,
   PeerNetwork,
 } from "../../link/common/peer_network.ts";
+import { createAnswerLimit } from "./answer_limit.ts";
 import {
   listPeersAhead,
   MESSAGE_ENTRIES,
@@ -52,6 +53,12 @@
 /** Pushed entries usually arrive within this time, so no request is needed. */
 const REPAIR_DELAY_MS: Milliseconds = 100;
 const REQUEST_TIMEOUT_MS: Milliseconds = 2_000;
+/**
+ * States that a daemon sends at a time. A herd of restarted daemons would otherwise fill its
+ * links with states, and those that got one can serve the others.
+ */
+export const STATE_ANSWERS = 4;
+export const STATE_WINDOW_MS: Milliseconds = 500;
 const REPAIR_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 2_000 };
 
 export interface PeerSyncOptions {
@@ -88,6 +95,10 @@
   let tickedAt = clock.now();
   let tickCount = 0;
   const sentPositions = new Map<HostName, number>();
+  const stateAnswers = createAnswerLimit({
+    answers: STATE_ANSWERS,
+    windowMilliseconds: STATE_WINDOW_MS,
+  });
 
   const getPosition = () => options.getReplica().fold.position;
 
@@ -210,11 +221,14 @@
     const entries = answer && parseEntries(answer);
     if (entries !== undefined) {
       options.takeEntries(entries.entries);
-    } else if (answer?.kind === "state-needed") {
-      await fetchState(host);
     }
+    const isBusy = answer?.kind === "state-needed" &&
+      await fetchState(host) === "busy";
     if (getPosition() > from) {
       failures = 0;
+    } else if (isBusy) {
+      // The peer stays a candidate; the next try, at random, is likely to meet another.
+      failures += 1;
     } else {
       failures += 1;
       // The peer's next position message makes it a candidate again.
@@ -222,8 +236,11 @@
     }
   }
 
-  async function fetchState(host: HostName): Promise<void> {
+  async function fetchState(host: HostName): Promise<"answered" | "busy"> {
     const answer = await ask(host, { kind: "state-request" });
+    if (answer?.kind === "state-refused") {
+      return "busy";
+    }
     const message = answer && parseState(answer);
     const state = message && decodeSnapshot(message.snapshot);
     if (state?.ok) {
@@ -231,6 +248,7 @@
     } else {
       log.write("warn", "state.refused", { peer: host, reason: state?.val });
     }
+    return "answered";
   }
 
   async function ask(host: HostName, message: LinkMessage) {
@@ -255,6 +273,9 @@
   }
 
   function answerState(): LinkMessage {
+    if (!stateAnswers.take(clock.now())) {
+      return { kind: "state-refused" };
+    }
     const { fold } = options.getReplica();
     if (snapshot?.position !== fold.position) {
       snapshot = { position: fold.position, bytes: encodeSnapshot(fold) };
