Replay admission sessions under demand, replacement, pause and partition

AdmissionController.findLimits gives the own and the leased part, which the sessions need. No fault was found.

--- a/src/features/admission/common/admission.ts
+++ b/src/features/admission/common/admission.ts
@@ -6,6 +6,8 @@
 
 import type { Disposable } from "../../../base/common/disposable.ts";
 import type { Contract } from "../../../world/common/contract.ts";
+import type { CustomerName } from "../../../world/common/names.ts";
+import type { Amount } from "./quota.ts";
 
 export type AdmissionRefusal = "rate-limit" | "concurrency-limit" | "draining";
 
@@ -14,6 +16,14 @@
   | { readonly admitted: true; readonly permit: Disposable }
   | { readonly admitted: false; readonly reason: AdmissionRefusal };
 
+/** What a daemon may use of a customer's contract at this instant. */
+export interface DaemonLimits {
+  /** Its own part, which needs no lease. */
+  readonly own: Amount;
+  /** What the lease holder has granted and has not expired. */
+  readonly leased: Amount;
+}
+
 export interface AdmissionController extends Disposable {
   /**
    * Whether this daemon has run long enough to be counted by the others, and so may take its
@@ -21,4 +31,6 @@
    */
   readonly isEstablished: boolean;
   admit(contract: Contract): Admission;
+  /** The limits of a customer; undefined while none of its calls was seen. */
+  findLimits(customer: CustomerName): DaemonLimits | undefined;
 }
--- a/src/features/admission/common/admission_world.ts
+++ b/src/features/admission/common/admission_world.ts
@@ -24,7 +24,7 @@
   Directory,
   Member,
 } from "../../membership/common/directory.ts";
-import type { AdmissionController } from "./admission.ts";
+import type { AdmissionController, DaemonLimits } from "./admission.ts";
 import { createAdmissionController } from "./controller.ts";
 import { PausableClock } from "./pausable_clock.ts";
 
@@ -50,6 +50,7 @@
   readonly clock: PausableClock;
   readonly network: Disposable;
   readonly permits: Set<Disposable>;
+  admitted: number;
 }
 
 interface View {
@@ -63,6 +64,9 @@
   readonly admitted: number;
   readonly inFlight: number;
   readonly hosts: readonly string[];
+  /** Calls that the running process of a host has admitted. */
+  admittedBy(host: string): number;
+  limitsOf(host: string): DaemonLimits | undefined;
   start(host: string): void;
   /** Ends a process at once; the others learn of it late. */
   kill(host: string): void;
@@ -70,6 +74,8 @@
   /** Cuts a host from the others of its domain, or restores it. */
   isolate(host: string): void;
   rejoin(host: string): void;
+  /** Cuts the failure domains off from each other. */
+  splitDomains(): void;
   /** Offers calls to a host; each admitted one takes up to the longest call. */
   offer(host: string, calls: number): void;
   step(duration: Milliseconds): Promise<void>;
@@ -158,6 +164,7 @@
       network,
       view,
       permits: new Set(),
+      admitted: 0,
       controller: createAdmissionController({
         configuration: () => configuration,
         directory,
@@ -229,6 +236,7 @@
       return;
     }
     admitted += 1;
+    daemon.admitted += 1;
     inFlight += 1;
     daemon.permits.add(answer.permit);
     const duration = random.nextFraction() ** 3 * options.longestCall;
@@ -251,6 +259,9 @@
     get hosts() {
       return [...daemons.keys()];
     },
+    admittedBy: (host) => daemons.get(host)?.admitted ?? 0,
+    limitsOf: (host) =>
+      daemons.get(host)?.controller.findLimits(options.contract.customer),
     start,
     kill,
     pause(host, duration) {
@@ -260,6 +271,13 @@
     },
     isolate: (host) => setIsolated(host, true),
     rejoin: (host) => setIsolated(host, false),
+    splitDomains() {
+      const hosts = [...daemons.keys()];
+      hosts.forEach((one) =>
+        hosts.filter((other) => domainOf(other) !== domainOf(one))
+          .forEach((other) => exchange.cut(one, other))
+      );
+    },
     offer(host, calls) {
       const daemon = daemons.get(host);
       // A daemon that has reached no peer is not ready and gets no calls.
--- a/src/features/admission/common/controller.ts
+++ b/src/features/admission/common/controller.ts
@@ -276,6 +276,7 @@
         permit: createDisposable(() => account.release()),
       };
     },
+    findLimits: (customer) => accounts.get(customer)?.findLimits(clock.now()),
     dispose: () => owned.dispose(),
   };
 }
--- a/src/features/admission/common/customer_account.ts
+++ b/src/features/admission/common/customer_account.ts
@@ -6,7 +6,7 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { CustomerName, HostName } from "../../../world/common/names.ts";
-import type { AdmissionRefusal } from "./admission.ts";
+import type { AdmissionRefusal, DaemonLimits } from "./admission.ts";
 import { LEASE_MS, type LeaseAsk, PLEDGE_MS } from "./lease_messages.ts";
 import { type Amount, type Entitlement, NOTHING } from "./quota.ts";
 import { refillBucket, type TokenBucket } from "./token_bucket.ts";
@@ -45,6 +45,7 @@
   /** Admits a call, or says which limit is reached. */
   admit(now: Milliseconds): AdmissionRefusal | undefined;
   release(): void;
+  findLimits(now: Milliseconds): DaemonLimits;
   /** The request for the next lease. */
   prepareAsk(
     holder: HolderIdentity | undefined,
@@ -171,6 +172,7 @@
     release() {
       inFlight -= 1;
     },
+    findLimits: (now) => ({ own: entitlement.own, leased: leasedAt(now) }),
     prepareAsk(holder, now) {
       const isOwnLease = holder !== undefined && lease.from !== undefined &&
         isSame(lease.from, holder);
--- a/src/features/attempt/node/proxy_fixture.ts
+++ b/src/features/attempt/node/proxy_fixture.ts
@@ -60,6 +60,7 @@
     table: () => createFixtureTable(options),
     admission: {
       isEstablished: true,
+      findLimits: () => undefined,
       admit: () => ({ admitted: true, permit: createDisposable(() => {}) }),
       dispose() {},
     },
