--- a/src/features/distribution/common/distribution_golden_test.ts
+++ b/src/features/distribution/common/distribution_golden_test.ts
@@ -132,6 +132,18 @@
       [3_000, "wait"],
     ],
   },
+  "snapshot-start": {
+    name: "a start takes the snapshot and its tail, not the log from its begin",
+    options: { daemonsPerDomain: 2 },
+    steps: [
+      [500, "publish a 250"],
+      [6_000, "publish b"],
+      [6_000, "publish c"],
+      [500, "stop d0-h0 d0-h1"],
+      [100, "start d0-h0 d0-h1"],
+      [3_000, "wait"],
+    ],
+  },
   restart: {
     name: "half of the daemons restart while changes go on",
     options: { domains: 2, daemonsPerDomain: 4 },
--- a/src/features/log/node/log_test.ts
+++ b/src/features/log/node/log_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
-import { request } from "node:http";
+import { createServer, request } from "node:http";
+import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import { createHttpClient } from "../../../base/node/http_client.ts";
@@ -102,6 +103,41 @@
   },
 );
 
+test(
+  "only a status that proves a refusal is 'not-run', so no kept record is sent twice",
+  { timeout: 10_000 },
+  async (context) => {
+    let status = 200;
+    const server = createServer((incoming, outgoing) => {
+      incoming.resume().on("end", () => {
+        outgoing.writeHead(status);
+        outgoing.end();
+      });
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const client = createHttpLogClient({ url: `http://127.0.0.1:${port}` });
+    context.after(() => {
+      client.dispose();
+      server.close();
+      server.closeAllConnections();
+    });
+    const outcomes: Record<string, readonly number[]> = {
+      "not-run": [400, 404, 405, 413, 429, 503],
+      // An answer without a body, a redirect, and faults after the append may have happened.
+      "unknown": [200, 202, 302, 408, 500, 502, 504],
+    };
+    for (const [outcome, statuses] of Object.entries(outcomes)) {
+      for (status of statuses) {
+        const answer = await client.append("configuration", RECORD);
+        assert.equal(answer.err && answer.val.outcome, outcome, `${status}`);
+      }
+    }
+  },
+);
+
 test(
   "a long poll ends with the append that it waits for, so readers learn at once",
   { timeout: 10_000 },
