--- a/src/features/distribution/common/log_reader.ts
+++ b/src/features/distribution/common/log_reader.ts
@@ -75,7 +75,7 @@
     }
     const from = options.getState().position;
     // The first answer must come at once: its end of the log makes a restarted daemon ready.
-    const wait = { waitMilliseconds: hasReadEnd ? POLL_WAIT_MS : 0 };
+    const wait = { waitMilliseconds: hasReadEnd ? computeWait() : 0 };
     const page = yield* waitFor(
       options.logClient.read("configuration", from, wait),
     );
@@ -95,6 +95,12 @@
     yield* writeSnapshotWhenDue();
   }
 
+  /** A longer poll would bring readers together again whose snapshots are spread. */
+  function computeWait(): Milliseconds {
+    const untilSnapshot = (snapshotCheckAt ?? Infinity) - clock.now();
+    return Math.min(POLL_WAIT_MS, Math.max(0, Math.ceil(untilSnapshot)));
+  }
+
   function* takePage(page: LogPage, from: number): TaskBody {
     if (page.first > options.getState().position) {
       log.write("warn", "log.retention-passed", { from, first: page.first });
