--- a/src/features/distribution/common/distribution_golden_test.ts
+++ b/src/features/distribution/common/distribution_golden_test.ts
@@ -200,3 +200,31 @@
     },
   );
 }
+
+test(
+  "a host whose only contacts are two old peers in touch with each other does not go back",
+  { timeout: 60_000 },
+  async () => {
+    const { reverts } = await runDistributionCase({
+      name: "two old peers",
+      options: { daemonsPerDomain: 4 },
+      steps: [
+        [500, "publish a"],
+        [500, "split d0 platform"],
+        [6_000, "cut d0-h0 d0-h1"],
+        [0, "cut d0-h0 d0-h2"],
+        [0, "cut d0-h3 d0-h1"],
+        [0, "cut d0-h3 d0-h2"],
+        [10, "publish b"],
+        [10, "deliver d0-h3 d0-h0 1"],
+        [500, "stop d0-h0"],
+        [0, "cut d0-h0 d0-h3"],
+        [500, "start d0-h0"],
+        [0, "join d0-h0 d0-h1"],
+        [0, "join d0-h0 d0-h2"],
+        [3_000, "wait"],
+      ],
+    });
+    assert.equal(reverts, 0);
+  },
+);
