--- a/src/features/distribution/common/distribution_golden_test.ts
+++ b/src/features/distribution/common/distribution_golden_test.ts
@@ -132,6 +132,18 @@
       [3_000, "wait"],
     ],
   },
+  "snapshot-start": {
+    name: "a start takes the snapshot and its tail, not the log from its begin",
+    options: { daemonsPerDomain: 2 },
+    steps: [
+      [500, "publish a 250"],
+      [6_000, "publish b"],
+      [6_000, "publish c"],
+      [500, "stop d0-h0 d0-h1"],
+      [100, "start d0-h0 d0-h1"],
+      [3_000, "wait"],
+    ],
+  },
   restart: {
     name: "half of the daemons restart while changes go on",
     options: { domains: 2, daemonsPerDomain: 4 },
@@ -188,3 +200,31 @@
     },
   );
 }
+
+test(
+  "a host whose only contacts are two old peers in touch with each other does not go back",
+  { timeout: 60_000 },
+  async () => {
+    const { reverts } = await runDistributionCase({
+      name: "two old peers",
+      options: { daemonsPerDomain: 4 },
+      steps: [
+        [500, "publish a"],
+        [500, "split d0 platform"],
+        [6_000, "cut d0-h0 d0-h1"],
+        [0, "cut d0-h0 d0-h2"],
+        [0, "cut d0-h3 d0-h1"],
+        [0, "cut d0-h3 d0-h2"],
+        [10, "publish b"],
+        [10, "deliver d0-h3 d0-h0 1"],
+        [500, "stop d0-h0"],
+        [0, "cut d0-h0 d0-h3"],
+        [500, "start d0-h0"],
+        [0, "join d0-h0 d0-h1"],
+        [0, "join d0-h0 d0-h2"],
+        [3_000, "wait"],
+      ],
+    });
+    assert.equal(reverts, 0);
+  },
+);
