--- a/src/programs/common/daemon_settings.ts
+++ b/src/programs/common/daemon_settings.ts
@@ -42,7 +42,7 @@
   /** A longer body of a call is refused before any of it is sent on. */
   maximumCallBodyBytes: valibot.optional(
     wholeNumber({ least: KIBIBYTE, most: 64 * MEBIBYTE }),
-    8 * MEBIBYTE,
+    32 * MEBIBYTE,
   ),
   /** Further calls are refused, whatever their customer. */
   maximumCallsInFlight: valibot.optional(
