Test restarts and stops with real processes

The daemon's behaviour under SIGKILL and SIGTERM was only tested in memory. The fixture starts the processes on free loopback ports and always ends them.

--- a/src/programs/common/run_counts.ts
+++ b/src/programs/common/run_counts.ts
@@ -13,6 +13,8 @@
   readonly runs: number;
   /** Runs of one key. */
   runsOf(key: string): number;
+  /** All keys that ran, with their runs. */
+  listKeys(): Readonly<Record<string, number>>;
   /** The keys that ran more than once. */
   listRepeated(): readonly string[];
 }
@@ -35,6 +37,7 @@
       return runs;
     },
     runsOf: (key) => byKey.get(key) ?? 0,
+    listKeys: () => Object.fromEntries(byKey),
     listRepeated: () =>
       [...byKey].filter(([, count]) => count > 1).map(([key]) => key),
   };
--- a/src/programs/node/demo_fleet.ts
+++ b/src/programs/node/demo_fleet.ts
@@ -40,8 +40,11 @@
 }
 
 /** Makes the settings of the fleet on free loopback ports, with one token for all customers. */
-export async function createFleet(token: string): Promise<Fleet> {
-  const hosts = FAILURE_DOMAINS.flatMap((failureDomain) =>
+export async function createFleet(
+  token: string,
+  failureDomains: readonly string[] = FAILURE_DOMAINS,
+): Promise<Fleet> {
+  const hosts = failureDomains.flatMap((failureDomain) =>
     Array.from({ length: HOSTS_PER_DOMAIN }, (_, index) => ({
       host: `${failureDomain}-${index + 1}`,
       failureDomain,
@@ -89,11 +92,14 @@
 }
 
 /** The contract that the demo publishes first. */
-export function createDemoContract(requestsPerSecond: number): ChangeDocument {
+export function createDemoContract(
+  requestsPerSecond: number,
+  failureDomains: readonly string[] = FAILURE_DOMAINS,
+): ChangeDocument {
   const route = { service: DEMO_SERVICE, deadlineMilliseconds: 3_000 };
   return {
     upsert: {
-      failureDomains: FAILURE_DOMAINS,
+      failureDomains: [...failureDomains],
       services: [{ name: DEMO_SERVICE, version: OLD_VERSION }],
       routes: [
         {
@@ -124,7 +130,7 @@
 }
 
 /** Holds all ports open until the last is known, so that no port is returned twice. */
-async function findFreePorts(count: number): Promise<number[]> {
+export async function findFreePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
     Array.from(
       { length: count },
--- /dev/null
+++ b/src/programs/node/process_callers.ts
@@ -0,0 +1,207 @@
+/**
+ * Callers of a fleet of processes. They record every answer of every call, so that a test can
+ * compare what callers were told with what upstreams ran.
+ *
+ * @module
+ */
+
+import assert from "node:assert/strict";
+import { Agent, request } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Milliseconds } from "../../base/common/milliseconds.ts";
+import { createIdentity } from "./demo_callers.ts";
+import { DEMO_CUSTOMER } from "./demo_fleet.ts";
+import type { FleetDaemon, FleetUpstream } from "./process_fleet.ts";
+
+const PAUSE_MS: Milliseconds = 10;
+const REPEAT_PAUSE_MS: Milliseconds = 100;
+const CALL_TIMEOUT_MS: Milliseconds = 20_000;
+
+export interface CallAnswer {
+  /**
+   * `answered`: the upstream's response; `not-run` and `unknown`: a refusal; `unreachable`: no
+   * connection; `cut`: no whole answer.
+   */
+  readonly kind: "answered" | "not-run" | "unknown" | "unreachable" | "cut";
+  readonly status: number;
+  readonly text: string;
+  readonly duration: Milliseconds;
+}
+
+export interface RecordedCall {
+  readonly key: string;
+  readonly isReservation: boolean;
+  /** One for each time that the call was sent. */
+  readonly answers: CallAnswer[];
+}
+
+export interface CallerOptions {
+  /** A call goes to the first of a rotation, and its repeats to the next ones. */
+  readonly daemons: readonly FleetDaemon[];
+  /** Which calls are sent; by default the reads. */
+  readonly routes?: "reads" | "reservations" | "both";
+  readonly callers?: number;
+  /** How often a call is sent at most until it is answered. */
+  readonly attempts?: number;
+  /** Whether a call is repeated whose outcome is not known; by default it is not. */
+  readonly repeatsUnknown?: boolean;
+}
+
+export interface ProcessCallers {
+  readonly calls: readonly RecordedCall[];
+  /** Resolves when no call is open. */
+  stop(): Promise<readonly RecordedCall[]>;
+}
+
+/** Starts callers that send one call after the other until they are stopped. */
+export function startProcessCallers(options: CallerOptions): ProcessCallers {
+  const { daemons, routes = "reads" } = options;
+  const agent = new Agent({ keepAlive: true });
+  const calls: RecordedCall[] = [];
+  let stopping = false;
+
+  async function run(caller: number): Promise<void> {
+    for (let count = caller; !stopping; count += 1) {
+      const domain = daemons[count % daemons.length].settings.failureDomain;
+      const call: RecordedCall = {
+        key: `${domain}.${createIdentity(Date.now())}`,
+        isReservation: routes === "both"
+          ? count % 2 === 0
+          : routes === "reservations",
+        answers: [],
+      };
+      calls.push(call);
+      await sendWithRepeats(call, count, { ...options, agent });
+      await sleep(PAUSE_MS);
+    }
+  }
+
+  const running = Array.from(
+    { length: options.callers ?? 6 },
+    (_, index) => run(index),
+  );
+  return {
+    calls,
+    async stop() {
+      stopping = true;
+      await Promise.all(running);
+      agent.destroy();
+      return calls;
+    },
+  };
+}
+
+interface SendOptions extends CallerOptions {
+  readonly agent: Agent;
+}
+
+async function sendWithRepeats(
+  call: RecordedCall,
+  first: number,
+  options: SendOptions,
+): Promise<void> {
+  const { daemons, attempts = 8, repeatsUnknown = false, agent } = options;
+  for (let attempt = 0; attempt < attempts; attempt += 1) {
+    const daemon = daemons[(first + attempt) % daemons.length];
+    const answer = await send(daemon, call, agent);
+    call.answers.push(answer);
+    const { kind } = answer;
+    const mayRepeat = kind === "not-run" || kind === "unreachable" ||
+      repeatsUnknown && kind !== "answered";
+    if (!mayRepeat) {
+      return;
+    }
+    await sleep(REPEAT_PAUSE_MS);
+  }
+}
+
+function send(
+  { settings }: FleetDaemon,
+  { key, isReservation }: RecordedCall,
+  agent: Agent,
+): Promise<CallAnswer> {
+  const startedAt = Date.now();
+  return new Promise((resolve) => {
+    const end = (answer: Omit<CallAnswer, "duration">) =>
+      resolve({ ...answer, duration: Date.now() - startedAt });
+    const fail = (error: NodeJS.ErrnoException) =>
+      end({
+        kind: error.code === "ECONNREFUSED" ? "unreachable" : "cut",
+        status: 0,
+        text: error.message,
+      });
+    const outgoing = request({
+      agent,
+      host: settings.address,
+      port: settings.proxyPort,
+      method: isReservation ? "POST" : "GET",
+      path: isReservation ? "/v1/reservations" : "/v1/availability",
+      headers: {
+        "guavarun-customer": DEMO_CUSTOMER,
+        ...isReservation ? { "idempotency-key": key } : {},
+      },
+      timeout: CALL_TIMEOUT_MS,
+    }, (incoming) => {
+      const parts: Buffer[] = [];
+      const outcome = incoming.headers["guavarun-outcome"];
+      incoming.on("data", (part: Buffer) => parts.push(part));
+      incoming.on("error", fail);
+      incoming.on("end", () =>
+        end({
+          kind: outcome === "not-run" || outcome === "unknown"
+            ? outcome
+            : "answered",
+          status: incoming.statusCode ?? 0,
+          text: Buffer.concat(parts).toString("utf8").trim().slice(0, 200),
+        }));
+    });
+    outgoing.on("timeout", () => outgoing.destroy(new Error("no answer")));
+    outgoing.on("error", fail);
+    outgoing.end();
+  });
+}
+
+/** How a call ended for its caller. */
+export function lastAnswer(call: RecordedCall): CallAnswer {
+  return call.answers[call.answers.length - 1];
+}
+
+/** Whether a call ended with the successful response of an upstream. */
+export function isServed(call: RecordedCall): boolean {
+  const { kind, status } = lastAnswer(call);
+  return kind === "answered" && status === 200;
+}
+
+/** Fails when a call did not end with the successful response of an upstream. */
+export function assertAllServed(calls: readonly RecordedCall[]): void {
+  const lost = calls.filter((call) => !isServed(call));
+  assert.deepEqual(lost.slice(0, 3), [], `${lost.length} of ${calls.length}`);
+}
+
+/**
+ * Compares what callers of reservations were told with the runs at the upstreams: no key ran
+ * twice (G7), none ran that was refused as "not run" each time (G6), and each answered one ran.
+ */
+export async function assertRunsMatch(
+  calls: readonly RecordedCall[],
+  upstreams: readonly FleetUpstream[],
+): Promise<void> {
+  const runs = new Map<string, number>();
+  for (const upstream of upstreams) {
+    for (const [key, count] of Object.entries(await upstream.readKeys())) {
+      runs.set(key, (runs.get(key) ?? 0) + count);
+    }
+  }
+  const repeated = [...runs].filter(([, count]) => count > 1);
+  assert.deepEqual(repeated.slice(0, 3), [], "keys that ran twice");
+  const reservations = calls.filter(({ isReservation }) => isReservation);
+  const falselyRefused = reservations.filter(({ key, answers }) =>
+    runs.has(key) &&
+    answers.every(({ kind }) => kind === "not-run" || kind === "unreachable")
+  );
+  assert.deepEqual(falselyRefused.slice(0, 3), [], "refused but run");
+  const notRun = reservations.filter((call) =>
+    isServed(call) && !runs.has(call.key)
+  );
+  assert.deepEqual(notRun.slice(0, 3), [], "answered but not run");
+}
--- /dev/null
+++ b/src/programs/node/process_fleet.ts
@@ -0,0 +1,353 @@
+/**
+ * A fleet of real processes for tests under failure: a platform log, daemons and upstreams on
+ * free loopback ports, which a test can kill, pause, resume and stop.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { randomUUID } from "node:crypto";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import type { Milliseconds } from "../../base/common/milliseconds.ts";
+import type { DaemonSettings } from "../common/daemon_settings.ts";
+import type { UpstreamBehaviour } from "../common/upstream_behaviour.ts";
+import type { UpstreamSettings } from "../common/upstream_settings.ts";
+import { callAdministration } from "./administration_client.ts";
+import {
+  createDemoContract,
+  createFleet,
+  findFreePorts,
+  OLD_VERSION,
+} from "./demo_fleet.ts";
+
+const PROGRAM = fileURLToPath(new URL("./guavarun.js", import.meta.url));
+const POLL_MS: Milliseconds = 50;
+/** Conditions hold within seconds on a quiet machine; a loaded one may need far longer. */
+export const WAIT_LIMIT_MS: Milliseconds = 60_000;
+const CALLS_PER_SECOND = 6_000;
+
+/** One process of the fleet. */
+export interface FleetProcess {
+  readonly name: string;
+  /** Sends SIGKILL and waits for the end. */
+  kill(): Promise<void>;
+  /** Sends SIGSTOP. */
+  pause(): void;
+  /** Sends SIGCONT. */
+  resume(): void;
+  /** Sends SIGTERM and returns the exit code; undefined when a signal ended the process. */
+  terminate(): Promise<number | undefined>;
+  /** Starts the process again with the same settings. */
+  restart(): void;
+}
+
+/** What `GET /ready` says. */
+export interface Readiness {
+  readonly ready: boolean;
+  readonly version: number;
+}
+
+export interface FleetDaemon extends FleetProcess {
+  readonly settings: DaemonSettings;
+  /** The answer's body; undefined when there is no whole answer. With a body it is a POST. */
+  ask(
+    path: string,
+    body?: unknown,
+  ): Promise<Record<string, unknown> | undefined>;
+  readReadiness(): Promise<Readiness | undefined>;
+}
+
+/** What `GET /runs` says. */
+export interface UpstreamRuns {
+  readonly calls: number;
+  readonly runs: number;
+}
+
+export interface FleetUpstream extends FleetProcess {
+  readonly settings: UpstreamSettings;
+  setBehaviour(behaviour: Partial<UpstreamBehaviour>): Promise<void>;
+  readRuns(): Promise<UpstreamRuns>;
+  /** The runs of each idempotency key. */
+  readKeys(): Promise<Record<string, number>>;
+}
+
+export interface PlatformFaults {
+  readonly isDown?: boolean;
+  readonly delayMilliseconds?: Milliseconds;
+  readonly lostAnswerShare?: number;
+}
+
+export interface UpstreamPlace {
+  /** The index of the daemon on the same host. */
+  readonly daemon: number;
+  readonly version?: string;
+  readonly workMilliseconds?: Milliseconds;
+}
+
+export interface ProcessFleetOptions {
+  /** Each has three daemons. */
+  readonly failureDomains?: readonly string[];
+  readonly upstreams: readonly UpstreamPlace[];
+}
+
+export interface CommandResult {
+  readonly code: number | null;
+  readonly output: string;
+}
+
+export interface ProcessFleet {
+  readonly daemons: readonly FleetDaemon[];
+  readonly upstreams: readonly FleetUpstream[];
+  setFaults(faults: PlatformFaults): Promise<void>;
+  /** Appends bytes to the configuration log without any check. */
+  append(record: Uint8Array): Promise<void>;
+  /** Publishes the contract with a rate; the answer's body. */
+  publish(
+    daemon: FleetDaemon,
+    fields?: Record<string, unknown>,
+  ): Promise<Record<string, unknown> | undefined>;
+  /** Publishes and waits until the version is in force at the daemons; returns it. */
+  publishEverywhere(daemons?: readonly FleetDaemon[]): Promise<number>;
+  waitForVersion(
+    version: number,
+    daemons?: readonly FleetDaemon[],
+  ): Promise<void>;
+  /** Runs `guavarun` with arguments as an operator of a daemon. */
+  runCommand(
+    daemon: FleetDaemon,
+    commandLine: readonly string[],
+  ): Promise<CommandResult>;
+}
+
+/** Polls until the condition holds; fails with the description after a long limit. */
+export async function waitUntil(
+  description: string,
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const endAt = Date.now() + WAIT_LIMIT_MS;
+  while (!await condition()) {
+    if (Date.now() >= endAt) {
+      throw new Error(`This did not happen in time: ${description}`);
+    }
+    await sleep(POLL_MS);
+  }
+}
+
+/** Starts the fleet and waits until a first contract is in force everywhere. */
+export async function startProcessFleet(
+  context: TestContext,
+  options: ProcessFleetOptions,
+): Promise<ProcessFleet> {
+  const token = randomUUID();
+  const failureDomains = options.failureDomains ?? ["tacoma"];
+  const settings = await createFleet(token, failureDomains);
+  const launcher = createLauncher(context);
+  const platformUrl =
+    `http://${settings.platform.address}:${settings.platform.port}`;
+  launcher.start("platform", "platform", settings.platform);
+  const daemons = settings.daemons.map((daemon) =>
+    createDaemon(launcher, daemon, token)
+  );
+  const ports = await findFreePorts(options.upstreams.length);
+  const upstreams = options.upstreams.map((place, index) =>
+    createUpstream(launcher, {
+      ...settings.upstreams[0],
+      port: ports[index],
+      version: place.version ?? OLD_VERSION,
+      administrationPort: settings.daemons[place.daemon].administrationPort,
+      workMilliseconds: place.workMilliseconds ?? 5,
+    })
+  );
+  let rate = CALLS_PER_SECOND;
+
+  const fleet: ProcessFleet = {
+    daemons,
+    upstreams,
+    setFaults: (faults) =>
+      post(`${platformUrl}/faults`, JSON.stringify(faults)),
+    append: (record) => post(`${platformUrl}/streams/configuration`, record),
+    publish(daemon, fields = {}) {
+      rate += 1;
+      const document = createDemoContract(rate, failureDomains);
+      return daemon.ask("/changes", { ...document, ...fields });
+    },
+    async publishEverywhere(receivers = daemons) {
+      const answer = await fleet.publish(receivers[0]);
+      if (answer?.result !== "accepted") {
+        throw new Error(`Not accepted: ${JSON.stringify(answer)}`);
+      }
+      await fleet.waitForVersion(Number(answer.offset), receivers);
+      return Number(answer.offset);
+    },
+    waitForVersion: (version, receivers = daemons) =>
+      waitUntil(
+        `version ${version} is in force`,
+        () =>
+          every(receivers, async (daemon) => {
+            const state = await daemon.readReadiness();
+            return state?.ready === true && state.version >= version;
+          }),
+      ),
+    runCommand: (daemon, commandLine) =>
+      runCommand(daemon.settings, commandLine, token),
+  };
+  await fleet.waitForVersion(-1);
+  await waitUntil(
+    "all members and upstreams are known",
+    () =>
+      every(daemons, async (daemon) => {
+        const members = await daemon.ask("/members");
+        return listHosts(members, "localMembers").length === 3 &&
+          listHosts(members, "instances").length >= upstreams.length;
+      }),
+  );
+  await fleet.publishEverywhere();
+  return fleet;
+}
+
+/** The hosts in one list of `GET /members`. */
+export function listHosts(
+  members: Record<string, unknown> | undefined,
+  list: "localMembers" | "instances",
+): string[] {
+  const found = members?.[list] ?? [];
+  return (found as { host?: string; process?: { host: string } }[])
+    .map(({ host, process }) => host ?? process!.host);
+}
+
+/** Whether a condition holds for all items, asked at the same time. */
+export async function every<T>(
+  items: readonly T[],
+  condition: (item: T) => Promise<boolean>,
+): Promise<boolean> {
+  return (await Promise.all(items.map(condition))).every(Boolean);
+}
+
+interface Launcher {
+  start(command: string, name: string, settings: object): FleetProcess;
+}
+
+/** Starts processes and kills those that still run when the test or its process ends. */
+function createLauncher(context: TestContext): Launcher {
+  const folder = mkdtempSync(join(tmpdir(), "guavarun-processes-"));
+  const running = new Set<ChildProcess>();
+  const killAll = () => running.forEach((child) => child.kill("SIGKILL"));
+  process.once("exit", killAll);
+  context.after(async () => {
+    const ends = [...running].map((child) =>
+      new Promise((resolve) => child.once("exit", resolve))
+    );
+    killAll();
+    await Promise.all(ends);
+    process.off("exit", killAll);
+    if (process.env.GUAVARUN_KEEP_LOGS === undefined) {
+      rmSync(folder, { recursive: true, force: true });
+    } else {
+      context.diagnostic(`logs in ${folder}`);
+    }
+  });
+
+  function launch(command: string, name: string, settings: object) {
+    const file = join(folder, `${name}.jsonc`);
+    const log = { file: join(folder, `${name}.log`) };
+    writeFileSync(file, JSON.stringify({ ...settings, log }));
+    const child = spawn(process.execPath, [PROGRAM, command, file], {
+      stdio: ["ignore", "inherit", "inherit"],
+    });
+    running.add(child);
+    child.once("exit", () => running.delete(child));
+    return child;
+  }
+
+  return {
+    start(command, name, settings) {
+      let child = launch(command, name, settings);
+      const end = (signal: NodeJS.Signals) =>
+        new Promise<number | undefined>((resolve) => {
+          child.once("exit", (code) => resolve(code ?? undefined));
+          child.kill(signal);
+        });
+      return {
+        name,
+        async kill() {
+          await end("SIGKILL");
+        },
+        pause: () => void child.kill("SIGSTOP"),
+        resume: () => void child.kill("SIGCONT"),
+        terminate: () => end("SIGTERM"),
+        restart() {
+          child = launch(command, name, settings);
+        },
+      };
+    },
+  };
+}
+
+function createDaemon(
+  launcher: Launcher,
+  settings: DaemonSettings,
+  token: string,
+): FleetDaemon {
+  const address = `${settings.address}:${settings.administrationPort}`;
+  async function ask(path: string, body?: unknown) {
+    const answer = await callAdministration({ address, token }, path, body);
+    return answer.ok ? answer.val.body : undefined;
+  }
+  return {
+    ...launcher.start("daemon", settings.host, settings),
+    settings,
+    ask,
+    readReadiness: async () =>
+      await ask("/ready") as unknown as Readiness | undefined,
+  };
+}
+
+function createUpstream(
+  launcher: Launcher,
+  settings: UpstreamSettings,
+): FleetUpstream {
+  const url = `http://${settings.address}:${settings.port}`;
+  const read = async <T>(path: string) =>
+    await (await fetch(url + path)).json() as T;
+  return {
+    ...launcher.start("upstream", `upstream-${settings.port}`, settings),
+    settings,
+    setBehaviour: (behaviour) =>
+      post(`${url}/behaviour`, JSON.stringify(behaviour)),
+    readRuns: () => read("/runs"),
+    readKeys: () => read("/runs/keys"),
+  };
+}
+
+async function post(url: string, body: string | Uint8Array): Promise<void> {
+  const answer = await fetch(url, { method: "POST", body: Buffer.from(body) });
+  await answer.arrayBuffer();
+  if (!answer.ok) {
+    throw new Error(`${url} answered with status ${answer.status}`);
+  }
+}
+
+function runCommand(
+  { address, administrationPort }: DaemonSettings,
+  commandLine: readonly string[],
+  token: string,
+): Promise<CommandResult> {
+  return new Promise((resolve) => {
+    const child = spawn(process.execPath, [PROGRAM, ...commandLine], {
+      stdio: ["ignore", "pipe", "inherit"],
+      env: {
+        ...process.env,
+        GUAVARUN_DAEMON: `${address}:${administrationPort}`,
+        GUAVARUN_TOKEN: token,
+      },
+    });
+    let output = "";
+    child.stdout.on("data", (part) => output += part);
+    child.once("close", (code) => resolve({ code, output }));
+  });
+}
--- a/src/programs/node/upstream_stand_in.ts
+++ b/src/programs/node/upstream_stand_in.ts
@@ -1,8 +1,9 @@
 /**
  * A stand-in for an upstream: it serves any path as its behaviour says.
  *
- * Its own endpoints are `GET /health`, `GET /load`, `GET /runs`, and `POST /behaviour`, which
- * replaces the behaviour. All other paths are calls.
+ * Its own endpoints are `GET /health`, `GET /load`, `GET /runs`, `GET /runs/keys` with the runs
+ * of each idempotency key, and `POST /behaviour`, which replaces the behaviour. All other paths
+ * are calls.
  *
  * @module
  */
@@ -189,6 +190,9 @@
           repeated: runs.listRepeated(),
         });
         return;
+      case "GET /runs/keys":
+        sendJson(response, 200, runs.listKeys());
+        return;
       case "POST /behaviour":
         void replaceBehaviour(request, response);
         return;
