--- a/src/programs/node/process_callers.ts
+++ b/src/programs/node/process_callers.ts
@@ -7,6 +7,7 @@
 
 import assert from "node:assert/strict";
 import { Agent, request } from "node:http";
+import type { TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { createIdentity } from "./demo_callers.ts";
@@ -54,7 +55,10 @@
 }
 
 /** Starts callers that send one call after the other until they are stopped. */
-export function startProcessCallers(options: CallerOptions): ProcessCallers {
+export function startProcessCallers(
+  context: TestContext,
+  options: CallerOptions,
+): ProcessCallers {
   const { daemons, routes = "reads" } = options;
   const agent = new Agent({ keepAlive: true });
   const calls: RecordedCall[] = [];
@@ -80,15 +84,16 @@
     { length: options.callers ?? 6 },
     (_, index) => run(index),
   );
-  return {
-    calls,
-    async stop() {
-      stopping = true;
-      await Promise.all(running);
-      agent.destroy();
-      return calls;
-    },
-  };
+  async function stop(): Promise<readonly RecordedCall[]> {
+    stopping = true;
+    await Promise.all(running);
+    agent.destroy();
+    return calls;
+  }
+
+  // A test that fails leaves no callers behind, which would keep its process running.
+  context.after(async () => void await stop());
+  return { calls, stop };
 }
 
 interface SendOptions extends CallerOptions {
--- a/src/programs/node/process_fleet.ts
+++ b/src/programs/node/process_fleet.ts
@@ -29,6 +29,8 @@
 const POLL_MS: Milliseconds = 50;
 /** Conditions hold within seconds on a quiet machine; a loaded one may need far longer. */
 export const WAIT_LIMIT_MS: Milliseconds = 60_000;
+/** Ends a test that hangs, after several such conditions. */
+export const TEST_TIMEOUT_MS: Milliseconds = 180_000;
 const CALLS_PER_SECOND = 6_000;
 
 /** One process of the fleet. */
@@ -128,8 +130,9 @@
 export async function waitUntil(
   description: string,
   condition: () => boolean | Promise<boolean>,
+  limit: Milliseconds = WAIT_LIMIT_MS,
 ): Promise<void> {
-  const endAt = Date.now() + WAIT_LIMIT_MS;
+  const endAt = Date.now() + limit;
   while (!await condition()) {
     if (Date.now() >= endAt) {
       throw new Error(`This did not happen in time: ${description}`);
--- a/src/programs/node/version_watch.ts
+++ b/src/programs/node/version_watch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { NO_VERSION } from "../../world/common/names.ts";
@@ -20,7 +21,10 @@
  * Asks each daemon for `/ready` all the time. A daemon that is ready must not report a version
  * below any that its host reported before; one that is not ready may also report none.
  */
-export function watchVersions(daemons: readonly FleetDaemon[]): VersionWatch {
+export function watchVersions(
+  context: TestContext,
+  daemons: readonly FleetDaemon[],
+): VersionWatch {
   const faults: string[] = [];
   let stopping = false;
 
@@ -41,11 +45,13 @@
   }
 
   const watching = daemons.map(watch);
-  return {
-    async stop() {
-      stopping = true;
-      await Promise.all(watching);
-      return faults;
-    },
-  };
+  async function stop(): Promise<readonly string[]> {
+    stopping = true;
+    await Promise.all(watching);
+    return faults;
+  }
+
+  // A test that fails leaves no watch behind, which would keep its process running.
+  context.after(async () => void await stop());
+  return { stop };
 }
