--- a/src/features/routing/common/ejection.ts
+++ b/src/features/routing/common/ejection.ts
@@ -80,7 +80,8 @@
 
 /**
  * Whether the instance fails well above its peers. An instance that accepts no connection is
- * an outlier at its first failure.
+ * an outlier at its first failure. Peers without calls are no measure: the first instances of
+ * a bad version would be ejected before a move has the evidence against the version.
  */
 export function isOutlier(
   state: HealthState,
@@ -90,7 +91,9 @@
   if (state.isUnreachable) {
     return true;
   }
+  const peerCalls = peers.reduce((sum, peer) => sum + peer.calls, 0);
   return state.calls >= policy.minimumCalls &&
+    peerCalls >= policy.minimumCalls &&
     rateOf([state]) >= rateOf(peers) + policy.rateMargin;
 }
 
--- a/src/programs/node/demo_fleet.ts
+++ b/src/programs/node/demo_fleet.ts
@@ -40,15 +40,17 @@
 }
 
 export interface FleetSize {
+  readonly failureDomains?: readonly string[];
   readonly hostsPerDomain?: number;
 }
 
 /** Makes the settings of the fleet on free loopback ports, with one token for all customers. */
 export async function createFleet(
   token: string,
-  { hostsPerDomain = HOSTS_PER_DOMAIN }: FleetSize = {},
+  { failureDomains = FAILURE_DOMAINS, hostsPerDomain = HOSTS_PER_DOMAIN }:
+    FleetSize = {},
 ): Promise<Fleet> {
-  const hosts = FAILURE_DOMAINS.flatMap((failureDomain) =>
+  const hosts = failureDomains.flatMap((failureDomain) =>
     Array.from({ length: hostsPerDomain }, (_, index) => ({
       host: `${failureDomain}-${index + 1}`,
       failureDomain,
@@ -96,11 +98,14 @@
 }
 
 /** The contract that the demo publishes first. */
-export function createDemoContract(requestsPerSecond: number): ChangeDocument {
+export function createDemoContract(
+  requestsPerSecond: number,
+  failureDomains: readonly string[] = FAILURE_DOMAINS,
+): ChangeDocument {
   const route = { service: DEMO_SERVICE, deadlineMilliseconds: 3_000 };
   return {
     upsert: {
-      failureDomains: FAILURE_DOMAINS,
+      failureDomains: [...failureDomains],
       services: [{ name: DEMO_SERVICE, version: OLD_VERSION }],
       routes: [
         {
@@ -131,7 +136,7 @@
 }
 
 /** Holds all ports open until the last is known, so that no port is returned twice. */
-async function findFreePorts(count: number): Promise<number[]> {
+export async function findFreePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
     Array.from(
       { length: count },
