Share the demo's call, registered handlers and request order

Change: demo_call.ts, handler_map.ts, call_request.ts, suspect_watch.ts and request_order.ts take what stood twice or did not belong; no behaviour changes.

--- a/src/features/admission/common/controller.ts
+++ b/src/features/admission/common/controller.ts
@@ -13,7 +13,6 @@
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { Configuration } from "../../../world/common/configuration.ts";
-import { formatProcess } from "../../../world/common/host.ts";
 import type { Contract } from "../../../world/common/contract.ts";
 import { createWaitingCalls, LEASE_WAIT_MS } from "./waiting_calls.ts";
 import {
@@ -61,6 +60,8 @@
   judgeEstablishment,
   type MembershipView,
 } from "./quota.ts";
+import { createRequestOrder } from "./request_order.ts";
+import { createSuspectWatch } from "./suspect_watch.ts";
 
 /** An answer after this time would be of use for half of the lease only. */
 const REQUEST_TIMEOUT_MS: Milliseconds = 500;
@@ -84,7 +85,7 @@
   };
   const accounts = new Map<CustomerName, CustomerAccount>();
   const ledgers = new Map<CustomerName, LeaseLedger>();
-  const sequences = new Map<HostName, { epoch: Milliseconds; last: number }>();
+  const requestOrder = createRequestOrder();
   const waitingFor = new Set<HostName>();
   const owned = createDisposableStore();
   const holders = createLeaseHolders(directory, ownIdentity);
@@ -119,8 +120,7 @@
     return account;
   }
 
-  /** Members that are suspect now, with the time at which this daemon learnt of it. */
-  const suspects = new Map<string, Milliseconds>();
+  const suspects = createSuspectWatch();
   const view: MembershipView = {
     self,
     get localMembers() {
@@ -129,25 +129,9 @@
     get departures() {
       return directory.departures;
     },
-    suspectedAt: (process) => suspects.get(formatProcess(process)),
+    suspectedAt: suspects.suspectedAt,
   };
 
-  function noteSuspects(): void {
-    const present = new Set<string>();
-    for (const { process, state } of directory.localMembers) {
-      if (state === "suspect") {
-        const name = formatProcess(process);
-        present.add(name);
-        suspects.set(name, suspects.get(name) ?? clock.now());
-      }
-    }
-    for (const name of suspects.keys()) {
-      if (!present.has(name)) {
-        suspects.delete(name);
-      }
-    }
-  }
-
   function entitle(
     contract: Contract,
     account: CustomerAccount,
@@ -178,7 +162,7 @@
   }
 
   function entitleAll(): void {
-    noteSuspects();
+    suspects.note(directory.localMembers, clock.now());
     const { contracts } = configuration();
     const hosts = countHosts(directory);
     isLarge = isLargeDomain(hosts, contracts.size);
@@ -317,7 +301,7 @@
   ): LeaseGrant {
     const now = clock.now();
     const isCurrent = peer.failureDomain === self.failureDomain &&
-      isNewest(peer.process.host, peer.process.startedAt, request.sequence);
+      requestOrder.isNewest(peer.process, request.sequence);
     if (!isCurrent) {
       return {
         kind: LEASE_GRANT,
@@ -350,22 +334,6 @@
     return { kind: LEASE_GRANT, epoch: ownIdentity.epoch, time: now, grants };
   }
 
-  function isNewest(
-    host: HostName,
-    epoch: Milliseconds,
-    current: number,
-  ): boolean {
-    const seen = sequences.get(host);
-    if (
-      seen !== undefined &&
-      (epoch < seen.epoch || (epoch === seen.epoch && current <= seen.last))
-    ) {
-      return false;
-    }
-    sequences.set(host, { epoch, last: current });
-    return true;
-  }
-
   function admit(contract: Contract): Admission {
     const account = accountOf(contract);
     const now = clock.now();
--- a/src/features/attempt/node/call.ts
+++ b/src/features/attempt/node/call.ts
@@ -9,12 +9,9 @@
 import type { RouteMatch } from "../../table/common/routing_table.ts";
 import { judgeAnswer } from "../common/attempt_outcome.ts";
 import {
-  CALL_HEADER,
-  copyEndToEndHeaders,
   CUSTOMER_HEADER,
   DEADLINE_HEADER,
   IDEMPOTENCY_HEADER,
-  OUTCOME_HEADER,
 } from "../common/call_headers.ts";
 import { computeDeadline } from "../common/deadline.ts";
 import { notRun, type Refusal, type RefusalReason } from "../common/refusal.ts";
@@ -24,23 +21,10 @@
 import { type LoopEnd, runAttempts } from "./attempt_loop.ts";
 import type { CallContext } from "./call_context.ts";
 import { checkCallLimits } from "./call_limits.ts";
+import { headerOf, identifyCall, prepareHeaders } from "./call_request.ts";
 import { createInterruption, type Interruption } from "./interruption.ts";
 import { prepareBody } from "./request_body.ts";
 
-/** Headers that this hop consumes or sets anew. */
-const CONSUMED_HEADERS = new Set([
-  CALL_HEADER,
-  DEADLINE_HEADER,
-  OUTCOME_HEADER,
-  "expect",
-]);
-
-/** A longer or stranger identity from outside is replaced, since it goes into log lines. */
-const CALL_IDENTITY = /^[\w.:-]{1,128}$/;
-
-/** Methods that have no body unless a header says so (RFC 9110, section 8.6). */
-const BODILESS_METHODS = new Set(["GET", "HEAD", "DELETE", "OPTIONS", "TRACE"]);
-
 /** Dot segments would let a path match one route here and another at the upstream. */
 const DOT_SEGMENT = /(^|[/\\])(\.|%2e){1,2}([/\\]|$)/i;
 
@@ -353,37 +337,6 @@
   return { ...common, reason, message };
 }
 
-function prepareHeaders(
-  { call, request }: Exchange,
-  body: AttemptBody,
-): string[] {
-  const headers = copyEndToEndHeaders(request.rawHeaders, CONSUMED_HEADERS);
-  headers.push("connection", "keep-alive", CALL_HEADER, call);
-  const hasLength = request.headers["content-length"] !== undefined;
-  if (body.kind === "stream" && !hasLength) {
-    headers.push("transfer-encoding", "chunked");
-  } else if (!hasLength && !BODILESS_METHODS.has(request.method ?? "")) {
-    headers.push("content-length", "0");
-  }
-  return headers;
-}
-
-/** The identity that an earlier hop gave, the idempotency key, or a new one. */
-function identifyCall(context: CallContext, request: IncomingMessage): string {
-  const given = headerOf(request, CALL_HEADER) ??
-    headerOf(request, IDEMPOTENCY_HEADER);
-  if (given !== undefined && CALL_IDENTITY.test(given)) {
-    return given;
-  }
-  const unique = context.random.nextInteger(2 ** 31).toString(36);
-  return `${context.self.process.host}-${unique}-${context.counts.calls}`;
-}
-
-function headerOf(request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name];
-  return typeof value === "string" ? value : undefined;
-}
-
 function refuse(
   context: CallContext,
   { call, response }: CallReply,
--- a/src/features/link/common/memory_network.ts
+++ b/src/features/link/common/memory_network.ts
@@ -5,11 +5,8 @@
  */
 
 import type { Clock } from "../../../base/common/clock.ts";
-import {
-  createDisposable,
-  type Disposable,
-} from "../../../base/common/disposable.ts";
 import { createEmitter } from "../../../base/common/emitter.ts";
+import { registerHandler } from "../../../base/common/handler_map.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { Err, Ok } from "../../../base/common/result.ts";
 import { StepError } from "../../../base/common/step_error.ts";
@@ -237,8 +234,10 @@
         });
       });
     },
-    onMessage: (kind, handler) => register(messageHandlers, kind, handler),
-    onRequest: (kind, handler) => register(requestHandlers, kind, handler),
+    onMessage: (kind, handler) =>
+      registerHandler(messageHandlers, kind, handler),
+    onRequest: (kind, handler) =>
+      registerHandler(requestHandlers, kind, handler),
     deliver(peer, message) {
       count("received", message);
       messageHandlers.get(message.kind)?.(peer, message);
@@ -262,16 +261,3 @@
     },
   };
 }
-
-function register<T>(
-  handlers: Map<string, T>,
-  kind: string,
-  handler: T,
-): Disposable {
-  handlers.set(kind, handler);
-  return createDisposable(() => {
-    if (handlers.get(kind) === handler) {
-      handlers.delete(kind);
-    }
-  });
-}
--- a/src/features/link/node/frame_dispatcher.ts
+++ b/src/features/link/node/frame_dispatcher.ts
@@ -8,10 +8,8 @@
   createChannel,
   startMessageTask,
 } from "../../../base/common/channel.ts";
-import {
-  createDisposable,
-  type Disposable,
-} from "../../../base/common/disposable.ts";
+import type { Disposable } from "../../../base/common/disposable.ts";
+import { registerHandler } from "../../../base/common/handler_map.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
 import { describeError } from "../../../base/common/step_error.ts";
 import type { LinkFrame } from "../common/link_frame.ts";
@@ -85,8 +83,10 @@
         });
       }
     },
-    onMessage: (kind, handler) => register(messageHandlers, kind, handler),
-    onRequest: (kind, handler) => register(requestHandlers, kind, handler),
+    onMessage: (kind, handler) =>
+      registerHandler(messageHandlers, kind, handler),
+    onRequest: (kind, handler) =>
+      registerHandler(requestHandlers, kind, handler),
     dispose: () => inbox.close(),
   };
 }
@@ -96,16 +96,3 @@
   peer: Peer,
   message: LinkMessage,
 ) => LinkMessage | Promise<LinkMessage>;
-
-function register<T>(
-  handlers: Map<string, T>,
-  kind: string,
-  handler: T,
-): Disposable {
-  handlers.set(kind, handler);
-  return createDisposable(() => {
-    if (handlers.get(kind) === handler) {
-      handlers.delete(kind);
-    }
-  });
-}
--- a/src/programs/node/demo_callers.ts
+++ b/src/programs/node/demo_callers.ts
@@ -6,14 +6,13 @@
  */
 
 import { randomBytes } from "node:crypto";
-import { Agent, request } from "node:http";
+import { Agent } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { DaemonSettings } from "../common/daemon_settings.ts";
-import { DEMO_CUSTOMER } from "./demo_fleet.ts";
+import { sendDemoCall } from "./demo_call.ts";
 
 const CALLERS_PER_DAEMON = 2;
 const PAUSE_MS = 10;
-const CALL_TIMEOUT_MS = 10_000;
 const REPEATS = 5;
 const REPEAT_PAUSE_MS = 100;
 /**
@@ -90,66 +89,20 @@
   const isReservation = counts.calls % CALLS_PER_RESERVATION === 0;
   const key = `${daemon.failureDomain}.${createIdentity(Date.now())}`;
   for (let repeat = 0;; repeat += 1) {
-    const answer = await call(daemon, { agent, key, isReservation });
+    const answer = await sendDemoCall(daemon, { agent, key, isReservation });
     if (answer.status === 200) {
       return undefined;
     }
     if (answer.outcome !== "not-run" || repeat === REPEATS) {
-      return `status ${answer.status}, outcome ${answer.outcome}: ${answer.text}`;
+      return `status ${answer.status}, outcome ${
+        answer.outcome ?? "answered"
+      }: ${answer.text}`;
     }
     counts.repeated += 1;
     await sleep(REPEAT_PAUSE_MS);
   }
 }
 
-interface CallOptions {
-  readonly agent: Agent;
-  readonly key: string;
-  readonly isReservation: boolean;
-}
-
-interface CallAnswer {
-  /** 0 without a complete answer. */
-  readonly status: number;
-  readonly outcome: string;
-  readonly text: string;
-}
-
-function call(
-  daemon: DaemonSettings,
-  { agent, key, isReservation }: CallOptions,
-): Promise<CallAnswer> {
-  return new Promise((resolve) => {
-    const fail = (error: Error) =>
-      resolve({ status: 0, outcome: "unknown", text: error.message });
-    const outgoing = request({
-      agent,
-      host: daemon.address,
-      port: daemon.proxyPort,
-      method: isReservation ? "POST" : "GET",
-      path: isReservation ? "/v1/reservations" : "/v1/availability",
-      headers: {
-        "guavarun-customer": DEMO_CUSTOMER,
-        ...isReservation ? { "idempotency-key": key } : {},
-      },
-      timeout: CALL_TIMEOUT_MS,
-    }, (answer) => {
-      const parts: Buffer[] = [];
-      answer.on("data", (part: Buffer) => parts.push(part));
-      answer.on("error", fail);
-      answer.on("end", () =>
-        resolve({
-          status: answer.statusCode ?? 0,
-          outcome: String(answer.headers["guavarun-outcome"] ?? "answered"),
-          text: Buffer.concat(parts).toString("utf8").slice(0, 200).trim(),
-        }));
-    });
-    outgoing.on("timeout", () => outgoing.destroy(new Error("no answer")));
-    outgoing.on("error", fail);
-    outgoing.end();
-  });
-}
-
 /** A UUID of version 7 (RFC 9562), which begins with the time of its creation. */
 export function createIdentity(now: number): string {
   const bytes = randomBytes(16);
--- a/src/programs/node/process_callers.ts
+++ b/src/programs/node/process_callers.ts
@@ -6,12 +6,12 @@
  */
 
 import assert from "node:assert/strict";
-import { Agent, request } from "node:http";
+import { Agent } from "node:http";
 import type { TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { createIdentity } from "./demo_callers.ts";
-import { DEMO_CUSTOMER } from "./demo_fleet.ts";
+import { type DemoAnswer, sendDemoCall } from "./demo_call.ts";
 import type { FleetDaemon, FleetUpstream } from "./process_fleet.ts";
 
 const PAUSE_MS: Milliseconds = 10;
@@ -123,50 +123,33 @@
   }
 }
 
-function send(
+async function send(
   { settings }: FleetDaemon,
   { key, isReservation }: RecordedCall,
   agent: Agent,
 ): Promise<CallAnswer> {
   const startedAt = Date.now();
-  return new Promise((resolve) => {
-    const end = (answer: Omit<CallAnswer, "duration">) =>
-      resolve({ ...answer, duration: Date.now() - startedAt });
-    const fail = (error: NodeJS.ErrnoException) =>
-      end({
-        kind: error.code === "ECONNREFUSED" ? "unreachable" : "cut",
-        status: 0,
-        text: error.message,
-      });
-    const outgoing = request({
-      agent,
-      host: settings.address,
-      port: settings.proxyPort,
-      method: isReservation ? "POST" : "GET",
-      path: isReservation ? "/v1/reservations" : "/v1/availability",
-      headers: {
-        "guavarun-customer": DEMO_CUSTOMER,
-        ...isReservation ? { "idempotency-key": key } : {},
-      },
-      timeout: CALL_TIMEOUT_MS,
-    }, (incoming) => {
-      const parts: Buffer[] = [];
-      const outcome = incoming.headers["guavarun-outcome"];
-      incoming.on("data", (part: Buffer) => parts.push(part));
-      incoming.on("error", fail);
-      incoming.on("end", () =>
-        end({
-          kind: outcome === "not-run" || outcome === "unknown"
-            ? outcome
-            : "answered",
-          status: incoming.statusCode ?? 0,
-          text: Buffer.concat(parts).toString("utf8").trim().slice(0, 200),
-        }));
-    });
-    outgoing.on("timeout", () => outgoing.destroy(new Error("no answer")));
-    outgoing.on("error", fail);
-    outgoing.end();
+  const answer = await sendDemoCall(settings, {
+    agent,
+    key,
+    isReservation,
+    timeoutMilliseconds: CALL_TIMEOUT_MS,
   });
+  return {
+    kind: kindOf(answer),
+    status: answer.status,
+    text: answer.text,
+    duration: Date.now() - startedAt,
+  };
+}
+
+function kindOf(
+  { status, outcome, errorCode }: DemoAnswer,
+): CallAnswer["kind"] {
+  if (status === 0) {
+    return errorCode === "ECONNREFUSED" ? "unreachable" : "cut";
+  }
+  return outcome === "not-run" || outcome === "unknown" ? outcome : "answered";
 }
 
 /** How a call ended for its caller. */
