Leave out log events below the level before winston formats them

Cause: a profile of a daemon under calls showed the formatting of log lines though nothing was logged: winston formats first and compares the level later. Change: the process log filters by level itself.

--- a/src/base/node/process_log.ts
+++ b/src/base/node/process_log.ts
@@ -5,7 +5,12 @@
  */
 
 import winston from "winston";
-import type { EventLog, LogFields, LogLevel } from "../common/event_log.ts";
+import {
+  type EventLog,
+  filterEventLog,
+  type LogFields,
+  type LogLevel,
+} from "../common/event_log.ts";
 
 const BARE_VALUE = /^[\w.:\-/@+]+$/;
 
@@ -28,7 +33,8 @@
     format: winston.format.printf(formatLine),
     transports: [transport],
   });
-  return createView(logger, options.fields);
+  // The library formats an event before it compares its level.
+  return filterEventLog(createView(logger, options.fields), options.level);
 }
 
 function createView(logger: winston.Logger, common: LogFields): EventLog {
