Log the fields that the time line orders by, and add a trial on one machine

Cause: walking through OPERATING.md showed that events of configurations named their version in another field than the time line reads, so versions gave no order across hosts; attempts had no number; a newcomer had no settings that work on one machine. Change: configuration events carry version, attempts their number, and the upstream stand-in serviceVersion; examples/local with a walk through it.

--- a/src/features/attempt/node/attempt_loop.ts
+++ b/src/features/attempt/node/attempt_loop.ts
@@ -133,6 +133,7 @@
   const judged = judgeEnd(end);
   context.log.write("debug", "call.attempted", {
     call: options.callIdentity,
+    attempt: state.attempts,
     route: options.match.route.name,
     peer: instance.identity,
     serviceVersion: instance.version,
--- a/src/features/distribution/common/create_configuration_source.ts
+++ b/src/features/distribution/common/create_configuration_source.ts
@@ -66,7 +66,7 @@
     const { configuration } = next.fold;
     if (configuration.version > before.configuration.version) {
       log.write("info", "configuration.applied", {
-        configurationVersion: configuration.version,
+        version: configuration.version,
       });
       changed.fire(configuration);
     }
--- a/src/features/distribution/common/distribution_session.ts
+++ b/src/features/distribution/common/distribution_session.ts
@@ -150,7 +150,7 @@
   cluster: VirtualCluster,
 ): string {
   const host = String(fields.host);
-  const version = fields.configurationVersion ??
+  const version = fields.version ??
     cluster.daemons.get(host)?.source.current.version;
   const reason = fields.reason === undefined ? "" : ` (${fields.reason})`;
   return `${formatTime(at)} ${host} ${event}${reason} ${version}`;
--- a/src/features/distribution/common/floor_search.ts
+++ b/src/features/distribution/common/floor_search.ts
@@ -68,7 +68,7 @@
     if (!isReached) {
       isReached = true;
       log.write("info", "floor.reached", {
-        configurationVersion: getVersion(),
+        version: getVersion(),
         reason,
       });
     }
--- a/src/features/table/common/table_golden_test.ts
+++ b/src/features/table/common/table_golden_test.ts
@@ -115,11 +115,11 @@
       highest = version;
       lines.push(`${bench.clock.now()} -- ${text}`);
       for (const { at, event, fields } of bench.events.slice(seen)) {
-        const { configurationVersion, ...others } = fields;
+        const { version, ...others } = fields;
         const details = Object.entries(others)
           .filter(([, value]) => value !== undefined)
           .map(([key, value]) => ` ${key}=${value}`).join("");
-        lines.push(`${at} ${HOST} ${event}${details} ${configurationVersion}`);
+        lines.push(`${at} ${HOST} ${event}${details} ${version}`);
       }
       lines.push(
         `${bench.clock.now()} ${HOST} in force (heats ${
--- a/src/features/table/common/table_keeper.ts
+++ b/src/features/table/common/table_keeper.ts
@@ -63,7 +63,7 @@
     const built = buildTable(configuration);
     if (built.err) {
       log.write("error", "table.refused", {
-        configurationVersion: configuration.version,
+        version: configuration.version,
         reason: built.val,
       });
       return;
@@ -98,7 +98,7 @@
     current = { table: pending.table, services: pending.services };
     pending = undefined;
     log.write("info", "table.swapped", {
-      configurationVersion: current.table.version,
+      version: current.table.version,
       missingServices: missing.join(",") || undefined,
     });
     changed.fire(current.table);
--- a/src/programs/common/settings_test.ts
+++ b/src/programs/common/settings_test.ts
@@ -121,7 +121,7 @@
       ? daemonSettingsSchema
       : upstreamSettingsSchema;
   };
-  assert.equal(files.length, 17);
+  assert.equal(files.length, 25);
   for (const file of files) {
     const result = readSettingsFile(file, schemaOf(file));
     assert.ok(result.ok, result.err ? result.val.message : "");
--- a/src/programs/node/upstream.ts
+++ b/src/programs/node/upstream.ts
@@ -31,7 +31,7 @@
   });
   log.write("info", "upstream.listening", {
     service: settings.service,
-    version: settings.version,
+    serviceVersion: settings.version,
     port: upstream.port,
   });
   return { port: upstream.port, stop: () => upstream.drain() };
