Keep instants of the time line page on one line

Cause: looked at in a browser, each instant broke over two lines. Change: one style rule; two comments use plainer words.

--- a/src/features/distribution/common/peer_sync.ts
+++ b/src/features/distribution/common/peer_sync.ts
@@ -54,7 +54,7 @@
 const REPAIR_DELAY_MS: Milliseconds = 100;
 const REQUEST_TIMEOUT_MS: Milliseconds = 2_000;
 /**
- * States that a daemon sends at a time. A herd of restarted daemons would otherwise fill its
+ * States that a daemon sends at a time. Many daemons that restart together would otherwise fill its
  * links with states, and those that got one can serve the others.
  */
 export const STATE_ANSWERS = 4;
@@ -206,7 +206,7 @@
     });
   }
 
-  /** Asks one peer that is ahead, chosen at random so that a herd spreads over its peers. */
+  /** Asks one peer that is ahead, chosen at random so that many askers spread over the peers. */
   async function runRepair(): Promise<void> {
     const ahead = listPeersAhead(positions, getPosition());
     if (ahead.length === 0 || isDisposed) {
--- a/src/features/timeline/common/timeline_output.ts
+++ b/src/features/timeline/common/timeline_output.ts
@@ -26,6 +26,7 @@
 td.time, td.fields { font-family: ui-monospace, monospace; font-size: 12px; }
 tr.warn { background: #fff4d6; } tr.error { background: #ffe0e0; }
 input { width: 30rem; max-width: 100%; margin: 0 0 1rem; }
+td:first-child { white-space: nowrap; }
 `;
 
 /** Hides the rows that do not contain the text in the field above the table. */
