--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -11,7 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import type { Milliseconds } from "../common/milliseconds.ts";
 import { Err, Ok, type Result } from "../common/result.ts";
 import { StepError } from "../common/step_error.ts";
@@ -21,6 +21,10 @@
 const REQUEST_TIMEOUT_MS: Milliseconds = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS: Milliseconds = 30_000;
 
+/** Callers that still use this server use an open connection within this time. */
+const QUIET_MS: Milliseconds = 1_000;
+const QUIET_CHECK_MS: Milliseconds = 50;
+
 export type HttpHandler = (
   request: IncomingMessage,
   response: ServerResponse,
@@ -29,7 +33,11 @@
 export interface HttpListener {
   readonly server: Server;
   readonly port: number;
-  /** Stops accepting, closes idle connections and resolves when the last request has ended. */
+  /**
+   * Stops accepting and resolves when the last connection has ended. Open connections are
+   * served on; idle ones are closed when no request has come for a while. Closed at once, a
+   * connection could take a request with it that is already on its way.
+   */
   drain(): Promise<void>;
   /** Destroys every connection. */
   close(): Promise<void>;
@@ -65,20 +73,34 @@
       resolve({
         server,
         port: (server.address() as AddressInfo).port,
-        drain: () => closeServer(server, () => server.closeIdleConnections()),
-        close: () => closeServer(server, () => server.closeAllConnections()),
+        drain: () => drainServer(server),
+        close: () => closeServer(server),
       });
     });
   });
 }
 
-function closeServer(
-  server: Server,
-  closeConnections: () => void,
-): Promise<void> {
+function drainServer(server: Server): Promise<void> {
+  let lastRequestAt = Date.now();
+  server.on("request", () => lastRequestAt = Date.now());
+  const timer = setInterval(() => {
+    if (Date.now() - lastRequestAt >= QUIET_MS) {
+      server.closeIdleConnections();
+    }
+  }, QUIET_CHECK_MS);
+  return new Promise((resolve) => {
+    // The method of the HTTP server would close the idle connections at once.
+    NetServer.prototype.close.call(server, () => {
+      clearInterval(timer);
+      resolve();
+    });
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
-    closeConnections();
+    server.closeAllConnections();
   });
 }
 
