--- a/src/features/admission/common/quota.ts
+++ b/src/features/admission/common/quota.ts
@@ -64,8 +64,6 @@
   readonly pledged: Amount;
 }
 
-export const NO_ENTITLEMENT: Entitlement = { own: NOTHING, pledged: NOTHING };
-
 export interface MembershipView
   extends Pick<Directory, "self" | "localMembers" | "departures"> {
   /** Since when a member is suspect; without it every suspicion counts as an early one. */
