--- a/scripts/measure_daemons.mjs
+++ b/scripts/measure_daemons.mjs
@@ -11,10 +11,10 @@
   createDemoContract,
   createFleet,
   OLD_VERSION,
-} from "../dist/programs/node/demo_fleet.js";
+} from "../dist/src/programs/node/demo_fleet.js";
 
 const FOLDER = "run/measure";
-const PROGRAM = "dist/programs/node/guavarun.js";
+const PROGRAM = "dist/src/programs/node/guavarun.js";
 const HOSTS_PER_DOMAIN = [1, 3, 6, 12];
 const SETTLE_MS = 8_000;
 const PERIOD_MS = 15_000;
--- a/scripts/run_processes.mjs
+++ b/scripts/run_processes.mjs
@@ -6,11 +6,11 @@
 import { randomUUID } from "node:crypto";
 import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { createFleet } from "../dist/programs/node/demo_fleet.js";
-import { runScenario } from "../dist/programs/node/demo_scenario.js";
+import { createFleet } from "../dist/src/programs/node/demo_fleet.js";
+import { runScenario } from "../dist/src/programs/node/demo_scenario.js";
 
 const FOLDER = "run";
-const PROGRAM = "dist/programs/node/guavarun.js";
+const PROGRAM = "dist/src/programs/node/guavarun.js";
 const STOP_TIMEOUT_MS = 30_000;
 
 /** Starts one command with its settings in a file; its events go to a log file beside it. */
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -28,7 +28,7 @@
   return knownRed.some(({ file, name }) =>
     failure.name === name &&
     failure.file?.replace(/\.js$/, ".ts").endsWith(
-      file.replace(/^src\//, "dist/"),
+      `dist/${file}`,
     )
   );
 }
--- a/src/base/layers_test.ts
+++ b/src/base/layers_test.ts
@@ -18,6 +18,12 @@
   "attempt",
   "administration",
   "timeline",
+  "operator",
+  "gate",
+  "rollout",
+  "fleet",
+  "placement",
+  "ingress",
 ];
 const IMPORT = /from "(\.[^"]+)"/g;
 const SOURCE = resolve("src");
@@ -38,6 +44,9 @@
 }
 
 function findFault(from: Place, to: Place): string | undefined {
+  if (!LAYERS.includes(to.layer)) {
+    return "imports from outside the layers";
+  }
   if (LAYERS.indexOf(to.layer) > LAYERS.indexOf(from.layer)) {
     return "imports a higher layer";
   }
--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -47,6 +47,8 @@
   readonly address: string;
   /** 0 takes any free port. */
   readonly port: number;
+  /** The largest header section of a request. */
+  readonly maximumHeaderBytes?: number;
 }
 
 export function listenHttp(
@@ -54,7 +56,7 @@
   options: ListenOptions,
 ): Promise<HttpListener> {
   const server = createServer({
-    maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    maxHeaderSize: options.maximumHeaderBytes ?? MAXIMUM_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
--- a/src/base/node/process_log.ts
+++ b/src/base/node/process_log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Writable } from "node:stream";
 import winston from "winston";
 import {
   type EventLog,
@@ -18,25 +19,32 @@
   readonly level: LogLevel;
   /** Fields of every line: host, failure domain, process. */
   readonly fields: LogFields;
-  /** A file to append to; standard error when absent. */
+  /** A file to append to; standard error when neither this nor a stream is given. */
   readonly file?: string;
+  readonly stream?: Writable;
 }
 
 export function createProcessLog(options: ProcessLogOptions): EventLog {
-  const transport = options.file === undefined
-    ? new winston.transports.Console({
-      stderrLevels: ["error", "warn", "info", "debug"],
-    })
-    : new winston.transports.File({ filename: options.file });
   const logger = winston.createLogger({
     level: options.level,
     format: winston.format.printf(formatLine),
-    transports: [transport],
+    transports: [createTransport(options)],
   });
   // The library formats an event before it compares its level.
   return filterEventLog(createView(logger, options.fields), options.level);
 }
 
+function createTransport(options: ProcessLogOptions) {
+  if (options.stream !== undefined) {
+    return new winston.transports.Stream({ stream: options.stream });
+  }
+  return options.file === undefined
+    ? new winston.transports.Console({
+      stderrLevels: ["error", "warn", "info", "debug"],
+    })
+    : new winston.transports.File({ filename: options.file });
+}
+
 function createView(logger: winston.Logger, common: LogFields): EventLog {
   return {
     write(level, event, fields) {
--- a/src/base/node/system_clock.ts
+++ b/src/base/node/system_clock.ts
@@ -1,5 +1,5 @@
 /**
- * The clock of the machine.
+ * The clocks of the host.
  *
  * @module
  */
@@ -19,4 +19,13 @@
   }
 }
 
+/** Durations only: it keeps running evenly while the time of day jumps. */
+class SteadyClock extends SystemClock {
+  override now(): Milliseconds {
+    return performance.now();
+  }
+}
+
+export const STEADY_CLOCK: Clock = new SteadyClock();
+
 export const SYSTEM_CLOCK: Clock = new SystemClock();
--- /dev/null
+++ b/src/features/fleet/common/fleet.ts
@@ -0,0 +1,177 @@
+/**
+ * The daemons that this one knows: where they accept links, and what each last told.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Disposable } from "../../../base/common/disposable.ts";
+import { createEmitter, type Event } from "../../../base/common/emitter.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type {
+  FailureDomainName,
+  HostName,
+} from "../../../world/common/names.ts";
+import type { GateLoadReport } from "../../gate/common/gate_call.ts";
+import type { DepartedInstance } from "../../gate/common/instance_register.ts";
+import type {
+  LinkTarget,
+  Peer,
+  PeerNetwork,
+} from "../../link/common/peer_network.ts";
+import {
+  STATUS_KIND,
+  type StatusMessage,
+  WELCOME_KIND,
+  type WelcomeMessage,
+} from "./fleet_messages.ts";
+
+/** How often a daemon tells its status when nothing urgent changes. */
+const STATUS_INTERVAL_MS: Milliseconds = 500;
+
+/** Another daemon with an open link. */
+export interface FleetMember {
+  readonly host: HostName;
+  readonly failureDomain: FailureDomainName;
+  readonly status: StatusMessage;
+  readonly load: GateLoadReport;
+  /** When the load was told. */
+  readonly loadAt: Milliseconds;
+  /** When the instance stops being slow after its start. */
+  readonly coldUntil: Milliseconds;
+}
+
+export interface Fleet extends Disposable {
+  /** Daemons with an open link that have told their status. */
+  readonly members: readonly FleetMember[];
+  readonly hosts: readonly LinkTarget[];
+  readonly onStatus: Event<{ peer: Peer; status: StatusMessage }>;
+  /** Another daemon remembers instances that left the own host. */
+  readonly onRecalled: Event<readonly DepartedInstance[]>;
+  addHosts(targets: readonly LinkTarget[]): void;
+  noteLoad(host: HostName, load: GateLoadReport): void;
+  /** Tells the own status to all daemons now. */
+  notify(): void;
+}
+
+export interface FleetOptions {
+  readonly self: LinkTarget;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly network: PeerNetwork;
+  readonly describeSelf: () => Omit<StatusMessage, "kind">;
+}
+
+export function createFleet(options: FleetOptions): Fleet {
+  const { clock, log, network, self } = options;
+  const targets = new Map<HostName, LinkTarget>([[self.host, self]]);
+  const members = new Map<HostName, FleetMember>();
+  const departedByHost = new Map<HostName, readonly DepartedInstance[]>();
+  const statusTold = createEmitter<{ peer: Peer; status: StatusMessage }>();
+  const recalled = createEmitter<readonly DepartedInstance[]>();
+
+  function addHosts(added: readonly LinkTarget[]): void {
+    let isChanged = false;
+    for (const target of added) {
+      const known = targets.get(target.host);
+      if (
+        target.host !== self.host &&
+        (known?.address !== target.address || known.port !== target.port)
+      ) {
+        targets.set(target.host, target);
+        isChanged = true;
+      }
+    }
+    if (isChanged) {
+      log.write("info", "fleet.hosts-changed", { count: targets.size });
+      network.setTargets([...targets.values()]);
+    }
+  }
+
+  function createStatus(): StatusMessage {
+    return { kind: STATUS_KIND, ...options.describeSelf() };
+  }
+
+  function greet(peer: Peer): void {
+    const { host } = peer.process;
+    log.write("info", "fleet.link-opened", { peer: host });
+    const welcome: WelcomeMessage = {
+      kind: WELCOME_KIND,
+      hosts: [...targets.values()],
+      departed: departedByHost.get(host) ?? [],
+    };
+    network.send(host, welcome);
+    network.send(host, createStatus());
+  }
+
+  function takeStatus(peer: Peer, status: StatusMessage): void {
+    const { host } = peer.process;
+    const now = clock.now();
+    members.set(host, {
+      host,
+      failureDomain: peer.failureDomain,
+      status,
+      load: status.load,
+      loadAt: now,
+      coldUntil: now + (status.instance?.coldForMilliseconds ?? 0),
+    });
+    if (status.departed.length > 0) {
+      departedByHost.set(host, status.departed);
+    }
+    statusTold.fire({ peer, status });
+  }
+
+  const registrations = [
+    network.onLinkOpened(greet),
+    network.onLinkClosed((peer) => {
+      log.write("info", "fleet.link-closed", { peer: peer.process.host });
+      members.delete(peer.process.host);
+    }),
+    network.onMessage(WELCOME_KIND, (_, message) => {
+      const { hosts, departed } = message as WelcomeMessage;
+      addHosts(hosts);
+      if (departed.length > 0) {
+        recalled.fire(departed);
+      }
+    }),
+    network.onMessage(
+      STATUS_KIND,
+      (peer, message) => takeStatus(peer, message as StatusMessage),
+    ),
+    clock.repeat(STATUS_INTERVAL_MS, notify),
+  ];
+
+  function notify(): void {
+    const status = createStatus();
+    for (const peer of network.peers) {
+      network.send(peer.process.host, status);
+    }
+  }
+
+  return {
+    get members() {
+      return [...members.values()];
+    },
+    get hosts() {
+      return [...targets.values()];
+    },
+    onStatus: statusTold.event,
+    onRecalled: recalled.event,
+    addHosts,
+    noteLoad(host, load) {
+      const member = members.get(host);
+      if (member !== undefined) {
+        members.set(host, { ...member, load, loadAt: clock.now() });
+      }
+    },
+    notify,
+    dispose() {
+      for (const registration of registrations) {
+        registration.dispose();
+      }
+      statusTold.dispose();
+      recalled.dispose();
+    },
+  };
+}
--- /dev/null
+++ b/src/features/gate/common/admission_decision.ts
@@ -0,0 +1,52 @@
+/**
+ * Whether a gate takes a call: it starts, waits, or is refused on arrival.
+ *
+ * Load pattern: sustained overload of one instance. A call that cannot finish by its deadline is
+ * refused at once, so that its caller can try another gate or return later, and takes no place
+ * from calls that can.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { WaitingCall } from "./waiting_room.ts";
+
+export interface GateLoad {
+  readonly running: number;
+  /** Calls that the instance may work on at once. */
+  readonly limit: number;
+  /** Waiting calls that would start before this one. */
+  readonly ahead: number;
+  /** The mean time that the instance works on a call. */
+  readonly meanMilliseconds: Milliseconds;
+}
+
+export type AdmissionDecision =
+  | { readonly type: "start" }
+  | { readonly type: "wait" }
+  | { readonly type: "refuse"; readonly retryAfter: Milliseconds };
+
+/** The time until a call with `ahead` calls before it starts. */
+export function expectWait(load: GateLoad): Milliseconds {
+  if (load.running + load.ahead < load.limit) {
+    return 0;
+  }
+  const places = load.running + load.ahead - load.limit + 1;
+  return places * load.meanMilliseconds / Math.max(1, load.limit);
+}
+
+export function decideAdmission(
+  call: WaitingCall,
+  load: GateLoad,
+  now: Milliseconds,
+): AdmissionDecision {
+  const wait = expectWait(load);
+  if (wait === 0) {
+    return now + call.expectedMilliseconds / 2 > call.deadlineAt
+      ? { type: "refuse", retryAfter: 0 }
+      : { type: "start" };
+  }
+  return now + wait + call.expectedMilliseconds > call.deadlineAt
+    ? { type: "refuse", retryAfter: wait }
+    : { type: "wait" };
+}
--- /dev/null
+++ b/src/features/gate/common/gate.ts
@@ -0,0 +1,52 @@
+/**
+ * The gate of a daemon, as the features that offer it calls see it.
+ *
+ * @module
+ */
+
+import type { Disposable } from "../../../base/common/disposable.ts";
+import type { Event } from "../../../base/common/emitter.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type {
+  InstanceDeparture,
+  InstanceReport,
+} from "../../../world/common/mesh_instance.ts";
+import type { RouteName } from "../../../world/common/names.ts";
+import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
+import type { DepartedInstance, ReportOutcome } from "./instance_register.ts";
+
+/** A call that the instance has worked on. */
+export interface CallRecord {
+  readonly route: RouteName;
+  readonly isFailure: boolean;
+  /** Whether it began after the instance's cold start. */
+  readonly isWarm: boolean;
+  readonly duration: Milliseconds;
+}
+
+export interface GateTicket {
+  /** Ends the call: its caller has left. */
+  cancel(): void;
+}
+
+export interface Gate extends Disposable {
+  readonly instance: InstanceReport | undefined;
+  readonly departed: readonly DepartedInstance[];
+  readonly load: GateLoadReport;
+  /** Whether the instance may be sent calls at present. */
+  readonly isServing: boolean;
+  /** How much longer the instance is slow after its start. */
+  readonly coldForMilliseconds: Milliseconds;
+  /** Fires when something that callers' daemons choose by has changed, other than the load. */
+  readonly onChanged: Event<void>;
+  /** Fires after each call that the instance has worked on. */
+  readonly onCalled: Event<CallRecord>;
+  report(report: InstanceReport): ReportOutcome;
+  depart(departure: InstanceDeparture): ReportOutcome;
+  recall(departed: readonly DepartedInstance[]): void;
+  /** Offers a call; `settle` is called once, possibly before this returns. */
+  offer(
+    request: GateRequest,
+    settle: (outcome: GateOutcome) => void,
+  ): GateTicket;
+}
--- /dev/null
+++ b/src/features/gate/common/gate_client.ts
@@ -0,0 +1,202 @@
+/**
+ * Offers calls to the gates of all hosts, this one included.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Disposable } from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { ProcessIdentity } from "../../../world/common/host.ts";
+import type { HostName } from "../../../world/common/names.ts";
+import type { Peer, PeerNetwork } from "../../link/common/peer_network.ts";
+import type { Gate, GateTicket } from "./gate.ts";
+import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
+import {
+  CANCEL_KIND,
+  type CancelMessage,
+  OFFER_KIND,
+  type OfferMessage,
+  OUTCOME_KIND,
+  type OutcomeMessage,
+} from "./gate_messages.ts";
+
+export interface OfferOptions {
+  readonly request: GateRequest;
+  /** How long a lost link may take to come back before the call counts as failed. */
+  readonly resumeWithin: Milliseconds;
+  readonly settle: (outcome: GateOutcome) => void;
+}
+
+export interface GateClient extends Disposable {
+  offer(host: HostName, options: OfferOptions): GateTicket;
+  /** The number of calls that this daemon has under way at the gate of a host. */
+  countOutstanding(host: HostName): number;
+}
+
+export interface GateClientOptions {
+  readonly self: ProcessIdentity;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly network: PeerNetwork;
+  readonly gate: Gate;
+  /** Called with the load that came with an outcome. */
+  readonly onLoad: (host: HostName, load: GateLoadReport) => void;
+}
+
+interface Outstanding {
+  readonly host: HostName;
+  readonly peerStartedAt: Milliseconds;
+  readonly options: OfferOptions;
+  readonly offeredAt: Milliseconds;
+  timer: Disposable | undefined;
+}
+
+export function createGateClient(options: GateClientOptions): GateClient {
+  const { clock, gate, log, network, self } = options;
+  const outstanding = new Map<string, Outstanding>();
+  const counts = new Map<HostName, number>();
+
+  function count(host: HostName, change: number): void {
+    counts.set(host, (counts.get(host) ?? 0) + change);
+  }
+
+  function offerLocally({ request, settle }: OfferOptions): GateTicket {
+    count(self.host, 1);
+    return gate.offer(request, (outcome) => {
+      count(self.host, -1);
+      settle(outcome);
+    });
+  }
+
+  function findPeer(host: HostName): Peer | undefined {
+    return network.peers.find((peer) => peer.process.host === host);
+  }
+
+  function offer(host: HostName, offerOptions: OfferOptions): GateTicket {
+    if (host === self.host) {
+      return offerLocally(offerOptions);
+    }
+    const { request, settle } = offerOptions;
+    const peer = findPeer(host);
+    const message: OfferMessage = { kind: OFFER_KIND, request };
+    if (peer === undefined || !network.send(host, message)) {
+      settle({
+        type: "refused",
+        reason: "unreachable",
+        retryAfter: 0,
+        reachedInstance: false,
+      });
+      return { cancel() {} };
+    }
+    outstanding.set(request.identity, {
+      host,
+      peerStartedAt: peer.process.startedAt,
+      options: offerOptions,
+      offeredAt: clock.now(),
+      timer: undefined,
+    });
+    count(host, 1);
+    return {
+      cancel() {
+        if (take(request.identity) !== undefined) {
+          const cancellation: CancelMessage = {
+            kind: CANCEL_KIND,
+            identity: request.identity,
+          };
+          network.send(host, cancellation);
+        }
+      },
+    };
+  }
+
+  function take(identity: string): Outstanding | undefined {
+    const call = outstanding.get(identity);
+    if (call !== undefined) {
+      outstanding.delete(identity);
+      call.timer?.dispose();
+      count(call.host, -1);
+    }
+    return call;
+  }
+
+  function fail(identity: string, reason: string): void {
+    const call = take(identity);
+    if (call === undefined) {
+      return;
+    }
+    log.write("info", "gate.call-lost", {
+      request: call.options.request.requestIdentity,
+      peer: call.host,
+      reason,
+      after: Math.round(clock.now() - call.offeredAt),
+    });
+    call.options.settle({ type: "failed", reason });
+  }
+
+  function callsAt(host: HostName): [string, Outstanding][] {
+    return [...outstanding].filter(([, call]) => call.host === host);
+  }
+
+  function handleClosed(peer: Peer): void {
+    for (const [identity, call] of callsAt(peer.process.host)) {
+      call.timer ??= clock.schedule(
+        call.options.resumeWithin,
+        () => fail(identity, "the link was lost"),
+      );
+    }
+  }
+
+  function handleOpened(peer: Peer): void {
+    const { host, startedAt } = peer.process;
+    for (const [identity, call] of callsAt(host)) {
+      if (call.peerStartedAt !== startedAt) {
+        fail(identity, "the gate has restarted");
+        continue;
+      }
+      call.timer?.dispose();
+      call.timer = undefined;
+      resume(call);
+    }
+  }
+
+  function resume(
+    { host, offeredAt, options: { request } }: Outstanding,
+  ): void {
+    const elapsed = clock.now() - offeredAt;
+    const message: OfferMessage = {
+      kind: OFFER_KIND,
+      request: {
+        ...request,
+        objectiveInMilliseconds: request.objectiveInMilliseconds - elapsed,
+        deadlineInMilliseconds: request.deadlineInMilliseconds - elapsed,
+      },
+    };
+    log.write("info", "gate.call-resumed", {
+      request: request.requestIdentity,
+      peer: host,
+    });
+    network.send(host, message);
+  }
+
+  const registrations = [
+    network.onMessage(OUTCOME_KIND, (peer, message) => {
+      const { identity, outcome, load } = message as OutcomeMessage;
+      options.onLoad(peer.process.host, load);
+      take(identity)?.options.settle(outcome);
+    }),
+    network.onLinkClosed(handleClosed),
+    network.onLinkOpened(handleOpened),
+  ];
+
+  return {
+    offer,
+    countOutstanding: (host) => counts.get(host) ?? 0,
+    dispose() {
+      for (const registration of registrations) {
+        registration.dispose();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/features/gate/common/gate_service.ts
@@ -0,0 +1,104 @@
+/**
+ * Offers the calls of other daemons to the own gate.
+ *
+ * A link may break while the instance works. The caller's daemon then offers the same call again
+ * over the next link; the gate runs an identity at most once and repeats its outcome.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Disposable } from "../../../base/common/disposable.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { HostName } from "../../../world/common/names.ts";
+import type { PeerNetwork } from "../../link/common/peer_network.ts";
+import type { Gate, GateTicket } from "./gate.ts";
+import type { GateOutcome } from "./gate_call.ts";
+import {
+  CANCEL_KIND,
+  type CancelMessage,
+  OFFER_KIND,
+  type OfferMessage,
+  OUTCOME_KIND,
+  type OutcomeMessage,
+} from "./gate_messages.ts";
+
+/** Outcomes are kept for this long after the deadline of their call. */
+const RETENTION_MS: Milliseconds = 1_000;
+const SWEEP_INTERVAL_MS: Milliseconds = 1_000;
+
+interface RemoteCall {
+  readonly host: HostName;
+  readonly keepUntil: Milliseconds;
+  ticket: GateTicket | undefined;
+  outcome: GateOutcome | undefined;
+}
+
+export interface GateServiceOptions {
+  readonly clock: Clock;
+  readonly network: PeerNetwork;
+  readonly gate: Gate;
+}
+
+export function createGateService(options: GateServiceOptions): Disposable {
+  const { clock, network, gate } = options;
+  const calls = new Map<string, RemoteCall>();
+
+  function sendOutcome(identity: string, call: RemoteCall): void {
+    const message: OutcomeMessage = {
+      kind: OUTCOME_KIND,
+      identity,
+      outcome: call.outcome!,
+      load: gate.load,
+    };
+    // Without a link the outcome is kept; the caller's daemon asks for it over the next one.
+    network.send(call.host, message);
+  }
+
+  function offer(host: HostName, { request }: OfferMessage): void {
+    const { identity } = request;
+    const known = calls.get(identity);
+    if (known !== undefined) {
+      if (known.outcome !== undefined) {
+        sendOutcome(identity, known);
+      }
+      return;
+    }
+    const call: RemoteCall = {
+      host,
+      keepUntil: clock.now() + request.deadlineInMilliseconds + RETENTION_MS,
+      ticket: undefined,
+      outcome: undefined,
+    };
+    calls.set(identity, call);
+    call.ticket = gate.offer(request, (outcome) => {
+      call.outcome = outcome;
+      sendOutcome(identity, call);
+    });
+  }
+
+  const registrations = [
+    network.onMessage(
+      OFFER_KIND,
+      (peer, message) => offer(peer.process.host, message as OfferMessage),
+    ),
+    network.onMessage(CANCEL_KIND, (_, message) => {
+      calls.get((message as CancelMessage).identity)?.ticket?.cancel();
+    }),
+    clock.repeat(SWEEP_INTERVAL_MS, () => {
+      const now = clock.now();
+      for (const [identity, call] of calls) {
+        if (now > call.keepUntil) {
+          calls.delete(identity);
+        }
+      }
+    }),
+  ];
+  return {
+    dispose() {
+      for (const registration of registrations) {
+        registration.dispose();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/features/gate/node/gate.ts
@@ -0,0 +1,494 @@
+/**
+ * The gate: the only way to the instance beside this daemon. It alone knows how many calls the
+ * instance works on, keeps the calls that wait, and passes them on.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Disposable } from "../../../base/common/disposable.ts";
+import { createEmitter } from "../../../base/common/emitter.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
+import type { CallRecord, Gate, GateTicket } from "../common/gate.ts";
+import { decideAdmission } from "../common/admission_decision.ts";
+import type {
+  GateOutcome,
+  GateRequest,
+  RefusalReason,
+} from "../common/gate_call.ts";
+import {
+  createInstanceRegister,
+  type ReportOutcome,
+} from "../common/instance_register.ts";
+import type { MeshHeaders } from "../common/mesh_headers.ts";
+import { formatRequestHead } from "../common/request_head.ts";
+import { createServiceTimes } from "../common/service_times.ts";
+import {
+  createWaitingRoom,
+  isHopeless,
+  type WaitingCall,
+} from "../common/waiting_room.ts";
+import {
+  createInstanceConnection,
+  type ExchangeOutcome,
+  findHeader,
+  type InstanceConnection,
+} from "./instance_connection.ts";
+
+/** Assumed time of a call before any has ended. */
+const FIRST_MEAN_MS: Milliseconds = 50;
+const NEWEST_WEIGHT = 0.05;
+/** A failed connection says nothing about the instance for longer than this. */
+const UNREACHABLE_MS: Milliseconds = 300;
+/** Heartbeats that may be missing before the instance counts as lost. */
+const MISSED_HEARTBEATS = 3;
+
+export interface GateOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly headers: MeshHeaders;
+  readonly heartbeatMilliseconds: Milliseconds;
+}
+
+interface GateCall extends WaitingCall {
+  readonly request: GateRequest;
+  readonly settle: (outcome: GateOutcome) => void;
+  state: "waiting" | "running" | "ended";
+  isCancelled: boolean;
+  startedAt: Milliseconds;
+  timer: Disposable | undefined;
+  connection: InstanceConnection | undefined;
+}
+
+export function createGate(options: GateOptions): Gate {
+  const { clock, log, headers } = options;
+  const register = createInstanceRegister();
+  const room = createWaitingRoom<GateCall>();
+  const running = new Set<GateCall>();
+  const idle: InstanceConnection[] = [];
+  const times = createServiceTimes();
+  const changed = createEmitter<void>();
+  const called = createEmitter<CallRecord>();
+  let mean: Milliseconds = FIRST_MEAN_MS;
+  let pace = 1;
+  let reportedAt = -Infinity;
+  let coldUntil: Milliseconds = 0;
+  let unreachableUntil = -Infinity;
+  let wasServing = false;
+
+  function isServing(): boolean {
+    const now = clock.now();
+    return register.instance?.state === "ready" && now >= unreachableUntil &&
+      now - reportedAt <
+        (MISSED_HEARTBEATS + 0.5) * options.heartbeatMilliseconds;
+  }
+
+  function limit(): number {
+    return register.instance?.slots ?? 0;
+  }
+
+  function announceChange(): void {
+    wasServing = isServing();
+    changed.fire();
+  }
+
+  const watch = clock.repeat(options.heartbeatMilliseconds / 4, () => {
+    if (isServing() !== wasServing) {
+      log.write("info", "gate.serving-changed", {
+        serving: isServing(),
+        instance: register.instance?.identity,
+        sinceHeartbeat: Math.round(clock.now() - reportedAt),
+      });
+      announceChange();
+    }
+  });
+
+  function offer(
+    request: GateRequest,
+    settle: (outcome: GateOutcome) => void,
+  ): GateTicket {
+    const now = clock.now();
+    const call: GateCall = {
+      identity: request.identity,
+      isNested: request.isNested,
+      rank: request.rank,
+      objectiveAt: now + request.objectiveInMilliseconds,
+      deadlineAt: now + request.deadlineInMilliseconds,
+      expectedMilliseconds: times.usual(
+        request.route,
+        request.usualMilliseconds * pace,
+      ),
+      request,
+      settle,
+      state: "waiting",
+      isCancelled: false,
+      startedAt: now,
+      timer: undefined,
+      connection: undefined,
+    };
+    const unfit = findUnfitness(request);
+    if (unfit !== undefined) {
+      refuse(call, unfit);
+      return { cancel() {} };
+    }
+    const ahead = room.size === 0 ? 0 : room.countAhead(call, now);
+    const decision = decideAdmission(call, {
+      running: running.size,
+      limit: limit(),
+      ahead,
+      meanMilliseconds: mean,
+    }, now);
+    switch (decision.type) {
+      case "refuse":
+        refuse(call, "full", decision.retryAfter);
+        break;
+      case "start":
+        start(call);
+        break;
+      case "wait":
+        room.add(call);
+        scheduleHopeless(call, now);
+        break;
+    }
+    return { cancel: () => cancel(call) };
+  }
+
+  function findUnfitness(request: GateRequest): RefusalReason | undefined {
+    const { instance } = register;
+    if (instance === undefined) {
+      return "no-instance";
+    }
+    if (instance.state !== "ready") {
+      return "leaving";
+    }
+    if (
+      instance.service !== request.service ||
+      (request.version !== undefined && instance.version !== request.version)
+    ) {
+      return "other-service";
+    }
+    return isServing() ? undefined : "unreachable";
+  }
+
+  function scheduleHopeless(call: GateCall, now: Milliseconds): void {
+    const delay = call.deadlineAt - now - call.expectedMilliseconds / 2;
+    call.timer = clock.schedule(Math.max(0, delay) + 1, () => {
+      if (call.state === "waiting" && isHopeless(call, clock.now())) {
+        room.remove(call.identity);
+        refuse(call, "hopeless", mean);
+      }
+    });
+  }
+
+  function start(call: GateCall): void {
+    const now = clock.now();
+    const instance = register.instance!;
+    call.timer?.dispose();
+    call.state = "running";
+    call.startedAt = now;
+    running.add(call);
+    const timeLeft = call.deadlineAt - now;
+    call.timer = clock.schedule(timeLeft, () => {
+      call.connection?.dispose();
+    });
+    const connection = takeConnection(instance, now);
+    call.connection = connection;
+    connection.exchange({
+      requestIdentity: call.request.requestIdentity,
+      head: formatRequestHead(call.request, {
+        headers,
+        expectedInstance: instance.identity,
+        timeLeft,
+      }),
+      body: call.request.body,
+      isHead: call.request.method === "HEAD",
+    }, (outcome) => finish(call, connection, outcome));
+  }
+
+  function takeConnection(
+    instance: InstanceReport,
+    now: Milliseconds,
+  ): InstanceConnection {
+    for (let next = idle.pop(); next !== undefined; next = idle.pop()) {
+      if (next.isReusable(now)) {
+        return next;
+      }
+      next.dispose();
+    }
+    const [address, port] = splitAddress(instance.address);
+    const connection: InstanceConnection = createInstanceConnection({
+      address,
+      port,
+      clock,
+      identityHeader: headers.requestIdentity,
+      onClosed() {
+        const index = idle.indexOf(connection);
+        if (index >= 0) {
+          idle.splice(index, 1);
+        }
+      },
+    });
+    return connection;
+  }
+
+  function finish(
+    call: GateCall,
+    connection: InstanceConnection,
+    outcome: ExchangeOutcome,
+  ): void {
+    if (call.state === "ended") {
+      return;
+    }
+    const now = clock.now();
+    running.delete(call);
+    call.timer?.dispose();
+    call.state = "ended";
+    const judged = judgeExchange(call, outcome, now);
+    if (judged.type !== "refused" && !call.isCancelled) {
+      called.fire({
+        route: call.request.route,
+        isFailure: judged.type === "failed" || judged.status >= 500,
+        isWarm: call.startedAt >= coldUntil,
+        duration: now - call.startedAt,
+      });
+    }
+    call.settle(judged);
+    // The connection is idle only once its owner has returned from this callback.
+    queueMicrotask(() => {
+      if (connection.isReusable(clock.now())) {
+        idle.push(connection);
+      } else {
+        connection.dispose();
+      }
+      startWaiting();
+    });
+  }
+
+  function judgeExchange(
+    call: GateCall,
+    outcome: ExchangeOutcome,
+    now: Milliseconds,
+  ): GateOutcome {
+    const timedOut = now >= call.deadlineAt - 1;
+    switch (outcome.type) {
+      case "not-sent":
+        if (!timedOut && !call.isCancelled) {
+          markUnreachable(outcome.reason);
+        }
+        return {
+          type: "refused",
+          reason: call.isCancelled ? "cancelled" : "unreachable",
+          retryAfter: 0,
+          reachedInstance: false,
+        };
+      case "broken":
+        log.write("info", "gate.exchange-broken", {
+          request: call.request.requestIdentity,
+          reason: describeEnd(call, timedOut, outcome.reason),
+          after: Math.round(now - call.startedAt),
+          instance: register.instance?.identity,
+        });
+        return {
+          type: "failed",
+          reason: describeEnd(call, timedOut, outcome.reason),
+        };
+      case "response":
+        return judgeResponse(call, outcome.response, now);
+    }
+  }
+
+  function judgeResponse(
+    call: GateCall,
+    response: {
+      readonly status: number;
+      readonly rawHeaders: readonly string[];
+      readonly body: Buffer;
+    },
+    now: Milliseconds,
+  ): GateOutcome {
+    const { status, rawHeaders, body } = response;
+    if (
+      findHeader(rawHeaders, headers.notRun) !== undefined || status === 421
+    ) {
+      log.write("info", "gate.instance-refused", {
+        request: call.request.requestIdentity,
+        status,
+        running: running.size,
+        instance: register.instance?.identity,
+      });
+      if (status === 421) {
+        markUnreachable("another instance has the address");
+      }
+      return {
+        type: "refused",
+        reason: "instance-refused",
+        retryAfter: mean,
+        reachedInstance: true,
+      };
+    }
+    const duration = now - call.startedAt;
+    times.record(call.request.route, duration);
+    mean += NEWEST_WEIGHT * (duration - mean);
+    const ratio = duration / Math.max(1, call.request.usualMilliseconds);
+    pace += NEWEST_WEIGHT * (Math.min(ratio, 20) - pace);
+    return {
+      type: "answer",
+      status,
+      rawHeaders,
+      body,
+      serviceMilliseconds: duration,
+    };
+  }
+
+  function markUnreachable(reason: string): void {
+    unreachableUntil = clock.now() + UNREACHABLE_MS;
+    log.write("warn", "gate.instance-unreachable", {
+      instance: register.instance?.identity,
+      reason,
+    });
+    refuseWaiting("unreachable");
+    announceChange();
+  }
+
+  function startWaiting(): void {
+    while (room.size > 0 && running.size < limit()) {
+      const now = clock.now();
+      for (const hopeless of room.takeHopeless(now)) {
+        refuse(hopeless, "hopeless", mean);
+      }
+      const next = room.takeNext(now);
+      if (next !== undefined) {
+        start(next);
+      }
+    }
+  }
+
+  function refuse(
+    call: GateCall,
+    reason: RefusalReason,
+    retryAfter: Milliseconds = 0,
+  ): void {
+    call.timer?.dispose();
+    call.state = "ended";
+    call.settle({
+      type: "refused",
+      reason,
+      retryAfter,
+      reachedInstance: false,
+    });
+  }
+
+  function refuseWaiting(reason: RefusalReason): void {
+    for (const call of room.takeAll()) {
+      refuse(call, reason);
+    }
+  }
+
+  function cancel(call: GateCall): void {
+    if (call.state === "waiting") {
+      room.remove(call.identity);
+      refuse(call, "cancelled");
+    } else if (call.state === "running") {
+      call.isCancelled = true;
+      call.connection?.dispose();
+    }
+  }
+
+  function applyReport(report: InstanceReport): ReportOutcome {
+    const outcome = register.report(report);
+    if (outcome.type === "ignored") {
+      return outcome;
+    }
+    const now = clock.now();
+    reportedAt = now;
+    coldUntil = now + report.coldForMilliseconds;
+    if (outcome.type === "new") {
+      unreachableUntil = -Infinity;
+      pace = 1;
+      dropIdle();
+    }
+    if (report.state !== "ready") {
+      refuseWaiting("leaving");
+    }
+    if (outcome.type !== "unchanged") {
+      announceChange();
+    }
+    return outcome;
+  }
+
+  function dropIdle(): void {
+    for (const connection of idle.splice(0)) {
+      connection.dispose();
+    }
+  }
+
+  return {
+    get instance() {
+      return register.instance;
+    },
+    get departed() {
+      return register.departed;
+    },
+    get load() {
+      return {
+        running: running.size,
+        waiting: room.size,
+        limit: limit(),
+        pace,
+      };
+    },
+    get isServing() {
+      return isServing();
+    },
+    get coldForMilliseconds() {
+      return Math.max(0, coldUntil - clock.now());
+    },
+    onChanged: changed.event,
+    onCalled: called.event,
+    report: applyReport,
+    depart(departure) {
+      const outcome = register.depart(departure);
+      if (outcome.type === "changed") {
+        refuseWaiting("leaving");
+        announceChange();
+      }
+      return outcome;
+    },
+    recall(departed) {
+      register.recall(departed);
+      if (register.instance?.state === "draining") {
+        refuseWaiting("leaving");
+        announceChange();
+      }
+    },
+    offer,
+    dispose() {
+      watch.dispose();
+      refuseWaiting("cancelled");
+      for (const call of [...running]) {
+        call.connection?.dispose();
+      }
+      dropIdle();
+      changed.dispose();
+      called.dispose();
+    },
+  };
+}
+
+function describeEnd(
+  call: GateCall,
+  timedOut: boolean,
+  reason: string,
+): string {
+  if (call.isCancelled) {
+    return "cancelled";
+  }
+  return timedOut ? "deadline" : reason;
+}
+
+function splitAddress(address: string): [string, number] {
+  const colon = address.lastIndexOf(":");
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/src/features/ingress/node/ingress.ts
@@ -0,0 +1,462 @@
+/**
+ * Serves the calls of the clients on this host, and those of the instance beside the daemon:
+ * finds the route, offers the call to gates, and relays the answer.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../../../base/common/clock.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type {
+  CallerLimits,
+  MeshRoute,
+} from "../../../world/common/mesh_configuration.ts";
+import type { HostName, ServiceName } from "../../../world/common/names.ts";
+import { copyEndToEndHeaders } from "../../attempt/common/call_headers.ts";
+import {
+  createRetryBudget,
+  type RetryBudget,
+} from "../../attempt/common/retry_budget.ts";
+import type { GateTicket } from "../../gate/common/gate.ts";
+import type { GateClient } from "../../gate/common/gate_client.ts";
+import type { GateOutcome } from "../../gate/common/gate_call.ts";
+import type { MeshHeaders } from "../../gate/common/mesh_headers.ts";
+import { createServiceTimes } from "../../gate/common/service_times.ts";
+import { chooseGate } from "../../placement/common/gate_choice.ts";
+import type { VersionedCandidate } from "../../placement/common/candidates.ts";
+import type { HostRoutes } from "../../table/common/host_routes.ts";
+import type { VersionChoice } from "../../rollout/common/rollout_book.ts";
+import { decideNextStep } from "../common/call_course.ts";
+import {
+  formatRetryAfter,
+  type OwnAnswer,
+  refuseNotRun,
+} from "../common/call_refusal.ts";
+import { chooseService } from "../common/service_choice.ts";
+
+/** Repeats of a service as a part of its first sends; below the share that is allowed. */
+const REPEAT_SHARE = 0.15;
+/** A call that may be repeated elsewhere does not wait longer for a lost link. */
+const RESUME_REPEATABLE_MS: Milliseconds = 300;
+/** When nothing is known about when a call could be served. */
+const UNKNOWN_RETRY_MS: Milliseconds = 100;
+
+export interface IngressOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly random: RandomSource;
+  readonly headers: MeshHeaders;
+  readonly host: HostName;
+  readonly failureDomain: string;
+  readonly ownAddress: string;
+  readonly gates: GateClient;
+  /** Unique among all processes that this and other daemons ever were. */
+  readonly processIdentity: string;
+  /** The service of the instance on this host. */
+  readonly callerService: () => ServiceName;
+  /** Undefined until a configuration is known to be the newest. */
+  readonly routes: () => HostRoutes | undefined;
+  readonly limits: () => CallerLimits | undefined;
+  readonly candidates: (service: ServiceName) => readonly VersionedCandidate[];
+  readonly chooseVersion: (
+    service: ServiceName,
+    callIdentity: string,
+  ) => VersionChoice;
+}
+
+export interface Ingress {
+  readonly activeCalls: number;
+  /** Answers close their connections from now on. */
+  stopKeepingConnections(): void;
+  handle(request: IncomingMessage, response: ServerResponse): void;
+}
+
+interface Call {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly identity: string;
+  readonly route: MeshRoute;
+  readonly service: ServiceName;
+  readonly versions: VersionChoice;
+  readonly arrivedAt: Milliseconds;
+  readonly finalAt: Milliseconds;
+  readonly isNested: boolean;
+  readonly asked: Set<HostName>;
+  body: Buffer;
+  ticket: GateTicket | undefined;
+  instancesReached: number;
+  mayHaveRun: boolean;
+  isEnded: boolean;
+  release: () => void;
+}
+
+export function createIngress(options: IngressOptions): Ingress {
+  const { clock, log, headers } = options;
+  const times = createServiceTimes();
+  const budgets = new Map<ServiceName, RetryBudget>();
+  const active = new Set<Call>();
+  const droppedHeaders = new Set([
+    headers.deadline,
+    headers.expectedInstance,
+    headers.callerService,
+    "content-length",
+    "expect",
+  ]);
+  let nextNumber = 0;
+  let closesConnections = false;
+
+  function budgetOf(service: ServiceName): RetryBudget {
+    const known = budgets.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = createRetryBudget();
+    budgets.set(service, created);
+    return created;
+  }
+
+  function handle(request: IncomingMessage, response: ServerResponse): void {
+    const identity = request.headers[headers.requestIdentity];
+    if (typeof identity !== "string" || identity === "") {
+      answer(response, {
+        status: 400,
+        message: `The request has no ${headers.requestIdentity} header`,
+      });
+      return;
+    }
+    const routes = options.routes();
+    if (routes === undefined) {
+      log.write("info", "call.refused", {
+        request: identity,
+        reason: "not-ready",
+      });
+      request.resume();
+      answer(
+        response,
+        refuseNotRun("No configuration is known yet", UNKNOWN_RETRY_MS),
+      );
+      return;
+    }
+    const route = routes.find(request.headers.host ?? "", request.url ?? "");
+    if (route === undefined) {
+      log.write("info", "call.no-route", { request: identity });
+      request.resume();
+      answer(response, { status: 404, message: "No route matches" });
+      return;
+    }
+    begin(request, response, { identity, route });
+  }
+
+  function begin(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { identity, route }: {
+      readonly identity: string;
+      readonly route: MeshRoute;
+    },
+  ): void {
+    const arrivedAt = clock.now();
+    const told = Number(request.headers[headers.deadline] ?? NaN);
+    const allowed = Math.min(
+      Number.isFinite(told) ? told : Infinity,
+      route.timeoutMilliseconds,
+    );
+    const service = chooseService(route, options.random);
+    const call: Call = {
+      request,
+      response,
+      identity,
+      route,
+      service,
+      versions: options.chooseVersion(service, identity),
+      arrivedAt,
+      finalAt: arrivedAt + allowed,
+      isNested: request.socket.remoteAddress === options.ownAddress,
+      asked: new Set(),
+      body: Buffer.alloc(0),
+      ticket: undefined,
+      instancesReached: 0,
+      mayHaveRun: false,
+      isEnded: false,
+      release: () => {},
+    };
+    active.add(call);
+    const timer = clock.schedule(allowed, () => expire(call));
+    const leave = () => abandon(call);
+    request.socket.once("close", leave);
+    call.release = () => {
+      timer.dispose();
+      request.socket.off("close", leave);
+      active.delete(call);
+    };
+    readBody(call);
+  }
+
+  function readBody(call: Call): void {
+    const { request } = call;
+    const limit = options.limits()?.maximumBodyBytes ?? Infinity;
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on("data", (chunk: Buffer) => {
+      length += chunk.length;
+      if (length > limit) {
+        end(call, { status: 413, message: "The body is longer than allowed" });
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.on("end", () => {
+      if (!call.isEnded) {
+        call.body = chunks.length === 1
+          ? chunks[0]
+          : Buffer.concat(chunks, length);
+        budgetOf(call.service).recordFirstAttempt(clock.now());
+        askNext(call);
+      }
+    });
+    request.on("error", () => abandon(call));
+  }
+
+  function listCandidates(call: Call): readonly VersionedCandidate[] {
+    const open = options.candidates(call.service).filter(({ host }) =>
+      !call.asked.has(host)
+    );
+    const preferred = open.filter(({ version }) =>
+      call.versions.isPreferred(version)
+    );
+    return preferred.length > 0
+      ? preferred
+      : open.filter(({ version }) => call.versions.isAllowed(version));
+  }
+
+  function usualTime(call: Call): Milliseconds {
+    return times.usual(call.route.name, call.route.objectiveMilliseconds / 3);
+  }
+
+  function askNext(call: Call): void {
+    const now = clock.now();
+    const usualMilliseconds = usualTime(call);
+    const placed = chooseGate(listCandidates(call), {
+      usualMilliseconds,
+      ownFailureDomain: options.failureDomain,
+    }, options.random);
+    const timeLeft = call.finalAt - now;
+    if (placed === undefined) {
+      proceed(call, undefined, {
+        type: "refused",
+        reason: "no-instance",
+        retryAfter: UNKNOWN_RETRY_MS,
+        reachedInstance: false,
+      });
+      return;
+    }
+    const { host, version } = placed.candidate as VersionedCandidate;
+    call.asked.add(host);
+    nextNumber += 1;
+    let settled = false;
+    const ticket = options.gates.offer(host, {
+      request: {
+        identity: `${options.processIdentity}#${nextNumber}`,
+        requestIdentity: call.identity,
+        service: call.service,
+        version,
+        route: call.route.name,
+        method: call.request.method ?? "GET",
+        target: call.request.url ?? "/",
+        rawHeaders: copyEndToEndHeaders(
+          call.request.rawHeaders,
+          droppedHeaders,
+        ),
+        body: call.body,
+        callerService: options.callerService(),
+        isNested: call.isNested,
+        rank: call.route.rank,
+        objectiveInMilliseconds: call.arrivedAt +
+          call.route.objectiveMilliseconds - now,
+        deadlineInMilliseconds: timeLeft,
+        usualMilliseconds,
+      },
+      resumeWithin: call.route.kind === "safe"
+        ? Math.min(RESUME_REPEATABLE_MS, timeLeft)
+        : timeLeft,
+      settle(outcome) {
+        settled = true;
+        call.ticket = undefined;
+        proceed(call, host, outcome);
+      },
+    });
+    if (!settled) {
+      call.ticket = ticket;
+    }
+  }
+
+  function proceed(
+    call: Call,
+    host: HostName | undefined,
+    outcome: GateOutcome,
+  ): void {
+    if (call.isEnded) {
+      return;
+    }
+    noteOutcome(call, outcome);
+    const now = clock.now();
+    const next = decideNextStep(outcome, {
+      kind: call.route.kind,
+      instancesReached: call.instancesReached,
+      maximumInstances: call.route.maximumInstances,
+      mayHaveRun: call.mayHaveRun,
+      hasCandidate: listCandidates(call).length > 0,
+      timeLeft: call.finalAt - now,
+      usualMilliseconds: usualTime(call),
+    }, () => budgetOf(call.service).takeRetry(now, REPEAT_SHARE));
+    if (next.type !== "deliver" || outcome.type !== "answer") {
+      logStep(call, host, outcome, next.type);
+    }
+    switch (next.type) {
+      case "deliver":
+        if (outcome.type === "answer") {
+          deliver(call, outcome);
+        }
+        break;
+      case "ask-next":
+        askNext(call);
+        break;
+      case "refuse":
+        end(
+          call,
+          refuseNotRun(
+            "No instance can serve the call in time",
+            next.retryAfter,
+          ),
+        );
+        break;
+      case "fail":
+        end(call, {
+          status: next.status,
+          message: "The call failed and may have run",
+        });
+        break;
+    }
+  }
+
+  function noteOutcome(call: Call, outcome: GateOutcome): void {
+    if (outcome.type === "answer") {
+      times.record(call.route.name, outcome.serviceMilliseconds);
+    }
+    if (outcome.type !== "refused") {
+      call.mayHaveRun = true;
+    }
+    if (outcome.type !== "refused" || outcome.reachedInstance) {
+      call.instancesReached += 1;
+    }
+  }
+
+  function logStep(
+    call: Call,
+    host: HostName | undefined,
+    outcome: GateOutcome,
+    next: string,
+  ): void {
+    log.write("info", "call.step", {
+      request: call.identity,
+      route: call.route.name,
+      kind: call.route.kind,
+      gate: host,
+      outcome: outcome.type,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+      status: "status" in outcome ? outcome.status : undefined,
+      next,
+      reached: call.instancesReached,
+      timeLeft: Math.round(call.finalAt - clock.now()),
+    });
+  }
+
+  function deliver(
+    call: Call,
+    outcome: Extract<GateOutcome, { type: "answer" }>,
+  ): void {
+    const { response } = call;
+    finish(call);
+    const kept = copyEndToEndHeaders(outcome.rawHeaders, CONTENT_LENGTH);
+    if (closesConnections) {
+      response.shouldKeepAlive = false;
+    }
+    if (outcome.status !== 204 && outcome.status !== 304) {
+      kept.push("content-length", String(outcome.body.length));
+    }
+    response.writeHead(outcome.status, kept);
+    response.end(call.request.method === "HEAD" ? undefined : outcome.body);
+  }
+
+  /** The time of the route or of the client is over. */
+  function expire(call: Call): void {
+    if (call.isEnded) {
+      return;
+    }
+    const wasOffered = call.ticket !== undefined || call.mayHaveRun;
+    log.write("info", "call.expired", {
+      request: call.identity,
+      route: call.route.name,
+      kind: call.route.kind,
+      gates: [...call.asked].join(","),
+      after: Math.round(clock.now() - call.arrivedAt),
+    });
+    end(
+      call,
+      wasOffered
+        ? { status: 504, message: "The time for the call is over" }
+        : refuseNotRun("The call did not arrive in time", UNKNOWN_RETRY_MS),
+    );
+  }
+
+  /** The client has left. */
+  function abandon(call: Call): void {
+    if (!call.isEnded) {
+      finish(call);
+    }
+  }
+
+  function end(call: Call, own: OwnAnswer): void {
+    if (!call.isEnded) {
+      finish(call);
+      answer(call.response, own);
+    }
+  }
+
+  function finish(call: Call): void {
+    call.isEnded = true;
+    call.release();
+    call.ticket?.cancel();
+    call.ticket = undefined;
+  }
+
+  function answer(response: ServerResponse, own: OwnAnswer): void {
+    const body = Buffer.from(JSON.stringify({ error: own.message }));
+    if (closesConnections) {
+      response.shouldKeepAlive = false;
+    }
+    response.writeHead(own.status, {
+      "content-type": "application/json",
+      "content-length": body.length,
+      ...(own.retryAfter === undefined
+        ? {}
+        : { "retry-after": formatRetryAfter(own.retryAfter) }),
+    });
+    response.end(body);
+  }
+
+  return {
+    get activeCalls() {
+      return active.size;
+    },
+    stopKeepingConnections() {
+      closesConnections = true;
+    },
+    handle,
+  };
+}
+
+const CONTENT_LENGTH = new Set(["content-length"]);
--- a/src/features/link/node/link_dialer.ts
+++ b/src/features/link/node/link_dialer.ts
@@ -5,7 +5,10 @@
  */
 
 import { WebSocket } from "ws";
-import { computeBackoff } from "../../../base/common/backoff.ts";
+import {
+  type BackoffOptions,
+  computeBackoff,
+} from "../../../base/common/backoff.ts";
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Disposable } from "../../../base/common/disposable.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
@@ -73,6 +76,7 @@
 export interface LinkDialerOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly backoff: BackoffOptions;
   readonly timeoutMilliseconds: Milliseconds;
   readonly hasLink: (host: HostName) => boolean;
   readonly onOpen: (target: LinkTarget, socket: WebSocket) => void;
@@ -96,7 +100,8 @@
     const attempt = attempts.get(host) ?? 0;
     attempts.set(host, attempt + 1);
     // The delay that the other side asked for is a lower limit; the jitter comes on top.
-    const delay = retryMilliseconds + computeBackoff(attempt, options.random);
+    const delay = retryMilliseconds +
+      computeBackoff(attempt, options.random, options.backoff);
     waiting.set(
       host,
       options.clock.schedule(delay, () => {
--- a/src/features/link/node/peer_network.ts
+++ b/src/features/link/node/peer_network.ts
@@ -5,6 +5,10 @@
  */
 
 import { type WebSocket, WebSocketServer } from "ws";
+import {
+  type BackoffOptions,
+  RECONNECT_BACKOFF,
+} from "../../../base/common/backoff.ts";
 import type { Clock } from "../../../base/common/clock.ts";
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
@@ -46,6 +50,8 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly heartbeatIntervalMilliseconds?: Milliseconds;
+  readonly acceptedLinksPerSecond?: number;
+  readonly reconnectBackoff?: BackoffOptions;
 }
 
 /** A peer network with a listening port. */
@@ -77,13 +83,16 @@
   const connections = new Set<Link>();
   const links = new Map<HostName, Link>();
   const pending = createPendingRequests(clock);
-  const limiter = createAcceptLimiter(ACCEPTED_LINKS_PER_SECOND);
+  const limiter = createAcceptLimiter(
+    options.acceptedLinksPerSecond ?? ACCEPTED_LINKS_PER_SECOND,
+  );
   let findTarget: (host: HostName) => LinkTarget | undefined = () => undefined;
   let disposed = false;
 
   const dialer = createLinkDialer({
     clock,
     random: options.random,
+    backoff: options.reconnectBackoff ?? RECONNECT_BACKOFF,
     timeoutMilliseconds: MISSED_INTERVALS * interval,
     hasLink: (host) => disposed || links.has(host),
     onOpen: (target, socket) => adopt(socket, "link", target.host),
--- /dev/null
+++ b/src/features/operator/common/operator_records.ts
@@ -0,0 +1,61 @@
+/**
+ * The newest record of each key that the operator has written, as a daemon holds it.
+ *
+ * @module
+ */
+
+/** A record in the operator's log. The bytes are passed on as they were read. */
+export interface OperatorRecord {
+  readonly key: string;
+  readonly offset: number;
+  /** Empty when the key was removed. */
+  readonly value: Uint8Array;
+}
+
+/** The newest record of each key that was written from one offset to another. */
+export interface RecordRange {
+  readonly records: readonly OperatorRecord[];
+  /** {@linkcode NO_POSITION} when no earlier record matters. */
+  readonly from: number;
+  readonly position: number;
+}
+
+/** No record has been read. */
+export const NO_POSITION = -1;
+
+export interface OperatorRecords {
+  /** The offset of the next record to read. */
+  readonly position: number;
+  /** Adds records; returns those that are newer than what was held. */
+  apply(range: RecordRange): readonly OperatorRecord[];
+  /** The records at an offset or later. */
+  since(offset: number): readonly OperatorRecord[];
+}
+
+export function createOperatorRecords(): OperatorRecords {
+  const byKey = new Map<string, OperatorRecord>();
+  let position = NO_POSITION;
+  return {
+    get position() {
+      return position;
+    },
+    apply({ records, from, position: end }) {
+      const newer = records.filter((record) =>
+        record.offset > (byKey.get(record.key)?.offset ?? -1)
+      );
+      for (const record of newer) {
+        const held = byKey.get(record.key);
+        if (held === undefined || record.offset > held.offset) {
+          byKey.set(record.key, record);
+        }
+      }
+      // Records between the position and a later range are missing and have to be fetched.
+      if (from <= position) {
+        position = Math.max(position, end);
+      }
+      return newer.filter((record) => byKey.get(record.key) === record);
+    },
+    since: (offset) =>
+      [...byKey.values()].filter((record) => record.offset >= offset),
+  };
+}
--- /dev/null
+++ b/src/features/placement/common/candidates.ts
@@ -0,0 +1,64 @@
+/**
+ * The gates that can be offered calls of a service, from what the daemons have told.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type {
+  FailureDomainName,
+  HostName,
+  ServiceName,
+  ServiceVersion,
+} from "../../../world/common/names.ts";
+import type { Fleet } from "../../fleet/common/fleet.ts";
+import type { Gate } from "../../gate/common/gate.ts";
+import type { GateClient } from "../../gate/common/gate_client.ts";
+import type { GateCandidate } from "./gate_choice.ts";
+
+export interface VersionedCandidate extends GateCandidate {
+  readonly version: ServiceVersion;
+}
+
+export interface CandidateSources {
+  readonly self: {
+    readonly host: HostName;
+    readonly failureDomain: FailureDomainName;
+  };
+  readonly clock: Clock;
+  readonly gate: Gate;
+  readonly gates: Pick<GateClient, "countOutstanding">;
+  readonly fleet: Pick<Fleet, "members">;
+}
+
+export function listCandidates(
+  service: ServiceName,
+  { self, clock, gate, gates, fleet }: CandidateSources,
+): VersionedCandidate[] {
+  const candidates: VersionedCandidate[] = [];
+  if (gate.isServing && gate.instance?.service === service) {
+    candidates.push({
+      ...self,
+      version: gate.instance.version,
+      load: gate.load,
+      outstanding: gates.countOutstanding(self.host),
+      isCold: gate.coldForMilliseconds > 0,
+    });
+  }
+  for (
+    const { host, failureDomain, status, load, coldUntil } of fleet.members
+  ) {
+    const { instance, isStopping } = status;
+    if (instance?.service === service && instance.isServing && !isStopping) {
+      candidates.push({
+        host,
+        failureDomain,
+        version: instance.version,
+        load,
+        outstanding: gates.countOutstanding(host),
+        isCold: coldUntil > clock.now(),
+      });
+    }
+  }
+  return candidates;
+}
--- /dev/null
+++ b/src/features/placement/common/gate_choice.ts
@@ -0,0 +1,102 @@
+/**
+ * The gate to which a caller's daemon offers a call.
+ *
+ * Load pattern: instances of one service that differ in speed by a factor of two or more, some of
+ * them cold or slowed down, at loads that change faster than news of them arrives. Sending each
+ * call to the nearest or least busy instance makes it wait at slow ones. Here the gate with the
+ * earliest expected end of the call is chosen, with the cost of leaving the failure domain and
+ * some randomness, so that daemons with the same news do not all choose the same gate.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type {
+  FailureDomainName,
+  HostName,
+} from "../../../world/common/names.ts";
+import { expectWait } from "../../gate/common/admission_decision.ts";
+import type { GateLoadReport } from "../../gate/common/gate_call.ts";
+
+export interface GateCandidate {
+  readonly host: HostName;
+  readonly failureDomain: FailureDomainName;
+  readonly load: GateLoadReport;
+  /** Calls of this daemon that are under way there. */
+  readonly outstanding: number;
+  readonly isCold: boolean;
+}
+
+export interface PlacementCall {
+  readonly usualMilliseconds: Milliseconds;
+  readonly ownFailureDomain: FailureDomainName;
+}
+
+export interface PlacedCall {
+  readonly candidate: GateCandidate;
+  /** The time until the call is expected to start. */
+  readonly wait: Milliseconds;
+}
+
+/** Bytes between failure domains cost; a call leaves its own when it gains more than this. */
+const OTHER_DOMAIN_COST_MS: Milliseconds = 25;
+/** A cold instance takes about this many times as long. */
+const COLD_FACTOR = 2;
+/** Spread of the random part, relative to the usual time of the call. */
+const RANDOM_PART = 0.1;
+/** An instance near its limit tends to slow down. */
+const CROWDED_PART = 0.75;
+const CROWDED_COST = 0.5;
+
+export function chooseGate(
+  candidates: readonly GateCandidate[],
+  call: PlacementCall,
+  random: RandomSource,
+): PlacedCall | undefined {
+  let best: PlacedCall | undefined;
+  let bestCost = Infinity;
+  for (const candidate of candidates) {
+    const wait = expectWaitAt(candidate, call);
+    const cost = wait + expectService(candidate, call) +
+      (candidate.failureDomain === call.ownFailureDomain
+        ? 0
+        : OTHER_DOMAIN_COST_MS) +
+      random.nextFraction() * RANDOM_PART * call.usualMilliseconds;
+    if (cost < bestCost) {
+      best = { candidate, wait };
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+function occupancy({ load, outstanding }: GateCandidate): number {
+  return Math.max(load.running + load.waiting, outstanding);
+}
+
+function expectWaitAt(
+  candidate: GateCandidate,
+  call: PlacementCall,
+): Milliseconds {
+  const { load } = candidate;
+  return expectWait({
+    running: Math.min(occupancy(candidate), load.limit),
+    ahead: Math.max(0, occupancy(candidate) - load.limit),
+    limit: load.limit,
+    meanMilliseconds: call.usualMilliseconds * load.pace,
+  });
+}
+
+function expectService(
+  candidate: GateCandidate,
+  call: PlacementCall,
+): Milliseconds {
+  const { load, isCold } = candidate;
+  const pace = isCold ? Math.max(load.pace, COLD_FACTOR) : load.pace;
+  const crowding = Math.max(
+    0,
+    occupancy(candidate) / Math.max(1, load.limit) - CROWDED_PART,
+  );
+  return call.usualMilliseconds * pace * (1 + CROWDED_COST * crowding);
+}
--- /dev/null
+++ b/src/features/rollout/common/rollout_book.ts
@@ -0,0 +1,223 @@
+/**
+ * The rollouts that a daemon knows, and which versions of a service may get a call.
+ *
+ * Each daemon judges the evidence; the leader of a rollout raises the share, and the others take
+ * over the highest share that they hear of. A verdict against the target version is taken over
+ * from any daemon at once.
+ *
+ * @module
+ */
+
+import { hashToFraction } from "../../../base/common/hashing.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RolloutOrder } from "../../../world/common/mesh_configuration.ts";
+import type {
+  ServiceName,
+  ServiceVersion,
+} from "../../../world/common/names.ts";
+import { mayComplete, planShare } from "./rollout_plan.ts";
+import {
+  isFinal,
+  isSameProgress,
+  mergeProgress,
+  type RolloutProgress,
+} from "./rollout_progress.ts";
+import {
+  findVersionDifference,
+  type HostEvidence,
+  type VersionDifference,
+} from "./version_evidence.ts";
+
+export interface VersionChoice {
+  /** The version that the call should run on. */
+  isPreferred(version: ServiceVersion): boolean;
+  /** Versions that may run the call when no preferred one can. */
+  isAllowed(version: ServiceVersion): boolean;
+}
+
+export interface RolloutStep {
+  readonly evidence: readonly HostEvidence[];
+  /** Whether this daemon raises the share and ends the rollout. */
+  readonly isLeader: boolean;
+  /** Whether an instance of the target version can serve. */
+  readonly isTargetServing: (progress: RolloutProgress) => boolean;
+  readonly now: Milliseconds;
+}
+
+export type RolloutEvent =
+  | { readonly type: "share"; readonly progress: RolloutProgress }
+  | {
+    readonly type: "reverted";
+    readonly progress: RolloutProgress;
+    readonly difference: VersionDifference;
+  }
+  | { readonly type: "complete"; readonly progress: RolloutProgress };
+
+interface Rollout {
+  progress: RolloutProgress;
+  duration: Milliseconds;
+  orderedAt: Milliseconds;
+  fullShareAt: Milliseconds | undefined;
+}
+
+export interface RolloutBook {
+  readonly progress: readonly RolloutProgress[];
+  /** Takes an order; returns false when it is known or older than one that is. */
+  order(order: RolloutOrder, offset: number, now: Milliseconds): boolean;
+  /** Takes over what another daemon or the store tells; returns whether anything changed. */
+  merge(progress: RolloutProgress, now: Milliseconds): boolean;
+  /** Judges and advances the rollouts that run. */
+  advance(step: RolloutStep): readonly RolloutEvent[];
+  chooseVersion(service: ServiceName, callIdentity: string): VersionChoice;
+  find(service: ServiceName): RolloutProgress | undefined;
+}
+
+const ANY_VERSION: VersionChoice = {
+  isPreferred: () => true,
+  isAllowed: () => true,
+};
+
+/** Assumed for a rollout of which only its progress is known. */
+const UNKNOWN_DURATION_MS: Milliseconds = 12_000;
+
+export function createRolloutBook(): RolloutBook {
+  const rollouts = new Map<ServiceName, Rollout>();
+
+  function order(
+    { service, targetVersion, durationMilliseconds }: RolloutOrder,
+    offset: number,
+    now: Milliseconds,
+  ): boolean {
+    const known = rollouts.get(service);
+    if (known !== undefined && known.progress.orderOffset >= offset) {
+      known.duration = known.progress.orderOffset === offset
+        ? durationMilliseconds
+        : known.duration;
+      return false;
+    }
+    rollouts.set(service, {
+      progress: {
+        service,
+        targetVersion,
+        orderOffset: offset,
+        share: 0,
+        state: "running",
+        isStored: false,
+      },
+      duration: durationMilliseconds,
+      orderedAt: now,
+      fullShareAt: undefined,
+    });
+    return true;
+  }
+
+  function merge(theirs: RolloutProgress, now: Milliseconds): boolean {
+    const known = rollouts.get(theirs.service);
+    if (known === undefined) {
+      rollouts.set(theirs.service, {
+        progress: theirs,
+        duration: UNKNOWN_DURATION_MS,
+        orderedAt: now,
+        fullShareAt: theirs.share === 1 ? now : undefined,
+      });
+      return true;
+    }
+    const merged = mergeProgress(known.progress, theirs);
+    const isChanged = !isSameProgress(merged, known.progress);
+    if (merged.orderOffset !== known.progress.orderOffset) {
+      known.orderedAt = now;
+      known.fullShareAt = undefined;
+    }
+    setProgress(known, merged, now);
+    return isChanged;
+  }
+
+  function setProgress(
+    rollout: Rollout,
+    progress: RolloutProgress,
+    now: Milliseconds,
+  ): void {
+    rollout.progress = progress;
+    if (progress.share === 1) {
+      rollout.fullShareAt ??= now;
+    }
+  }
+
+  function advanceOne(
+    rollout: Rollout,
+    step: RolloutStep,
+  ): RolloutEvent | undefined {
+    const { progress } = rollout;
+    if (isFinal(progress)) {
+      return undefined;
+    }
+    const difference = findVersionDifference(step.evidence, {
+      service: progress.service,
+      version: progress.targetVersion,
+    });
+    if (difference !== undefined) {
+      setProgress(rollout, { ...progress, state: "reverted" }, step.now);
+      return { type: "reverted", progress: rollout.progress, difference };
+    }
+    if (!step.isLeader || !step.isTargetServing(progress)) {
+      return undefined;
+    }
+    const position = {
+      elapsed: step.now - rollout.orderedAt,
+      duration: rollout.duration,
+    };
+    const share = planShare(position);
+    if (share > progress.share) {
+      setProgress(rollout, { ...progress, share }, step.now);
+      return { type: "share", progress: rollout.progress };
+    }
+    if (
+      rollout.fullShareAt !== undefined &&
+      mayComplete(position, step.now - rollout.fullShareAt)
+    ) {
+      setProgress(rollout, { ...progress, state: "complete" }, step.now);
+      return { type: "complete", progress: rollout.progress };
+    }
+    return undefined;
+  }
+
+  return {
+    get progress() {
+      return [...rollouts.values()].map(({ progress }) => progress);
+    },
+    order,
+    merge,
+    advance: (step) =>
+      [...rollouts.values()].map((rollout) => advanceOne(rollout, step))
+        .filter((event) => event !== undefined),
+    chooseVersion(service, callIdentity) {
+      const progress = rollouts.get(service)?.progress;
+      return progress === undefined
+        ? ANY_VERSION
+        : chooseBetween(progress, callIdentity);
+    },
+    find: (service) => rollouts.get(service)?.progress,
+  };
+}
+
+function chooseBetween(
+  { targetVersion, share, state }: RolloutProgress,
+  callIdentity: string,
+): VersionChoice {
+  const isTarget = (version: ServiceVersion) => version === targetVersion;
+  const isOther = (version: ServiceVersion) => version !== targetVersion;
+  switch (state) {
+    case "reverted":
+      return { isPreferred: isOther, isAllowed: isOther };
+    case "complete":
+      return { isPreferred: isTarget, isAllowed: () => true };
+    case "running": {
+      const getsTarget = hashToFraction(`rollout|${callIdentity}`) < share;
+      return {
+        isPreferred: getsTarget ? isTarget : isOther,
+        // Before the first share nothing but an order speaks for the version.
+        isAllowed: share === 0 ? isOther : () => true,
+      };
+    }
+  }
+}
--- /dev/null
+++ b/src/programs/common/mesh_settings.ts
@@ -0,0 +1,66 @@
+/**
+ * The settings of a mesh daemon.
+ *
+ * @module
+ */
+
+import * as valibot from "valibot";
+import {
+  numberBetween,
+  wholeNumber,
+} from "../../world/common/value_schemas.ts";
+import { targetPortValue } from "./setting_values.ts";
+
+const DAY_SECONDS = 86_400;
+
+/** `ADDRESS:PORT`. */
+const endpointValue = valibot.pipe(
+  valibot.string(),
+  valibot.regex(/^[0-9.]+:\d{1,5}$/),
+);
+
+const seconds = numberBetween({ least: 0, most: DAY_SECONDS });
+
+export const meshSettingsSchema = valibot.object({
+  host: valibot.pipe(valibot.string(), valibot.nonEmpty()),
+  failureDomain: valibot.pipe(valibot.string(), valibot.nonEmpty()),
+  address: valibot.pipe(valibot.string(), valibot.ip()),
+  /** The service of the instance on this host. */
+  service: valibot.optional(valibot.string(), ""),
+  listen: valibot.object({
+    /** Calls of the clients and of the instance on this host. */
+    calls: endpointValue,
+    /** Heartbeats of the instance on this host. */
+    heartbeats: endpointValue,
+    readiness: endpointValue,
+  }),
+  /** The first and the last port for links between daemons. */
+  internalPorts: valibot.tuple([targetPortValue, targetPortValue]),
+  store: endpointValue,
+  heartbeatSeconds: seconds,
+  /** The time between the request to stop and the end by force. */
+  stopSeconds: seconds,
+  maximumHeaderBytes: valibot.optional(
+    wholeNumber({ least: 1_024, most: 1_048_576 }),
+    65_536,
+  ),
+  logLevel: valibot.optional(
+    valibot.picklist(["error", "warn", "info", "debug"]),
+    "info",
+  ),
+});
+
+export type MeshSettings = valibot.InferOutput<typeof meshSettingsSchema>;
+
+export interface Endpoint {
+  readonly address: string;
+  readonly port: number;
+}
+
+export function parseEndpoint(endpoint: string): Endpoint {
+  const colon = endpoint.lastIndexOf(":");
+  return {
+    address: endpoint.slice(0, colon),
+    port: Number(endpoint.slice(colon + 1)),
+  };
+}
--- a/src/programs/node/command_line_test.ts
+++ b/src/programs/node/command_line_test.ts
@@ -7,7 +7,7 @@
 import { listenHttp, sendJson } from "../../base/node/http_server.ts";
 import { parseDuration } from "../common/duration.ts";
 
-const PROGRAM = "dist/programs/node/guavarun.js";
+const PROGRAM = "dist/src/programs/node/guavarun.js";
 
 function run(words: readonly string[], daemon = "127.0.0.1:1") {
   return new Promise<{ code: number | null; text: string }>((resolve) => {
--- /dev/null
+++ b/src/programs/node/host_registration.ts
@@ -0,0 +1,55 @@
+/**
+ * Publishes where this daemon accepts links, and finds the other daemons.
+ *
+ * A daemon writes its address before it lists the others, so of two that start together at least
+ * one finds the other. Later daemons are learnt from their links.
+ *
+ * @module
+ */
+
+import { computeBackoff } from "../../base/common/backoff.ts";
+import type { Clock } from "../../base/common/clock.ts";
+import type { EventLog } from "../../base/common/event_log.ts";
+import type { RandomSource } from "../../base/common/random_source.ts";
+import type { Result } from "../../base/common/result.ts";
+import type { StepError } from "../../base/common/step_error.ts";
+import type { Fleet } from "../../features/fleet/common/fleet.ts";
+import type { LinkTarget } from "../../features/link/common/peer_network.ts";
+import type { MeshStore } from "../../features/operator/common/mesh_store.ts";
+
+const STORE_BACKOFF = { baseMilliseconds: 250, capMilliseconds: 1_500 };
+
+export interface RegistrationOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly store: MeshStore;
+  readonly fleet: Fleet;
+  readonly target: LinkTarget;
+}
+
+export async function registerHost(
+  options: RegistrationOptions,
+): Promise<void> {
+  const { store, fleet, target } = options;
+  await retry(options, () => store.announceHost(target));
+  const hosts = await retry(options, () => store.listHosts());
+  fleet.addHosts(hosts);
+}
+
+async function retry<T>(
+  { clock, random, log }: RegistrationOptions,
+  attempt: () => Promise<Result<T, StepError>>,
+): Promise<T> {
+  for (let failures = 0;; failures += 1) {
+    const result = await attempt();
+    if (result.ok) {
+      return result.val;
+    }
+    log.write("warn", "host.registration-failed", {
+      step: result.val.step,
+      error: result.val.message,
+    });
+    await clock.sleep(100 + computeBackoff(failures, random, STORE_BACKOFF));
+  }
+}
--- /dev/null
+++ b/src/programs/node/mesh_daemon.ts
@@ -0,0 +1,311 @@
+/**
+ * The mesh daemon: one process beside each instance, assembled from the features.
+ *
+ * @module
+ */
+
+import type { Socket } from "node:net";
+import { createDisposableStore } from "../../base/common/disposable.ts";
+import type { EventLog } from "../../base/common/event_log.ts";
+import { hashText } from "../../base/common/hashing.ts";
+import type { Milliseconds } from "../../base/common/milliseconds.ts";
+import { createRandomSource } from "../../base/common/random_source.ts";
+import { type HttpListener, listenHttp } from "../../base/node/http_server.ts";
+import { STEADY_CLOCK } from "../../base/node/system_clock.ts";
+import type { Fleet } from "../../features/fleet/common/fleet.ts";
+import { createFleet } from "../../features/fleet/common/fleet.ts";
+import { createGateClient } from "../../features/gate/common/gate_client.ts";
+import { createGateService } from "../../features/gate/common/gate_service.ts";
+import { createGate } from "../../features/gate/node/gate.ts";
+import { createIngress } from "../../features/ingress/node/ingress.ts";
+import { createPeerNetwork } from "../../features/link/node/peer_network.ts";
+import {
+  createRecordSync,
+  type RecordSync,
+} from "../../features/operator/common/record_sync.ts";
+import { listCandidates } from "../../features/placement/common/candidates.ts";
+import { formatProcess, type HostIdentity } from "../../world/common/host.ts";
+import { type MeshSettings, parseEndpoint } from "../common/mesh_settings.ts";
+import { createMeshState } from "./mesh_state.ts";
+import type { MeshPlatform } from "./mesh_platform.ts";
+import { registerHost } from "./host_registration.ts";
+import { createRolloutControl } from "./rollout_control.ts";
+
+/** A link that is silent for three of these counts as lost. */
+const LINK_HEARTBEAT_MS: Milliseconds = 500;
+/** Enough for all daemons of a large deployment to reconnect within some seconds. */
+const ACCEPTED_LINKS_PER_SECOND = 200;
+/** A host may be cut off for seconds and is needed as soon as it is back. */
+const RECONNECT_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 1_000 };
+/** Clients are moved elsewhere after two readiness checks, one a second. */
+const SERVE_AFTER_STOP_MS: Milliseconds = 3_200;
+/** Time left for the end of the process. */
+const EXIT_RESERVE_MS: Milliseconds = 500;
+const STOP_CHECK_MS: Milliseconds = 25;
+/** A daemon that finds no peer within this time serves alone. */
+const ALONE_AFTER_MS: Milliseconds = 2_500;
+
+export interface MeshDaemonOptions {
+  readonly settings: MeshSettings;
+  readonly platform: MeshPlatform;
+  readonly log: EventLog;
+}
+
+export interface MeshDaemon {
+  /** The settings have changed. */
+  reload(settings: MeshSettings): void;
+  /** Stops without cutting a call, as far as the time of the settings allows. */
+  stop(): Promise<void>;
+}
+
+export async function startMeshDaemon(
+  options: MeshDaemonOptions,
+): Promise<MeshDaemon> {
+  const { platform } = options;
+  let { settings } = options;
+  const clock = STEADY_CLOCK;
+  const startedAt = clock.now();
+  const owned = createDisposableStore();
+  const self = identify(settings);
+  const processName = formatProcess(self.process);
+  const log = options.log;
+  const random = createRandomSource(hashText(processName) | 0);
+  let isStopping = false;
+
+  const network = owned.add(
+    createPeerNetwork({
+      self,
+      clock,
+      random,
+      log,
+      heartbeatIntervalMilliseconds: LINK_HEARTBEAT_MS,
+      acceptedLinksPerSecond: ACCEPTED_LINKS_PER_SECOND,
+      reconnectBackoff: RECONNECT_BACKOFF,
+    }),
+  );
+  const listening = await network.listening;
+  if (listening.err) {
+    throw listening.val;
+  }
+  const gate = owned.add(
+    createGate({
+      clock,
+      log,
+      headers: platform.headers,
+      heartbeatMilliseconds: settings.heartbeatSeconds * 1_000,
+    }),
+  );
+  owned.add(createGateService({ clock, network, gate }));
+  const gates = owned.add(
+    createGateClient({
+      self: self.process,
+      clock,
+      log,
+      network,
+      gate,
+      onLoad: (host, load) => fleet.noteLoad(host, load),
+    }),
+  );
+  const place = { host: settings.host, failureDomain: settings.failureDomain };
+  const sync: RecordSync = owned.add(
+    createRecordSync({
+      self: place,
+      clock,
+      random,
+      log,
+      network,
+      store: platform.store,
+      candidates: () => [
+        { ...place, reachesStore: sync.reachesStore && !isStopping },
+        ...fleet.members.map(({ host, failureDomain, status }) => ({
+          host,
+          failureDomain,
+          reachesStore: status.reachesStore && !status.isStopping,
+        })),
+      ],
+    }),
+  );
+  const state = createMeshState({ log, platform });
+  const rollouts = owned.add(
+    createRolloutControl({
+      self: place,
+      clock,
+      log,
+      store: platform.store,
+      gate,
+      sync,
+      members: () => fleet.members,
+      isStopping: () => isStopping,
+      onProgress: () => fleet.notify(),
+    }),
+  );
+  const fleet: Fleet = owned.add(
+    createFleet({
+      self: listening.val,
+      clock,
+      log,
+      network,
+      describeSelf: () => ({
+        instance: gate.instance === undefined ? undefined : {
+          identity: gate.instance.identity,
+          service: gate.instance.service,
+          version: gate.instance.version,
+          isServing: gate.isServing,
+          coldForMilliseconds: gate.coldForMilliseconds,
+        },
+        load: gate.load,
+        departed: gate.departed,
+        position: sync.position,
+        reachesStore: sync.reachesStore,
+        isStopping,
+        rollouts: rollouts.book.progress,
+        evidence: rollouts.ownEvidence,
+      }),
+    }),
+  );
+  owned.add(sync.onRecords(({ records, isFirst }) => {
+    for (const { order, offset } of state.apply(records)) {
+      rollouts.takeOrder(order, { offset, isInherited: isFirst });
+    }
+  }));
+  owned.add(sync.onChanged(() => fleet.notify()));
+  owned.add(gate.onChanged(() => fleet.notify()));
+  owned.add(fleet.onRecalled((departed) => gate.recall(departed)));
+  owned.add(fleet.onStatus(({ peer, status }) => {
+    sync.notePosition(peer.process.host, status.position);
+    rollouts.mergeProgress(status.rollouts);
+  }));
+
+  const ingress = createIngress({
+    clock,
+    log,
+    random,
+    headers: platform.headers,
+    ...place,
+    ownAddress: settings.address,
+    gates,
+    processIdentity: processName,
+    callerService: () => settings.service,
+    routes: () => state.routes,
+    limits: () => state.configuration?.limits,
+    candidates: (service) =>
+      listCandidates(service, { self: place, clock, gate, gates, fleet }),
+    chooseVersion: rollouts.book.chooseVersion,
+  });
+
+  function isReady(): boolean {
+    return !isStopping && state.routes !== undefined &&
+      (network.peers.length > 0 || clock.now() - startedAt > ALONE_AFTER_MS);
+  }
+
+  const [calls, heartbeats, readiness] = await Promise.all([
+    listenHttp(ingress.handle, {
+      ...parseEndpoint(settings.listen.calls),
+      maximumHeaderBytes: settings.maximumHeaderBytes,
+    }),
+    listenHttp(
+      platform.createInstanceHandler({
+        report(report) {
+          const outcome = gate.report(report);
+          if (outcome.type !== "unchanged") {
+            log.write("info", "instance.report", {
+              instance: report.identity,
+              service: report.service,
+              version: report.version,
+              state: report.state,
+              sequence: report.sequence,
+              outcome: outcome.type,
+              reason: outcome.type === "ignored" ? outcome.reason : undefined,
+            });
+          }
+        },
+        depart(departure) {
+          const outcome = gate.depart(departure);
+          log.write("info", "instance.departed", {
+            instance: departure.identity,
+            outcome: outcome.type,
+          });
+        },
+        reject: (reason) =>
+          log.write("warn", "instance.report-rejected", { reason }),
+      }),
+      parseEndpoint(settings.listen.heartbeats),
+    ),
+    listenHttp(
+      platform.createReadinessHandler(isReady),
+      parseEndpoint(settings.listen.readiness),
+    ),
+  ]);
+  const listeners: readonly HttpListener[] = [calls, heartbeats, readiness];
+  // Each pipelined call listens for the end of its connection.
+  calls.server.on("connection", (socket: Socket) => socket.setMaxListeners(0));
+  owned.add(state.onConfiguration(({ limits }) => {
+    calls.server.keepAliveTimeout = Math.max(
+      calls.server.keepAliveTimeout,
+      limits.idleTimeoutMilliseconds,
+    );
+    calls.server.headersTimeout = Math.max(
+      calls.server.headersTimeout,
+      limits.headerTimeoutMilliseconds,
+    );
+  }));
+  sync.start();
+  registerHost({
+    clock,
+    random,
+    log,
+    store: platform.store,
+    fleet,
+    target: listening.val,
+  });
+  log.write("info", "process.started", {
+    process: processName,
+    linkPort: listening.val.port,
+    calls: settings.listen.calls,
+  });
+
+  return {
+    reload(next) {
+      settings = next;
+      log.write("info", "settings.reloaded", { service: next.service });
+    },
+    async stop() {
+      const stopBy = clock.now() + settings.stopSeconds * 1_000 -
+        EXIT_RESERVE_MS;
+      isStopping = true;
+      log.write("info", "process.stopping", {
+        activeCalls: ingress.activeCalls,
+      });
+      ingress.stopKeepingConnections();
+      fleet.notify();
+      await clock.sleep(SERVE_AFTER_STOP_MS);
+      calls.drain();
+      while (
+        clock.now() < stopBy &&
+        (ingress.activeCalls > 0 || gate.load.running + gate.load.waiting > 0)
+      ) {
+        await clock.sleep(STOP_CHECK_MS);
+      }
+      log.write("info", "process.stopped", {
+        activeCalls: ingress.activeCalls,
+      });
+      owned.dispose();
+      for (const listener of listeners) {
+        listener.close();
+      }
+    },
+  };
+}
+
+function identify(settings: MeshSettings): HostIdentity {
+  return {
+    process: { host: settings.host, startedAt: Date.now() },
+    failureDomain: settings.failureDomain,
+    addresses: {
+      address: settings.address,
+      proxyPort: parseEndpoint(settings.listen.calls).port,
+      administrationPort: 0,
+      linkPort: settings.internalPorts[0],
+    },
+  };
+}
