--- /dev/null
+++ b/src/features/gate/common/admission_replay_test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { decideAdmission } from "./admission_decision.ts";
+import { createWaitingRoom, type WaitingCall } from "./waiting_room.ts";
+
+/** A burst at one instance: reads of rank 2, writes of rank 1, nested calls. */
+interface Arrival extends WaitingCall {
+  readonly arrivesAt: number;
+  readonly workMilliseconds: number;
+  readonly worth: number;
+}
+
+interface Replay {
+  readonly worth: number;
+  readonly inObjective: number;
+  readonly servedWrites: number;
+  readonly servedReads: number;
+  readonly servedNested: number;
+  /** Calls that held a slot although nobody waited for their end. */
+  readonly wasted: number;
+}
+
+const SLOTS = 14;
+const USUAL_MS = 90;
+
+function createBurst(seed: number): Arrival[] {
+  const random = createRandomSource(seed);
+  const arrivals: Arrival[] = [];
+  for (let at = 0, index = 0; at < 6_000; index += 1) {
+    // 1.8 times what the instance can serve, for three of six seconds.
+    const isBurst = at > 1_000 && at < 4_000;
+    at += random.nextFraction() * 2 * (USUAL_MS / SLOTS) /
+      (isBurst ? 1.8 : 0.7);
+    const draw = random.nextFraction();
+    const isNested = draw < 0.2;
+    const isWrite = !isNested && draw < 0.45;
+    arrivals.push({
+      identity: String(index),
+      arrivesAt: at,
+      isNested,
+      rank: isWrite ? 1 : 2,
+      objectiveAt: at + (isNested ? 100 : isWrite ? 400 : 300),
+      deadlineAt: at + (isNested ? 250 : isWrite ? 1_000 : 800),
+      expectedMilliseconds: USUAL_MS,
+      workMilliseconds: USUAL_MS * (0.4 + 1.2 * random.nextFraction()),
+      worth: isWrite ? 2 : 1,
+    });
+  }
+  return arrivals;
+}
+
+/** The gate's rules, or the simplest ones: in order of arrival, everything is taken. */
+function replay(
+  arrivals: readonly Arrival[],
+  rule: "gate" | "arrival",
+): Replay {
+  const clock = new VirtualClock();
+  const room = createWaitingRoom<Arrival>();
+  const queue: Arrival[] = [];
+  let running = 0;
+  const counts = {
+    worth: 0,
+    inObjective: 0,
+    servedWrites: 0,
+    servedReads: 0,
+    servedNested: 0,
+    wasted: 0,
+  };
+
+  function finish(call: Arrival): void {
+    running -= 1;
+    const now = clock.now();
+    if (now > call.deadlineAt) {
+      counts.wasted += 1;
+    } else {
+      counts.worth += now <= call.objectiveAt ? call.worth : 0.3 * call.worth;
+      counts.inObjective += now <= call.objectiveAt ? 1 : 0;
+      if (call.isNested) {
+        counts.servedNested += 1;
+      } else if (call.rank === 1) {
+        counts.servedWrites += 1;
+      } else {
+        counts.servedReads += 1;
+      }
+    }
+    startNext();
+  }
+
+  function start(call: Arrival): void {
+    running += 1;
+    clock.schedule(call.workMilliseconds, () => finish(call));
+  }
+
+  function startNext(): void {
+    const now = clock.now();
+    if (rule === "gate") {
+      room.takeHopeless(now);
+    }
+    const next = rule === "gate" ? room.takeNext(now) : queue.shift();
+    if (next !== undefined) {
+      start(next);
+    }
+  }
+
+  function arrive(call: Arrival): void {
+    if (rule === "arrival") {
+      if (running < SLOTS) {
+        start(call);
+      } else {
+        queue.push(call);
+      }
+      return;
+    }
+    const now = clock.now();
+    const decision = decideAdmission(call, {
+      running,
+      limit: SLOTS,
+      ahead: room.countAhead(call, now),
+      meanMilliseconds: USUAL_MS,
+    }, now);
+    if (decision.type === "start") {
+      start(call);
+    } else if (decision.type === "wait") {
+      room.add(call);
+    }
+  }
+
+  for (const call of arrivals) {
+    clock.schedule(call.arrivesAt, () => arrive(call));
+  }
+  clock.advance(20_000);
+  return counts;
+}
+
+describe("a burst of 1.8 times what an instance can serve", () => {
+  const cases = [1, 2, 3].map((seed) => ({ seed }));
+  for (const { seed } of cases) {
+    test(`seed ${seed}: the gate's order serves more worth than the order of arrival`, (context) => {
+      const arrivals = createBurst(seed);
+      const gate = replay(arrivals, "gate");
+      const simple = replay(arrivals, "arrival");
+      context.diagnostic(`gate ${JSON.stringify(gate)}`);
+      context.diagnostic(`order of arrival ${JSON.stringify(simple)}`);
+      assert.ok(gate.worth > simple.worth);
+      assert.ok(gate.inObjective > simple.inObjective);
+      assert.ok(gate.servedWrites >= simple.servedWrites);
+      assert.ok(gate.servedNested > simple.servedNested);
+      const nested = arrivals.filter(({ isNested }) => isNested).length;
+      assert.ok(gate.servedNested > 0.9 * nested);
+    });
+  }
+});
--- /dev/null
+++ b/src/features/placement/common/gate_choice_replay_test.ts
@@ -0,0 +1,137 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { chooseGate, type GateCandidate } from "./gate_choice.ts";
+
+/** Nine instances of unequal speed in four failure domains, seen through news that is late. */
+const PACES = [0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6];
+const SLOTS = 14;
+const USUAL_MS = 90;
+/** Each answer tells its caller the load of the gate; all are told at this interval besides. */
+const NEWS_INTERVAL_MS = 500;
+const OBJECTIVE_MS = 300;
+
+interface Replay {
+  readonly inObjective: number;
+  readonly meanMilliseconds: number;
+  readonly otherDomain: number;
+}
+
+function replay(
+  rule: "expected-end" | "nearest-least-busy",
+  { perSecond, seed }: { readonly perSecond: number; readonly seed: number },
+): Replay {
+  const clock = new VirtualClock();
+  const random = createRandomSource(seed);
+  const running = PACES.map(() => 0);
+  const waiting: (() => void)[][] = PACES.map(() => []);
+  const outstanding = PACES.map(() => PACES.map(() => 0));
+  const told = PACES.map(() => PACES.map(() => 0));
+  let calls = 0;
+  let inObjective = 0;
+  let total = 0;
+  let otherDomain = 0;
+  const tell = (caller: number, index: number) => {
+    told[caller][index] = running[index] + waiting[index].length;
+  };
+  clock.repeat(
+    NEWS_INTERVAL_MS,
+    () =>
+      told.forEach((news, caller) =>
+        news.forEach((_, index) => tell(caller, index))
+      ),
+  );
+
+  function candidatesFor(caller: number): GateCandidate[] {
+    return PACES.map((pace, index) => ({
+      host: String(index),
+      failureDomain: `domain-${index % 4}`,
+      load: {
+        running: Math.min(told[caller][index], SLOTS),
+        waiting: Math.max(0, told[caller][index] - SLOTS),
+        limit: SLOTS,
+        pace,
+      },
+      outstanding: outstanding[caller][index],
+      isCold: false,
+    }));
+  }
+
+  function choose(caller: number): number {
+    const candidates = candidatesFor(caller);
+    const ownFailureDomain = `domain-${caller % 4}`;
+    if (rule === "expected-end") {
+      const placed = chooseGate(candidates, {
+        usualMilliseconds: USUAL_MS,
+        ownFailureDomain,
+      }, random);
+      return Number(placed!.candidate.host);
+    }
+    const busy = ({ load, outstanding }: GateCandidate) =>
+      Math.max(load.running + load.waiting, outstanding);
+    const near = candidates.filter((candidate) =>
+      candidate.failureDomain === ownFailureDomain && busy(candidate) < SLOTS
+    );
+    const open = near.length > 0 ? near : candidates;
+    return Number(
+      open.reduce((left, right) => busy(right) < busy(left) ? right : left)
+        .host,
+    );
+  }
+
+  function arrive(): void {
+    const startedAt = clock.now();
+    const caller = random.nextInteger(PACES.length);
+    const chosen = choose(caller);
+    otherDomain += chosen % 4 === caller % 4 ? 0 : 1;
+    outstanding[caller][chosen] += 1;
+    const start = () => {
+      running[chosen] += 1;
+      const work = USUAL_MS * PACES[chosen] * (0.5 + random.nextFraction());
+      clock.schedule(work, () => {
+        running[chosen] -= 1;
+        outstanding[caller][chosen] -= 1;
+        tell(caller, chosen);
+        calls += 1;
+        total += clock.now() - startedAt;
+        inObjective += clock.now() - startedAt <= OBJECTIVE_MS ? 1 : 0;
+        waiting[chosen].shift()?.();
+      });
+    };
+    if (running[chosen] < SLOTS) {
+      start();
+    } else {
+      waiting[chosen].push(start);
+    }
+  }
+
+  let at = 0;
+  while (at < 10_000) {
+    at += random.nextFraction() * 2_000 / perSecond;
+    clock.schedule(at, arrive);
+  }
+  clock.advance(15_000);
+  return {
+    inObjective: inObjective / calls,
+    meanMilliseconds: total / calls,
+    otherDomain: otherDomain / calls,
+  };
+}
+
+describe("instances that differ in speed, seen through late news", () => {
+  const cases = [
+    { name: "a third of the capacity", perSecond: 500 },
+    { name: "three quarters of the capacity", perSecond: 1_100 },
+  ];
+  for (const { name, perSecond } of cases) {
+    test(`${name}: choosing by expected end beats choosing the nearest least busy`, (context) => {
+      const chosen = replay("expected-end", { perSecond, seed: 7 });
+      const simple = replay("nearest-least-busy", { perSecond, seed: 7 });
+      context.diagnostic(`expected end ${JSON.stringify(chosen)}`);
+      context.diagnostic(`nearest least busy ${JSON.stringify(simple)}`);
+      assert.ok(chosen.inObjective >= simple.inObjective);
+      assert.ok(chosen.meanMilliseconds < simple.meanMilliseconds);
+    });
+  }
+});
--- /dev/null
+++ b/src/features/rollout/common/rollout_test.ts
@@ -0,0 +1,212 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { createRolloutBook } from "./rollout_book.ts";
+import { mergeProgress, type RolloutProgress } from "./rollout_progress.ts";
+import {
+  findVersionDifference,
+  type HostEvidence,
+} from "./version_evidence.ts";
+
+const ORDER = {
+  service: "booking",
+  targetVersion: "v2",
+  durationMilliseconds: 16_000,
+};
+
+interface RowOptions {
+  readonly host: string;
+  readonly version: string;
+  readonly calls: number;
+  readonly failures?: number;
+  readonly mean?: number;
+}
+
+function row(options: RowOptions): HostEvidence {
+  const { host, version, calls, failures = 0, mean = 50 } = options;
+  return {
+    host,
+    service: "booking",
+    version,
+    routes: [{
+      route: "reserve",
+      calls,
+      failures,
+      warmCalls: calls,
+      warmMilliseconds: calls * mean,
+    }],
+  };
+}
+
+const OLD = [
+  row({ host: "a", version: "v1", calls: 300, failures: 1 }),
+  row({ host: "b", version: "v1", calls: 300, failures: 2 }),
+];
+
+describe("evidence against a version", () => {
+  const cases = [
+    {
+      name: "as good as the old one",
+      rows: [
+        row({ host: "c", version: "v2", calls: 40 }),
+        row({ host: "d", version: "v2", calls: 40, failures: 1 }),
+      ],
+      measure: undefined,
+    },
+    {
+      name: "half of the calls fail on both hosts",
+      rows: [
+        row({ host: "c", version: "v2", calls: 20, failures: 10 }),
+        row({ host: "d", version: "v2", calls: 20, failures: 9 }),
+      ],
+      measure: "failures",
+    },
+    {
+      name: "one broken host of two is not a bad version",
+      rows: [
+        row({ host: "c", version: "v2", calls: 20, failures: 20 }),
+        row({ host: "d", version: "v2", calls: 40 }),
+      ],
+      measure: undefined,
+    },
+    {
+      name: "several times slower on both hosts",
+      rows: [
+        row({ host: "c", version: "v2", calls: 20, mean: 400 }),
+        row({ host: "d", version: "v2", calls: 20, mean: 390 }),
+      ],
+      measure: "latency",
+    },
+    {
+      name: "hosts that are twice as slow are not a bad version",
+      rows: [
+        row({ host: "c", version: "v2", calls: 40, mean: 110 }),
+        row({ host: "d", version: "v2", calls: 40, mean: 90 }),
+      ],
+      measure: undefined,
+    },
+    {
+      name: "two failures of two calls are too few",
+      rows: [
+        row({ host: "c", version: "v2", calls: 2, failures: 2 }),
+      ],
+      measure: undefined,
+    },
+  ];
+  for (const { name, rows, measure } of cases) {
+    test(name, () => {
+      const found = findVersionDifference([...OLD, ...rows], {
+        service: "booking",
+        version: "v2",
+      });
+      assert.equal(found?.measure, measure);
+    });
+  }
+});
+
+describe("what two daemons know of a rollout", () => {
+  const base: RolloutProgress = {
+    service: "booking",
+    targetVersion: "v2",
+    orderOffset: 5,
+    share: 0.04,
+    state: "running",
+    isStored: false,
+  };
+  const cases: {
+    readonly name: string;
+    readonly other: Partial<RolloutProgress>;
+    readonly expected: Partial<RolloutProgress>;
+  }[] = [
+    {
+      name: "the higher share counts",
+      other: { share: 0.4 },
+      expected: { share: 0.4 },
+    },
+    {
+      name: "a verdict against the version counts",
+      other: { state: "reverted" },
+      expected: { state: "reverted" },
+    },
+    {
+      name: "a later order replaces an earlier one",
+      other: { orderOffset: 9, share: 0 },
+      expected: { orderOffset: 9, share: 0 },
+    },
+  ];
+  for (const { name, other, expected } of cases) {
+    test(`${name}, whoever tells it`, () => {
+      const theirs = { ...base, ...other };
+      for (
+        const merged of [
+          mergeProgress(base, theirs),
+          mergeProgress(theirs, base),
+        ]
+      ) {
+        assert.deepEqual({ ...merged, ...expected }, merged);
+      }
+    });
+  }
+
+  test("a final state in the store stands against a later verdict", () => {
+    const stored = { ...base, state: "complete" as const, isStored: true };
+    const verdict = { ...base, state: "reverted" as const };
+    assert.equal(mergeProgress(stored, verdict).state, "complete");
+    assert.equal(mergeProgress(verdict, stored).state, "complete");
+  });
+});
+
+describe("the course of a rollout", () => {
+  function run(evidence: readonly HostEvidence[], untilMilliseconds: number) {
+    const book = createRolloutBook();
+    book.order(ORDER, 5, 0);
+    const events: string[] = [];
+    for (let now = 0; now <= untilMilliseconds; now += 200) {
+      for (
+        const event of book.advance({
+          evidence,
+          isLeader: true,
+          isTargetServing: () => true,
+          now,
+        })
+      ) {
+        events.push(`${event.type} ${event.progress.share} at ${now}`);
+      }
+    }
+    return { book, events };
+  }
+
+  test("a good version completes before its deadline, after a time at the whole share", () => {
+    const { events } = run(OLD, 16_000);
+    const last = events.at(-1) ?? "";
+    assert.match(last, /^complete 1 at (\d+)$/);
+    assert.ok(Number(last.split(" ")[3]) <= 16_000 * 0.9);
+  });
+
+  test("a version that is found bad gets no call from then on", () => {
+    const bad = [
+      ...OLD,
+      row({ host: "c", version: "v2", calls: 20, failures: 10 }),
+      row({ host: "d", version: "v2", calls: 20, failures: 9 }),
+    ];
+    const { book, events } = run(bad, 1_000);
+    assert.match(events.at(-1) ?? "", /^reverted/);
+    const choice = book.chooseVersion("booking", "any");
+    assert.equal(choice.isAllowed("v2"), false);
+    assert.equal(choice.isPreferred("v1"), true);
+  });
+
+  test("under a tenth of the calls reach a version whose faults show only at the end of the first step", () => {
+    const { book } = run(OLD, 16_000 * 0.41);
+    const calls = Array.from({ length: 2_000 }, (_, index) => `call-${index}`);
+    const reached = calls.filter((identity) =>
+      book.chooseVersion("booking", identity).isPreferred("v2")
+    );
+    assert.ok(reached.length > 0 && reached.length < 0.1 * calls.length);
+  });
+
+  test("before the first share no call goes to the target version", () => {
+    const book = createRolloutBook();
+    book.order(ORDER, 5, 0);
+    assert.equal(book.chooseVersion("booking", "x").isAllowed("v2"), false);
+  });
+});
