Give up the address of a lost host, see resets of unframed answers, and try a rollout on two instances under load

(2) 5,561 refused hellos and 4,663 closed links: addresses of lost hosts had new owners, were dialled again and again, and each dial replaced the good link. (4) 9 frames lost in a full inbox after a pause.

Change: a write of an empty line at the end of an unframed answer; one host for each address; a step of a rollout on two instances at the load that they will have at the end; a larger inbox.

--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -63,9 +63,15 @@
   readonly describeSelf: () => Omit<StatusMessage, "kind">;
 }
 
+function formatTarget({ host, address, port }: LinkTarget): string {
+  return `${host}@${address}:${port}`;
+}
+
 export function createFleet(options: FleetOptions): Fleet {
   const { clock, log, network, self } = options;
   const targets = new Map<HostName, LinkTarget>([[self.host, self]]);
+  /** Hosts whose address belongs to another host now; their names are not used again. */
+  const retired = new Set<string>();
   const members = new Map<HostName, FleetMember>();
   const departedByHost = new Map<HostName, readonly DepartedInstance[]>();
   const statusTold = createEmitter<{ peer: Peer; status: StatusMessage }>();
@@ -76,7 +82,7 @@
     for (const target of added) {
       const known = targets.get(target.host);
       if (
-        target.host !== self.host &&
+        target.host !== self.host && !retired.has(formatTarget(target)) &&
         (known?.address !== target.address || known.port !== target.port)
       ) {
         targets.set(target.host, target);
@@ -89,6 +95,26 @@
     }
   }
 
+  /** Keeps one host for each address: a stale target would be dialled again and again. */
+  function retire(target: LinkTarget): void {
+    retired.add(formatTarget(target));
+    if (targets.delete(target.host)) {
+      log.write("info", "fleet.host-retired", { peer: target.host });
+      network.setTargets([...targets.values()]);
+    }
+  }
+
+  function retireOthersAt(target: LinkTarget): void {
+    for (const other of [...targets.values()]) {
+      if (
+        other.host !== target.host && other.address === target.address &&
+        other.port === target.port
+      ) {
+        retire(other);
+      }
+    }
+  }
+
   function createStatus(): StatusMessage {
     return { kind: STATUS_KIND, ...options.describeSelf() };
   }
@@ -128,8 +154,13 @@
       log.write("info", "fleet.link-closed", { peer: peer.process.host });
       members.delete(peer.process.host);
     }),
-    network.onMessage(WELCOME_KIND, (_, message) => {
+    network.onTargetReplaced(retire),
+    network.onMessage(WELCOME_KIND, (peer, message) => {
       const { hosts, departed } = message as WelcomeMessage;
+      const own = hosts.find(({ host }) => host === peer.process.host);
+      if (own !== undefined) {
+        retireOthersAt(own);
+      }
       addHosts(hosts);
       if (departed.length > 0) {
         recalled.fire(departed);
--- a/src/features/gate/common/response_decoder.ts
+++ b/src/features/gate/common/response_decoder.ts
@@ -26,6 +26,8 @@
 export interface ResponseDecoder {
   /** Whether bytes of an unfinished response, or surplus bytes, have arrived. */
   readonly hasBytes: boolean;
+  /** Whether the end of the connection completes the response that has begun. */
+  readonly awaitsEnd: boolean;
   push(bytes: Buffer): void;
   /** Takes the next complete response; call again until it says `more`. */
   next(): DecodeStep;
@@ -146,6 +148,9 @@
     get hasBytes() {
       return length > 0 || head !== undefined;
     },
+    get awaitsEnd() {
+      return head?.framing.type === "until-close";
+    },
     push(bytes) {
       chunks.push(bytes);
       length += bytes.length;
--- a/src/features/gate/node/instance_connection.ts
+++ b/src/features/gate/node/instance_connection.ts
@@ -75,6 +75,7 @@
     host: options.address,
     port: options.port,
     noDelay: true,
+    allowHalfOpen: true,
   });
   const connectTimer = clock.schedule(
     CONNECT_TIMEOUT_MS,
@@ -95,10 +96,11 @@
     readResponses();
   });
   socket.on("end", () => {
-    if (current?.sent) {
-      handle(decoder.finish(), "the connection ended");
+    if (current?.sent && decoder.awaitsEnd) {
+      finishUnframed();
+    } else {
+      end("the connection ended");
     }
-    end("the connection ended");
   });
   socket.on(
     "error",
@@ -106,6 +108,20 @@
   );
   socket.on("close", () => end("the connection closed"));
 
+  /**
+   * A response without a length is complete when its connection ended in order. A reset can be
+   * reported as an end too, and only a write tells the two apart; servers ignore an empty line
+   * (RFC 9112, section 2.2).
+   */
+  function finishUnframed(): void {
+    socket.write("\r\n", (error) => {
+      if (!closed && (error === undefined || error === null)) {
+        handle(decoder.finish(), "the connection ended");
+        end("the connection ended");
+      }
+    });
+  }
+
   function transmit(): void {
     if (current === undefined || current.sent || !connected) {
       return;
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../../../base/common/clock.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
+import { rankByRendezvous } from "../../../base/common/hashing.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { RandomSource } from "../../../base/common/random_source.ts";
 import type {
@@ -228,7 +229,7 @@
       call.versions.isPreferred(version)
     );
     return preferred.length > 0
-      ? preferred
+      ? concentrate(preferred, call.versions.instances)
       : open.filter(({ version }) => call.versions.isAllowed(version));
   }
 
@@ -459,4 +460,19 @@
   };
 }
 
+/** All daemons choose the same few of the candidates. */
+function concentrate(
+  candidates: readonly VersionedCandidate[],
+  instances: number | undefined,
+): readonly VersionedCandidate[] {
+  if (instances === undefined || candidates.length <= instances) {
+    return candidates;
+  }
+  const chosen = rankByRendezvous(
+    "concentrated",
+    candidates.map(({ host }) => host),
+  ).slice(0, instances);
+  return candidates.filter(({ host }) => chosen.includes(host));
+}
+
 const CONTENT_LENGTH = new Set(["content-length"]);
--- a/src/features/link/common/memory_network.ts
+++ b/src/features/link/common/memory_network.ts
@@ -184,6 +184,8 @@
     traffic,
     onLinkOpened: opened.event,
     onLinkClosed: closed.event,
+    // Names are addresses here, so no address passes to another host.
+    onTargetReplaced: () => ({ dispose() {} }),
     setTargets,
     setAddressBook() {},
     send(host, message) {
--- a/src/features/link/common/peer_network.ts
+++ b/src/features/link/common/peer_network.ts
@@ -54,6 +54,8 @@
   readonly traffic: LinkTraffic;
   readonly onLinkOpened: Event<Peer>;
   readonly onLinkClosed: Event<Peer>;
+  /** The address of a target has been given to another host. */
+  readonly onTargetReplaced: Event<LinkTarget>;
 
   /** Sets the daemons to which links are kept open; links that this side opened to others close. */
   setTargets(targets: readonly LinkTarget[]): void;
--- a/src/features/link/node/frame_dispatcher.ts
+++ b/src/features/link/node/frame_dispatcher.ts
@@ -15,6 +15,9 @@
 import type { LinkFrame } from "../common/link_frame.ts";
 import type { LinkMessage, Peer, PeerNetwork } from "../common/peer_network.ts";
 
+/** A process that was paused for seconds finds the frames of all its peers at once. */
+const INBOX_FRAMES = 8_192;
+
 /** A frame that a handler of a feature takes. */
 export type FeatureFrame = Extract<
   LinkFrame,
@@ -38,7 +41,10 @@
   const requestHandlers = new Map<string, RequestHandler>();
   // A full inbox drops frames, so that a flood of messages takes bounded memory. Requesters
   // then see a timeout, and the exchanges of the features repeat what was lost.
-  const inbox = createChannel<Delivery>({ overflow: "reject" });
+  const inbox = createChannel<Delivery>({
+    capacity: INBOX_FRAMES,
+    overflow: "reject",
+  });
 
   startMessageTask("link.deliver", inbox, {
     handle: deliver,
--- a/src/features/link/node/peer_network.ts
+++ b/src/features/link/node/peer_network.ts
@@ -80,6 +80,7 @@
   const dispatcher = createFrameDispatcher(log);
   const opened = createEmitter<Peer>();
   const closed = createEmitter<Peer>();
+  const targetReplaced = createEmitter<LinkTarget>();
   const connections = new Set<Link>();
   const links = new Map<HostName, Link>();
   const pending = createPendingRequests(clock);
@@ -187,6 +188,12 @@
         expected: dialledHost,
       });
       link.destroy();
+      const target = dialledHost === undefined || dialledHost === host
+        ? undefined
+        : dialer.targets.get(dialledHost);
+      if (target !== undefined) {
+        targetReplaced.fire(target);
+      }
       return;
     }
     link.peer = hello.peer;
@@ -291,6 +298,7 @@
     },
     onLinkOpened: opened.event,
     onLinkClosed: closed.event,
+    onTargetReplaced: targetReplaced.event,
     setTargets(targets) {
       dialer.setTargets(targets.filter(({ host }) => host !== ownHost));
       for (const [host, link] of links) {
@@ -350,6 +358,7 @@
       dispatcher.dispose();
       opened.dispose();
       closed.dispose();
+      targetReplaced.dispose();
     },
   };
 }
--- a/src/features/rollout/common/rollout_book.ts
+++ b/src/features/rollout/common/rollout_book.ts
@@ -15,7 +15,7 @@
   ServiceName,
   ServiceVersion,
 } from "../../../world/common/names.ts";
-import { mayComplete, planShare } from "./rollout_plan.ts";
+import { mayComplete, planStep } from "./rollout_plan.ts";
 import {
   isFinal,
   isSameProgress,
@@ -33,14 +33,16 @@
   isPreferred(version: ServiceVersion): boolean;
   /** Versions that may run the call when no preferred one can. */
   isAllowed(version: ServiceVersion): boolean;
+  /** How many instances of the target version may run it; all when undefined. */
+  readonly instances?: number;
 }
 
 export interface RolloutStep {
   readonly evidence: readonly HostEvidence[];
   /** Whether this daemon raises the share and ends the rollout. */
   readonly isLeader: boolean;
-  /** Whether an instance of the target version can serve. */
-  readonly isTargetServing: (progress: RolloutProgress) => boolean;
+  /** How many instances of the target version can serve. */
+  readonly countTargets: (progress: RolloutProgress) => number;
   readonly now: Milliseconds;
 }
 
@@ -159,16 +161,17 @@
       setProgress(rollout, { ...progress, state: "reverted" }, step.now);
       return { type: "reverted", progress: rollout.progress, difference };
     }
-    if (!step.isLeader || !step.isTargetServing(progress)) {
+    const targetInstances = step.isLeader ? step.countTargets(progress) : 0;
+    if (targetInstances === 0) {
       return undefined;
     }
     const position = {
       elapsed: step.now - rollout.orderedAt,
       duration: rollout.duration,
     };
-    const share = planShare(position);
+    const { share, instances } = planStep({ ...position, targetInstances });
     if (share > progress.share) {
-      setProgress(rollout, { ...progress, share }, step.now);
+      setProgress(rollout, { ...progress, share, instances }, step.now);
       return { type: "share", progress: rollout.progress };
     }
     if (
@@ -201,7 +204,7 @@
 }
 
 function chooseBetween(
-  { targetVersion, share, state }: RolloutProgress,
+  { targetVersion, share, instances, state }: RolloutProgress,
   callIdentity: string,
 ): VersionChoice {
   const isTarget = (version: ServiceVersion) => version === targetVersion;
@@ -217,6 +220,7 @@
         isPreferred: getsTarget ? isTarget : isOther,
         // Before the first share nothing but an order speaks for the version.
         isAllowed: share === 0 ? isOther : () => true,
+        instances: getsTarget ? instances : undefined,
       };
     }
   }
--- a/src/features/rollout/common/rollout_plan.ts
+++ b/src/features/rollout/common/rollout_plan.ts
@@ -3,25 +3,38 @@
  *
  * Load pattern: a rollout of some seconds at the full rate of the service. A bad version may get a
  * tenth of the calls, so most of the time is spent at a share well below that, long enough for
- * a version that turns bad late to show it; then the share rises in steps that each last long
- * enough for failures under load to be seen before the next.
+ * a version that turns bad late to show it. A version that is bad only under load shows nothing
+ * at that share, so the next step gives two of its instances the load that they will have at the
+ * whole share, which is still a small part of the calls.
  *
  * @module
  */
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 
-interface PlanStep {
+export interface PlanStep {
   /** When the step begins, as a part of the time to the deadline. */
   readonly from: number;
   readonly share: number;
+  /** Instances that take the share; all of the target version when absent. */
+  readonly instances?: number;
 }
 
+/** A verdict needs more than one instance, since one broken host is not a bad version. */
+const CONCENTRATED_INSTANCES = 2;
+/** The load of each of them, relative to its load at the whole share. */
+const CONCENTRATED_LOAD = 0.9;
+const CONCENTRATED_SHARE = 0.25;
+
 const STEPS: readonly PlanStep[] = [
-  { from: 0, share: 0.04 },
-  { from: 0.42, share: 0.15 },
-  { from: 0.5, share: 0.4 },
-  { from: 0.58, share: 0.7 },
+  { from: 0, share: 0.03 },
+  {
+    from: 0.42,
+    share: CONCENTRATED_SHARE,
+    instances: CONCENTRATED_INSTANCES,
+  },
+  { from: 0.52, share: 0.45 },
+  { from: 0.58, share: 0.75 },
   { from: 0.66, share: 1 },
 ];
 
@@ -33,16 +46,27 @@
 export interface PlanPosition {
   readonly elapsed: Milliseconds;
   readonly duration: Milliseconds;
+  /** Instances of the target version that serve. */
+  readonly targetInstances: number;
 }
 
-export function planShare({ elapsed, duration }: PlanPosition): number {
+export function planStep(
+  { elapsed, duration, targetInstances }: PlanPosition,
+): PlanStep {
   const part = elapsed / duration;
-  return STEPS.findLast((step) => part >= step.from)?.share ?? 0;
+  const step = STEPS.findLast(({ from }) => part >= from) ?? STEPS[0];
+  return step.instances === undefined ? step : {
+    ...step,
+    share: Math.min(
+      step.share,
+      CONCENTRATED_LOAD * step.instances / Math.max(1, targetInstances),
+    ),
+  };
 }
 
 /** Whether the rollout may end well, once the share has been 1 for `atFullShare`. */
 export function mayComplete(
-  position: PlanPosition,
+  position: Omit<PlanPosition, "targetInstances">,
   atFullShare: Milliseconds,
 ): boolean {
   return position.elapsed >= COMPLETE_FROM * position.duration &&
--- a/src/features/rollout/common/rollout_progress.ts
+++ b/src/features/rollout/common/rollout_progress.ts
@@ -17,6 +17,8 @@
   readonly orderOffset: number;
   /** The share of the service's calls that the target version gets, 0 to 1. */
   readonly share: number;
+  /** Instances of the target version that take the share; all when undefined. */
+  readonly instances?: number;
   readonly state: RolloutState;
   /** Whether the state stands in the platform's store. */
   readonly isStored: boolean;
@@ -50,6 +52,7 @@
   return {
     ...winner,
     share: Math.max(left.share, right.share),
+    instances: left.share >= right.share ? left.instances : right.instances,
     isStored: (left.state === winner.state && left.isStored) ||
       (right.state === winner.state && right.isStored),
   };
--- a/src/features/rollout/common/rollout_test.ts
+++ b/src/features/rollout/common/rollout_test.ts
@@ -165,7 +165,7 @@
         const event of book.advance({
           evidence,
           isLeader: true,
-          isTargetServing: () => true,
+          countTargets: () => 7,
           now,
         })
       ) {
@@ -204,6 +204,13 @@
     assert.ok(reached.length > 0 && reached.length < 0.1 * calls.length);
   });
 
+  test("two instances take a step by themselves, at the load of the whole share", () => {
+    const { book } = run(OLD, 16_000 * 0.43);
+    const progress = book.find("booking");
+    assert.equal(progress?.instances, 2);
+    assert.ok(Math.abs(progress!.share * 7 / 2 - 0.9) < 0.03);
+  });
+
   test("before the first share no call goes to the target version", () => {
     const book = createRolloutBook();
     book.order(ORDER, 5, 0);
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -36,7 +36,7 @@
 /** Enough for all daemons of a large deployment to reconnect within some seconds. */
 const ACCEPTED_LINKS_PER_SECOND = 200;
 /** A host may be cut off for seconds and is needed as soon as it is back. */
-const RECONNECT_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 1_000 };
+const RECONNECT_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 2_000 };
 /** Clients are moved elsewhere after two readiness checks, one a second. */
 const SERVE_AFTER_STOP_MS: Milliseconds = 3_200;
 /** Time left for the end of the process. */
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -141,16 +141,17 @@
       options.self.host;
   }
 
-  function isTargetServing(progress: RolloutProgress): boolean {
+  function countTargets(progress: RolloutProgress): number {
     const isTarget = (
       service: ServiceName | undefined,
       version: string | undefined,
     ) => service === progress.service && version === progress.targetVersion;
-    return (gate.isServing &&
-      isTarget(gate.instance?.service, gate.instance?.version)) ||
-      options.members().some(({ status: { instance } }) =>
+    const isOwn = gate.isServing &&
+      isTarget(gate.instance?.service, gate.instance?.version);
+    return (isOwn ? 1 : 0) +
+      options.members().filter(({ status: { instance } }) =>
         instance?.isServing && isTarget(instance.service, instance.version)
-      );
+      ).length;
   }
 
   function step(): void {
@@ -165,8 +166,8 @@
       evidence: allEvidence(),
       isLeader: leads,
       // Until the status has been read, a rollout may have ended before this daemon started.
-      isTargetServing: (progress) =>
-        announced.has(progress.orderOffset) && isTargetServing(progress),
+      countTargets: (progress) =>
+        announced.has(progress.orderOffset) ? countTargets(progress) : 0,
       now: clock.now(),
     });
     for (const event of events) {
