--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -28,7 +28,9 @@
 } from "./fleet_messages.ts";
 
 /** How often a daemon tells its status when nothing urgent changes. */
-const STATUS_INTERVAL_MS: Milliseconds = 500;
+const STATUS_INTERVAL_MS: Milliseconds = 1_000;
+/** The same while a rollout is judged by what gates have seen. */
+const EVIDENCE_INTERVAL_MS: Milliseconds = 400;
 
 /** Another daemon with an open link. */
 export interface FleetMember {
@@ -171,6 +173,11 @@
       (peer, message) => takeStatus(peer, message as StatusMessage),
     ),
     clock.repeat(STATUS_INTERVAL_MS, notify),
+    clock.repeat(EVIDENCE_INTERVAL_MS, () => {
+      if (options.describeSelf().evidence.length > 0) {
+        notify();
+      }
+    }),
   ];
 
   function notify(): void {
--- a/src/features/gate/common/admission_decision.ts
+++ b/src/features/gate/common/admission_decision.ts
@@ -19,8 +19,13 @@
   readonly ahead: number;
   /** The mean time that the instance works on a call. */
   readonly meanMilliseconds: Milliseconds;
+  /** The part of the instance's capacity that more urgent calls take, 0 to 1; 0 when absent. */
+  readonly takenByMoreUrgent?: number;
 }
 
+/** The least part of the capacity that is assumed for a call; urgent load comes in waves. */
+const LEAST_CAPACITY_PART = 0.1;
+
 export type AdmissionDecision =
   | { readonly type: "start" }
   | { readonly type: "wait" }
@@ -32,7 +37,13 @@
     return 0;
   }
   const places = load.running + load.ahead - load.limit + 1;
-  return places * load.meanMilliseconds / Math.max(1, load.limit);
+  // More urgent calls that arrive while this one waits start before it.
+  const capacityPart = Math.max(
+    LEAST_CAPACITY_PART,
+    1 - (load.takenByMoreUrgent ?? 0),
+  );
+  return places * load.meanMilliseconds /
+    (Math.max(1, load.limit) * capacityPart);
 }
 
 export function decideAdmission(
--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -33,6 +33,8 @@
   readonly instance: InstanceReport | undefined;
   readonly departed: readonly DepartedInstance[];
   readonly load: GateLoadReport;
+  /** The rank of the least urgent call that the instance works on. */
+  readonly leastUrgentRank: number | undefined;
   /** Whether the instance may be sent calls at present. */
   readonly isServing: boolean;
   /** How much longer the instance is slow after its start. */
--- a/src/features/gate/common/gate_service.ts
+++ b/src/features/gate/common/gate_service.ts
@@ -13,7 +13,7 @@
 import type { HostName } from "../../../world/common/names.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
 import type { Gate, GateTicket } from "./gate.ts";
-import type { GateOutcome } from "./gate_call.ts";
+import type { GateOutcome, GateRequest } from "./gate_call.ts";
 import {
   CANCEL_KIND,
   type CancelMessage,
@@ -31,6 +31,7 @@
   readonly host: HostName;
   readonly keepUntil: Milliseconds;
   ticket: GateTicket | undefined;
+  isCancelled: boolean;
   outcome: GateOutcome | undefined;
 }
 
@@ -68,23 +69,43 @@
       host,
       keepUntil: clock.now() + request.deadlineInMilliseconds + RETENTION_MS,
       ticket: undefined,
+      isCancelled: false,
       outcome: undefined,
     };
     calls.set(identity, call);
+    // A link that was held up delivers an offer and its cancellation together. The frames of one
+    // delivery are handled before microtasks, so such a call does not reach the instance.
+    queueMicrotask(() => {
+      if (!call.isCancelled) {
+        pass(request, call);
+      }
+    });
+  }
+
+  function pass(request: GateRequest, call: RemoteCall): void {
     call.ticket = gate.offer(request, (outcome) => {
       call.outcome = outcome;
-      sendOutcome(identity, call);
+      sendOutcome(request.identity, call);
     });
   }
 
+  function cancel({ identity }: CancelMessage): void {
+    const call = calls.get(identity);
+    if (call !== undefined) {
+      call.isCancelled = true;
+      call.ticket?.cancel();
+    }
+  }
+
   const registrations = [
     network.onMessage(
       OFFER_KIND,
       (peer, message) => offer(peer.process.host, message as OfferMessage),
     ),
-    network.onMessage(CANCEL_KIND, (_, message) => {
-      calls.get((message as CancelMessage).identity)?.ticket?.cancel();
-    }),
+    network.onMessage(
+      CANCEL_KIND,
+      (_, message) => cancel(message as CancelMessage),
+    ),
     clock.repeat(SWEEP_INTERVAL_MS, () => {
       const now = clock.now();
       for (const [identity, call] of calls) {
--- a/src/features/gate/common/waiting_room.ts
+++ b/src/features/gate/common/waiting_room.ts
@@ -3,9 +3,10 @@
  *
  * Load pattern: a burst of more calls than the instance can work on. A queue in order of arrival
  * then serves calls whose callers have left, and lets plentiful reads delay urgent writes. Here
- * calls made on behalf of a call that already holds a slot go first, since their failure wastes
- * the work of that slot; then the more urgent rank; then calls that can still meet their
- * objective; then the earliest due.
+ * the more urgent rank goes first; within a rank, calls made on behalf of a call that already holds
+ * a slot, since their failure wastes the work of that slot; then calls that can still meet their
+ * objective; then the earliest due. Nested calls of plentiful reads do not go before urgent
+ * writes of the service that they call, which they would starve.
  *
  * @module
  */
@@ -32,6 +33,14 @@
   takeNext(now: Milliseconds): T | undefined;
   /** Removes the calls that can no longer finish by their deadline. */
   takeHopeless(now: Milliseconds): T[];
+  /**
+   * Removes the calls that cannot finish by their deadline given the wait from their place in the
+   * order: calls that arrived later and are more urgent have overtaken them.
+   */
+  takeOvertaken(
+    now: Milliseconds,
+    expectWait: (call: T, ahead: number) => Milliseconds,
+  ): T[];
   /** The number of waiting calls that would start before this one. */
   countAhead(call: WaitingCall, now: Milliseconds): number;
   takeAll(): T[];
@@ -70,6 +79,26 @@
       }
       return hopeless;
     },
+    takeOvertaken(now, expectWait) {
+      const overtaken: T[] = [];
+      let ahead = 0;
+      const inOrder = [...calls.values()].sort((left, right) =>
+        compareCalls(left, right, now)
+      );
+      for (const call of inOrder) {
+        const startsAt = now + expectWait(call, ahead);
+        if (
+          startsAt + HOPELESS_PART * call.expectedMilliseconds >
+            call.deadlineAt
+        ) {
+          overtaken.push(call);
+          calls.delete(call.identity);
+        } else {
+          ahead += 1;
+        }
+      }
+      return overtaken;
+    },
     countAhead(call, now) {
       let ahead = 0;
       for (const other of calls.values()) {
@@ -93,11 +122,9 @@
   right: WaitingCall,
   now: Milliseconds,
 ): number {
-  if (left.isNested !== right.isNested) {
-    return left.isNested ? -1 : 1;
-  }
-  if (left.rank !== right.rank) {
-    return left.rank - right.rank;
+  const urgency = compareUrgency(left, right);
+  if (urgency !== 0) {
+    return urgency;
   }
   const leftMeets = meetsObjective(left, now);
   if (leftMeets !== meetsObjective(right, now)) {
@@ -108,6 +135,15 @@
     : left.deadlineAt - right.deadlineAt;
 }
 
+/** Negative when `left` is more urgent than `right`, whatever their times. */
+export function compareUrgency(
+  left: Pick<WaitingCall, "rank" | "isNested">,
+  right: Pick<WaitingCall, "rank" | "isNested">,
+): number {
+  return left.rank - right.rank ||
+    Number(right.isNested) - Number(left.isNested);
+}
+
 function meetsObjective(call: WaitingCall, now: Milliseconds): boolean {
   return now + call.expectedMilliseconds <= call.objectiveAt;
 }
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -12,7 +12,7 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import type { CallRecord, Gate, GateTicket } from "../common/gate.ts";
-import { decideAdmission } from "../common/admission_decision.ts";
+import { decideAdmission, expectWait } from "../common/admission_decision.ts";
 import type {
   GateOutcome,
   GateRequest,
@@ -25,6 +25,7 @@
 import type { MeshHeaders } from "../common/mesh_headers.ts";
 import { formatRequestHead } from "../common/request_head.ts";
 import { createServiceTimes } from "../common/service_times.ts";
+import { createUrgentLoad } from "../common/urgent_load.ts";
 import {
   createWaitingRoom,
   isHopeless,
@@ -42,6 +43,8 @@
 const NEWEST_WEIGHT = 0.05;
 /** A failed connection says nothing about the instance for longer than this. */
 const UNREACHABLE_MS: Milliseconds = 300;
+/** How often calls that wait are looked at again. */
+const SWEEP_INTERVAL_MS: Milliseconds = 40;
 /** Heartbeats that may be missing before the instance counts as lost. */
 const MISSED_HEARTBEATS = 3;
 
@@ -69,6 +72,7 @@
   const running = new Set<GateCall>();
   const idle: InstanceConnection[] = [];
   const times = createServiceTimes();
+  const urgentLoad = createUrgentLoad();
   const changed = createEmitter<void>();
   const called = createEmitter<CallRecord>();
   let mean: Milliseconds = FIRST_MEAN_MS;
@@ -94,6 +98,30 @@
     changed.fire();
   }
 
+  function describeLoad(call: GateCall, ahead: number, now: Milliseconds) {
+    const capacity = { limit: limit(), meanMilliseconds: mean };
+    return {
+      ...capacity,
+      running: running.size,
+      ahead,
+      takenByMoreUrgent: urgentLoad.moreUrgentThan(call, capacity, now),
+    };
+  }
+
+  const sweep = clock.repeat(SWEEP_INTERVAL_MS, () => {
+    if (room.size === 0) {
+      return;
+    }
+    const now = clock.now();
+    const overtaken = room.takeOvertaken(
+      now,
+      (call, ahead) => expectWait(describeLoad(call, ahead, now)),
+    );
+    for (const call of overtaken) {
+      refuse(call, "hopeless", mean);
+    }
+  });
+
   const watch = clock.repeat(options.heartbeatMilliseconds / 4, () => {
     if (isServing() !== wasServing) {
       log.write("info", "gate.serving-changed", {
@@ -134,12 +162,14 @@
       return { cancel() {} };
     }
     const ahead = room.size === 0 ? 0 : room.countAhead(call, now);
-    const decision = decideAdmission(call, {
-      running: running.size,
-      limit: limit(),
-      ahead,
-      meanMilliseconds: mean,
-    }, now);
+    const decision = decideAdmission(
+      call,
+      describeLoad(call, ahead, now),
+      now,
+    );
+    if (decision.type !== "refuse") {
+      urgentLoad.record(call, now);
+    }
     switch (decision.type) {
       case "refuse":
         refuse(call, "full", decision.retryAfter);
@@ -439,6 +469,13 @@
         pace,
       };
     },
+    get leastUrgentRank() {
+      let rank: number | undefined;
+      for (const call of running) {
+        rank = Math.max(rank ?? call.rank, call.rank);
+      }
+      return rank;
+    },
     get isServing() {
       return isServing();
     },
@@ -466,6 +503,7 @@
     offer,
     dispose() {
       watch.dispose();
+      sweep.dispose();
       refuseWaiting("cancelled");
       for (const call of [...running]) {
         call.connection?.dispose();
--- /dev/null
+++ b/src/features/ingress/common/second_send.ts
@@ -0,0 +1,39 @@
+/**
+ * When a call that may be repeated is also offered to a second gate.
+ *
+ * Load pattern: service times with a long tail, an instance that has become slow or silent, a link
+ * that holds answers back. One such call also delays the pipelined calls behind it. A second
+ * send that starts while the objective can still be met saves them; it is made only where an
+ * instance has a free place, so that it adds no waiting under overload.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+
+export interface SecondSendCall {
+  readonly usualMilliseconds: Milliseconds;
+  /** The time from the offer to the objective; may be negative. */
+  readonly objectiveIn: Milliseconds;
+}
+
+/** About one call in twenty takes longer than this many times the usual. */
+const USUAL_FACTOR = 2;
+/** A second send sooner than this would mostly repeat calls that are about to end. */
+const LEAST_FACTOR = 1.4;
+/** The part of the usual time that the second send needs before the objective. */
+const RESERVE_FACTOR = 1.2;
+/** Calls that take some milliseconds vary by as much. */
+const LEAST_DELAY_MS: Milliseconds = 20;
+
+export function secondSendDelay(
+  { usualMilliseconds, objectiveIn }: SecondSendCall,
+): Milliseconds {
+  const latest = objectiveIn - RESERVE_FACTOR * usualMilliseconds;
+  const wanted = Math.min(USUAL_FACTOR * usualMilliseconds, latest);
+  return Math.max(
+    LEAST_DELAY_MS,
+    LEAST_FACTOR * usualMilliseconds,
+    wanted,
+  );
+}
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -7,6 +7,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../../../base/common/clock.ts";
+import type { Disposable } from "../../../base/common/disposable.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
 import { rankByRendezvous } from "../../../base/common/hashing.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
@@ -36,6 +37,7 @@
   type OwnAnswer,
   refuseNotRun,
 } from "../common/call_refusal.ts";
+import { secondSendDelay } from "../common/second_send.ts";
 import { chooseService } from "../common/service_choice.ts";
 
 /** Repeats of a service as a part of its first sends; below the share that is allowed. */
@@ -62,6 +64,8 @@
   readonly routes: () => HostRoutes | undefined;
   readonly limits: () => CallerLimits | undefined;
   readonly candidates: (service: ServiceName) => readonly VersionedCandidate[];
+  /** The rank of the least urgent call that the instance on this host works on. */
+  readonly leastUrgentRank: () => number | undefined;
   readonly chooseVersion: (
     service: ServiceName,
     callIdentity: string,
@@ -75,6 +79,11 @@
   handle(request: IncomingMessage, response: ServerResponse): void;
 }
 
+interface OpenOffer {
+  readonly host: HostName;
+  ticket: GateTicket | undefined;
+}
+
 interface Call {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
@@ -87,7 +96,9 @@
   readonly isNested: boolean;
   readonly asked: Set<HostName>;
   body: Buffer;
-  ticket: GateTicket | undefined;
+  /** Offers without an outcome yet. */
+  readonly open: Set<OpenOffer>;
+  secondSend: Disposable | undefined;
   instancesReached: number;
   mayHaveRun: boolean;
   isEnded: boolean;
@@ -178,7 +189,8 @@
       isNested: request.socket.remoteAddress === options.ownAddress,
       asked: new Set(),
       body: Buffer.alloc(0),
-      ticket: undefined,
+      open: new Set(),
+      secondSend: undefined,
       instancesReached: 0,
       mayHaveRun: false,
       isEnded: false,
@@ -190,6 +202,7 @@
     request.socket.once("close", leave);
     call.release = () => {
       timer.dispose();
+      call.secondSend?.dispose();
       request.socket.off("close", leave);
       active.delete(call);
     };
@@ -237,14 +250,21 @@
     return times.usual(call.route.name, call.route.objectiveMilliseconds / 3);
   }
 
+  /**
+   * A nested call is not more urgent than the call for which it is made. Which one that is cannot
+   * be seen, so the least urgent call of the instance counts.
+   */
+  function rankOf({ isNested, route }: Call): number {
+    const parentRank = isNested ? options.leastUrgentRank() : undefined;
+    return Math.max(route.rank, parentRank ?? route.rank);
+  }
+
   function askNext(call: Call): void {
-    const now = clock.now();
     const usualMilliseconds = usualTime(call);
     const placed = chooseGate(listCandidates(call), {
       usualMilliseconds,
       ownFailureDomain: options.failureDomain,
     }, options.random);
-    const timeLeft = call.finalAt - now;
     if (placed === undefined) {
       proceed(call, undefined, {
         type: "refused",
@@ -254,11 +274,18 @@
       });
       return;
     }
-    const { host, version } = placed.candidate as VersionedCandidate;
+    offer(call, placed.candidate as VersionedCandidate);
+  }
+
+  function offer(call: Call, { host, version }: VersionedCandidate): void {
+    const now = clock.now();
+    const timeLeft = call.finalAt - now;
+    const usualMilliseconds = usualTime(call);
+    const open: OpenOffer = { host, ticket: undefined };
     call.asked.add(host);
+    call.open.add(open);
     nextNumber += 1;
-    let settled = false;
-    const ticket = options.gates.offer(host, {
+    open.ticket = options.gates.offer(host, {
       request: {
         identity: `${options.processIdentity}#${nextNumber}`,
         requestIdentity: call.identity,
@@ -274,7 +301,7 @@
         body: call.body,
         callerService: options.callerService(),
         isNested: call.isNested,
-        rank: call.route.rank,
+        rank: rankOf(call),
         objectiveInMilliseconds: call.arrivedAt +
           call.route.objectiveMilliseconds - now,
         deadlineInMilliseconds: timeLeft,
@@ -284,14 +311,54 @@
         ? Math.min(RESUME_REPEATABLE_MS, timeLeft)
         : timeLeft,
       settle(outcome) {
-        settled = true;
-        call.ticket = undefined;
+        call.open.delete(open);
         proceed(call, host, outcome);
       },
     });
-    if (!settled) {
-      call.ticket = ticket;
+    if (call.open.has(open) && call.route.kind === "safe") {
+      scheduleSecondSend(call, now);
+    }
+  }
+
+  function scheduleSecondSend(call: Call, now: Milliseconds): void {
+    const objectiveAt = call.arrivedAt + call.route.objectiveMilliseconds;
+    const delay = secondSendDelay({
+      usualMilliseconds: usualTime(call),
+      objectiveIn: objectiveAt - now,
+    });
+    call.secondSend?.dispose();
+    call.secondSend = clock.schedule(delay, () => sendSecond(call));
+  }
+
+  function sendSecond(call: Call): void {
+    const now = clock.now();
+    const usualMilliseconds = usualTime(call);
+    if (
+      call.isEnded || call.open.size !== 1 ||
+      call.instancesReached + 1 >= call.route.maximumInstances ||
+      call.finalAt - now < usualMilliseconds
+    ) {
+      return;
     }
+    const placed = chooseGate(listCandidates(call), {
+      usualMilliseconds,
+      ownFailureDomain: options.failureDomain,
+    }, options.random);
+    if (
+      placed === undefined || placed.wait > 0 ||
+      !budgetOf(call.service).takeRetry(now, REPEAT_SHARE)
+    ) {
+      return;
+    }
+    log.write("debug", "call.second-send", {
+      request: call.identity,
+      route: call.route.name,
+      first: [...call.open][0].host,
+      second: placed.candidate.host,
+      after: Math.round(now - call.arrivedAt),
+      usual: Math.round(usualMilliseconds),
+    });
+    offer(call, placed.candidate as VersionedCandidate);
   }
 
   function proceed(
@@ -303,6 +370,10 @@
       return;
     }
     noteOutcome(call, outcome);
+    if (call.open.size > 0 && !isSuccess(outcome)) {
+      logStep(call, host, outcome, "await-other");
+      return;
+    }
     const now = clock.now();
     const next = decideNextStep(outcome, {
       kind: call.route.kind,
@@ -397,7 +468,7 @@
     if (call.isEnded) {
       return;
     }
-    const wasOffered = call.ticket !== undefined || call.mayHaveRun;
+    const wasOffered = call.open.size > 0 || call.mayHaveRun;
     log.write("info", "call.expired", {
       request: call.identity,
       route: call.route.name,
@@ -430,8 +501,10 @@
   function finish(call: Call): void {
     call.isEnded = true;
     call.release();
-    call.ticket?.cancel();
-    call.ticket = undefined;
+    for (const { ticket } of call.open) {
+      ticket?.cancel();
+    }
+    call.open.clear();
   }
 
   function answer(response: ServerResponse, own: OwnAnswer): void {
@@ -460,6 +533,10 @@
   };
 }
 
+function isSuccess(outcome: GateOutcome): boolean {
+  return outcome.type === "answer" && outcome.status < 500;
+}
+
 /** All daemons choose the same few of the candidates. */
 function concentrate(
   candidates: readonly VersionedCandidate[],
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -190,6 +190,7 @@
     limits: () => state.configuration?.limits,
     candidates: (service) =>
       listCandidates(service, { self: place, clock, gate, gates, fleet }),
+    leastUrgentRank: () => gate.leastUrgentRank,
     chooseVersion: rollouts.book.chooseVersion,
   });
 
