--- a/src/programs/node/host_registration.ts
+++ b/src/programs/node/host_registration.ts
@@ -26,6 +26,7 @@
   readonly store: MeshStore;
   readonly fleet: Fleet;
   readonly target: LinkTarget;
+  readonly isStopped: () => boolean;
 }
 
 export async function registerHost(
@@ -34,14 +35,14 @@
   const { store, fleet, target } = options;
   await retry(options, () => store.announceHost(target));
   const hosts = await retry(options, () => store.listHosts());
-  fleet.addHosts(hosts);
+  fleet.addHosts(hosts ?? []);
 }
 
 async function retry<T>(
-  { clock, random, log }: RegistrationOptions,
+  { clock, random, log, isStopped }: RegistrationOptions,
   attempt: () => Promise<Result<T, StepError>>,
-): Promise<T> {
-  for (let failures = 0;; failures += 1) {
+): Promise<T | undefined> {
+  for (let failures = 0; !isStopped(); failures += 1) {
     const result = await attempt();
     if (result.ok) {
       return result.val;
@@ -52,4 +53,5 @@
     });
     await clock.sleep(100 + computeBackoff(failures, random, STORE_BACKOFF));
   }
+  return undefined;
 }
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -5,7 +5,10 @@
  */
 
 import type { Socket } from "node:net";
-import { createDisposableStore } from "../../base/common/disposable.ts";
+import {
+  createDisposableStore,
+  type Disposable,
+} from "../../base/common/disposable.ts";
 import type { EventLog } from "../../base/common/event_log.ts";
 import { hashText } from "../../base/common/hashing.ts";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
@@ -51,7 +54,7 @@
   readonly log: EventLog;
 }
 
-export interface MeshDaemon {
+export interface MeshDaemon extends Disposable {
   /** The settings have changed. */
   reload(settings: MeshSettings): void;
   /** Stops without cutting a call, as far as the time of the settings allows. */
@@ -71,6 +74,7 @@
   const log = options.log;
   const random = createRandomSource(hashText(processName) | 0);
   let isStopping = false;
+  let isDisposed = false;
 
   const network = owned.add(
     createPeerNetwork({
@@ -258,6 +262,7 @@
     store: platform.store,
     fleet,
     target: listening.val,
+    isStopped: () => isDisposed,
   });
   log.write("info", "process.started", {
     process: processName,
@@ -265,6 +270,14 @@
     calls: settings.listen.calls,
   });
 
+  function dispose(): void {
+    isDisposed = true;
+    owned.dispose();
+    for (const listener of listeners) {
+      listener.close();
+    }
+  }
+
   return {
     reload(next) {
       settings = next;
@@ -290,11 +303,9 @@
       log.write("info", "process.stopped", {
         activeCalls: ingress.activeCalls,
       });
-      owned.dispose();
-      for (const listener of listeners) {
-        listener.close();
-      }
+      dispose();
     },
+    dispose,
   };
 }
 
