Know nested calls by their parent, and keep them from starving urgent uploads

Change: a call is nested when its identity contains that of a call at the own gate; it has the rank of its parent at most; it waits within its objective only, since it holds its parent's slot; a read that failed because its nested call was refused is not repeated.

Ruled out: the address of the connection (the same for clients and instances).

--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -24,6 +24,13 @@
   readonly duration: Milliseconds;
 }
 
+/** A call that the instance works on and for which it makes another one. */
+export interface ParentCall {
+  readonly rank: number;
+  /** Notes that the other one was refused. */
+  noteNestedRefusal(): void;
+}
+
 export interface GateTicket {
   /** Ends the call: its caller has left. */
   cancel(): void;
@@ -33,8 +40,6 @@
   readonly instance: InstanceReport | undefined;
   readonly departed: readonly DepartedInstance[];
   readonly load: GateLoadReport;
-  /** The rank of the least urgent call that the instance works on. */
-  readonly leastUrgentRank: number | undefined;
   /** Whether the instance may be sent calls at present. */
   readonly isServing: boolean;
   /** How much longer the instance is slow after its start. */
@@ -46,6 +51,11 @@
   report(report: InstanceReport): ReportOutcome;
   depart(departure: InstanceDeparture): ReportOutcome;
   recall(departed: readonly DepartedInstance[]): void;
+  /**
+   * The call on whose behalf the instance makes another one. Instances derive the identity of a
+   * nested call from that of its parent.
+   */
+  findParent(requestIdentity: string): ParentCall | undefined;
   /** Offers a call; `settle` is called once, possibly before this returns. */
   offer(
     request: GateRequest,
--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -64,6 +64,8 @@
     readonly body: Uint8Array;
     /** How long the instance worked on the call. */
     readonly serviceMilliseconds: Milliseconds;
+    /** A call that the instance made for this one was refused, so a repeat would fail as well. */
+    readonly wasNestedRefused: boolean;
   }
   | {
     /** The call has not run at this gate and never will. */
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -60,6 +60,9 @@
   readonly settle: (outcome: GateOutcome) => void;
   state: "waiting" | "running" | "ended";
   isCancelled: boolean;
+  wasNestedRefused: boolean;
+  /** When the work on the call is ended. */
+  readonly endAt: Milliseconds;
   startedAt: Milliseconds;
   timer: Disposable | undefined;
   connection: InstanceConnection | undefined;
@@ -143,7 +146,7 @@
       isNested: request.isNested,
       rank: request.rank,
       objectiveAt: now + request.objectiveInMilliseconds,
-      deadlineAt: now + request.deadlineInMilliseconds,
+      deadlineAt: now + longestStay(request),
       expectedMilliseconds: times.usual(
         request.route,
         request.usualMilliseconds * pace,
@@ -152,6 +155,8 @@
       settle,
       state: "waiting",
       isCancelled: false,
+      wasNestedRefused: false,
+      endAt: now + request.deadlineInMilliseconds,
       startedAt: now,
       timer: undefined,
       connection: undefined,
@@ -219,7 +224,7 @@
     call.state = "running";
     call.startedAt = now;
     running.add(call);
-    const timeLeft = call.deadlineAt - now;
+    const timeLeft = call.endAt - now;
     call.timer = clock.schedule(timeLeft, () => {
       call.connection?.dispose();
     });
@@ -301,7 +306,7 @@
     outcome: ExchangeOutcome,
     now: Milliseconds,
   ): GateOutcome {
-    const timedOut = now >= call.deadlineAt - 1;
+    const timedOut = now >= call.endAt - 1;
     switch (outcome.type) {
       case "not-sent":
         if (!timedOut && !call.isCancelled) {
@@ -369,6 +374,7 @@
       rawHeaders,
       body,
       serviceMilliseconds: duration,
+      wasNestedRefused: call.wasNestedRefused,
     };
   }
 
@@ -469,13 +475,6 @@
         pace,
       };
     },
-    get leastUrgentRank() {
-      let rank: number | undefined;
-      for (const call of running) {
-        rank = Math.max(rank ?? call.rank, call.rank);
-      }
-      return rank;
-    },
     get isServing() {
       return isServing();
     },
@@ -500,6 +499,18 @@
         announceChange();
       }
     },
+    findParent(requestIdentity) {
+      const parent = [...running].find(({ request }) =>
+        request.requestIdentity !== requestIdentity &&
+        requestIdentity.includes(request.requestIdentity)
+      );
+      return parent === undefined ? undefined : {
+        rank: parent.rank,
+        noteNestedRefusal() {
+          parent.wasNestedRefused = true;
+        },
+      };
+    },
     offer,
     dispose() {
       watch.dispose();
@@ -515,6 +526,16 @@
   };
 }
 
+/**
+ * How long a call may wait and run. A nested call holds the slot of its parent while it waits, so
+ * it is served within its objective or not at all.
+ */
+function longestStay(request: GateRequest): Milliseconds {
+  return request.isNested
+    ? Math.min(request.objectiveInMilliseconds, request.deadlineInMilliseconds)
+    : request.deadlineInMilliseconds;
+}
+
 function describeEnd(
   call: GateCall,
   timedOut: boolean,
--- a/src/features/ingress/common/call_course.ts
+++ b/src/features/ingress/common/call_course.ts
@@ -43,7 +43,8 @@
 ): NextStep {
   switch (outcome.type) {
     case "answer":
-      return outcome.status >= 500 && mayRepeat(state, true) && takeRepeat()
+      return outcome.status >= 500 && !outcome.wasNestedRefused &&
+          mayRepeat(state, true) && takeRepeat()
         ? { type: "ask-next", isRepeat: true }
         : { type: "deliver" };
     case "failed":
--- a/src/features/ingress/common/ingress_test.ts
+++ b/src/features/ingress/common/ingress_test.ts
@@ -12,6 +12,7 @@
   rawHeaders: [],
   body: Buffer.alloc(0),
   serviceMilliseconds: 10,
+  wasNestedRefused: false,
 };
 const FAILURE: GateOutcome = { ...ANSWER, status: 500 };
 const BROKEN: GateOutcome = { type: "failed", reason: "reset" };
@@ -54,6 +55,12 @@
     outcome: FAILURE,
     next: "ask-next",
   },
+  {
+    name:
+      "a read that failed because its nested call was refused is not repeated",
+    outcome: { ...FAILURE, wasNestedRefused: true },
+    next: "deliver",
+  },
   {
     name: "without budget the instance's own failure is delivered",
     outcome: FAILURE,
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -22,7 +22,7 @@
   createRetryBudget,
   type RetryBudget,
 } from "../../attempt/common/retry_budget.ts";
-import type { GateTicket } from "../../gate/common/gate.ts";
+import type { GateTicket, ParentCall } from "../../gate/common/gate.ts";
 import type { GateClient } from "../../gate/common/gate_client.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import type { MeshHeaders } from "../../gate/common/mesh_headers.ts";
@@ -54,7 +54,6 @@
   readonly headers: MeshHeaders;
   readonly host: HostName;
   readonly failureDomain: string;
-  readonly ownAddress: string;
   readonly gates: GateClient;
   /** Unique among all processes that this and other daemons ever were. */
   readonly processIdentity: string;
@@ -64,8 +63,10 @@
   readonly routes: () => HostRoutes | undefined;
   readonly limits: () => CallerLimits | undefined;
   readonly candidates: (service: ServiceName) => readonly VersionedCandidate[];
-  /** The rank of the least urgent call that the instance on this host works on. */
-  readonly leastUrgentRank: () => number | undefined;
+  /** The call for which the instance on this host makes a call, if it makes it. */
+  readonly findParent: (
+    requestIdentity: string,
+  ) => ParentCall | undefined;
   readonly chooseVersion: (
     service: ServiceName,
     callIdentity: string,
@@ -93,7 +94,9 @@
   readonly versions: VersionChoice;
   readonly arrivedAt: Milliseconds;
   readonly finalAt: Milliseconds;
-  readonly isNested: boolean;
+  readonly parent: ParentCall | undefined;
+  /** A nested call is not more urgent than the call for which it is made. */
+  readonly rank: number;
   readonly asked: Set<HostName>;
   body: Buffer;
   /** Offers without an outcome yet. */
@@ -177,6 +180,7 @@
       route.timeoutMilliseconds,
     );
     const service = chooseService(route, options.random);
+    const parent = options.findParent(identity);
     const call: Call = {
       request,
       response,
@@ -186,7 +190,8 @@
       versions: options.chooseVersion(service, identity),
       arrivedAt,
       finalAt: arrivedAt + allowed,
-      isNested: request.socket.remoteAddress === options.ownAddress,
+      parent,
+      rank: Math.max(route.rank, parent?.rank ?? route.rank),
       asked: new Set(),
       body: Buffer.alloc(0),
       open: new Set(),
@@ -250,15 +255,6 @@
     return times.usual(call.route.name, call.route.objectiveMilliseconds / 3);
   }
 
-  /**
-   * A nested call is not more urgent than the call for which it is made. Which one that is cannot
-   * be seen, so the least urgent call of the instance counts.
-   */
-  function rankOf({ isNested, route }: Call): number {
-    const parentRank = isNested ? options.leastUrgentRank() : undefined;
-    return Math.max(route.rank, parentRank ?? route.rank);
-  }
-
   function askNext(call: Call): void {
     const usualMilliseconds = usualTime(call);
     const placed = chooseGate(listCandidates(call), {
@@ -300,8 +296,8 @@
         ),
         body: call.body,
         callerService: options.callerService(),
-        isNested: call.isNested,
-        rank: rankOf(call),
+        isNested: call.parent !== undefined,
+        rank: call.rank,
         objectiveInMilliseconds: call.arrivedAt +
           call.route.objectiveMilliseconds - now,
         deadlineInMilliseconds: timeLeft,
@@ -397,6 +393,7 @@
         askNext(call);
         break;
       case "refuse":
+        call.parent?.noteNestedRefusal();
         end(
           call,
           refuseNotRun(
@@ -436,6 +433,8 @@
       request: call.identity,
       route: call.route.name,
       kind: call.route.kind,
+      nested: call.parent !== undefined,
+      rank: call.rank,
       gate: host,
       outcome: outcome.type,
       reason: "reason" in outcome ? outcome.reason : undefined,
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -186,7 +186,6 @@
     random,
     headers: platform.headers,
     ...place,
-    ownAddress: settings.address,
     gates,
     processIdentity: processName,
     callerService: () => settings.service,
@@ -194,7 +193,7 @@
     limits: () => state.configuration?.limits,
     candidates: (service) =>
       listCandidates(service, { self: place, clock, gate, gates, fleet }),
-    leastUrgentRank: () => gate.leastUrgentRank,
+    findParent: gate.findParent,
     chooseVersion: rollouts.book.chooseVersion,
   });
 
