--- a/src/features/gate/common/mesh_headers.ts
+++ b/src/features/gate/common/mesh_headers.ts
@@ -16,6 +16,4 @@
   readonly callerService: string;
   /** In a response: the instance did not run the request. */
   readonly notRun: string;
-  /** In a response: the mark by which a caller knows an instance's own response. */
-  readonly seal: string;
 }
--- a/src/features/gate/common/response_decoder_test.ts
+++ b/src/features/gate/common/response_decoder_test.ts
@@ -10,7 +10,7 @@
   readonly end?: "closed" | "malformed";
 }
 
-const SEAL = "X-Attempt-Id: a\r\n";
+const SEAL = "Request-Identity: a\r\n";
 
 const CASES: readonly Case[] = [
   {
--- a/src/features/gate/node/instance_connection_test.ts
+++ b/src/features/gate/node/instance_connection_test.ts
@@ -8,9 +8,9 @@
 } from "./instance_connection.ts";
 
 const UNFRAMED =
-  "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n";
+  "HTTP/1.1 200 OK\r\nRequest-Identity: a\r\nConnection: close\r\n\r\n";
 const FRAMED =
-  "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 4\r\n\r\nbody";
+  "HTTP/1.1 200 OK\r\nRequest-Identity: a\r\nContent-Length: 4\r\n\r\nbody";
 
 interface Case {
   readonly name: string;
@@ -54,7 +54,7 @@
   {
     name: "an answer to another request is passed over",
     answer: (socket) =>
-      socket.write(FRAMED.replace("-Id: a", "-Id: b") + FRAMED),
+      socket.write(FRAMED.replace("Identity: a", "Identity: b") + FRAMED),
     outcome: "response body",
     isReusable: true,
   },
@@ -79,7 +79,7 @@
         address: "127.0.0.1",
         port,
         clock: STEADY_CLOCK,
-        identityHeader: "x-attempt-id",
+        identityHeader: "request-identity",
         onClosed() {},
       });
       const ended = await new Promise<ExchangeOutcome>((resolve) =>
@@ -109,7 +109,7 @@
       address: "127.0.0.1",
       port,
       clock: STEADY_CLOCK,
-      identityHeader: "x-attempt-id",
+      identityHeader: "request-identity",
       onClosed() {},
     });
     const ended = await new Promise<ExchangeOutcome>((resolve) =>
