Wait only within the objective, stop asking full gates, and relay calls with less work

Change: a call waits at a gate only if it can end within its objective; at most three full gates are asked; an offer carries the sender's steady clock, and the gate takes the time for which it was held up off its deadline; the own host is chosen unless another one gains 15 ms; frames are delivered in the event of their arrival instead of over a queue; offers and outcomes are rows without names; links carry no masks; timers run only while something waits.

--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -37,9 +37,10 @@
   readonly host: HostName;
   readonly failureDomain: FailureDomainName;
   readonly status: StatusMessage;
-  readonly load: GateLoadReport;
+  /** The newest that was told, with a status or with the outcome of a call. */
+  load: GateLoadReport;
   /** When the load was told. */
-  readonly loadAt: Milliseconds;
+  loadAt: Milliseconds;
   /** When the instance stops being slow after its start. */
   readonly coldUntil: Milliseconds;
 }
@@ -75,6 +76,8 @@
   /** Hosts whose address belongs to another host now; their names are not used again. */
   const retired = new Set<string>();
   const members = new Map<HostName, FleetMember>();
+  /** The values of `members`; each call asks for them, and they change seldom. */
+  let memberList: readonly FleetMember[] = [];
   const departedByHost = new Map<HostName, readonly DepartedInstance[]>();
   const statusTold = createEmitter<{ peer: Peer; status: StatusMessage }>();
   const recalled = createEmitter<readonly DepartedInstance[]>();
@@ -144,6 +147,7 @@
       loadAt: now,
       coldUntil: now + (status.instance?.coldForMilliseconds ?? 0),
     });
+    memberList = [...members.values()];
     if (status.departed.length > 0) {
       departedByHost.set(host, status.departed);
     }
@@ -155,6 +159,7 @@
     network.onLinkClosed((peer) => {
       log.write("info", "fleet.link-closed", { peer: peer.process.host });
       members.delete(peer.process.host);
+      memberList = [...members.values()];
     }),
     network.onTargetReplaced(retire),
     network.onMessage(WELCOME_KIND, (peer, message) => {
@@ -189,7 +194,7 @@
 
   return {
     get members() {
-      return [...members.values()];
+      return memberList;
     },
     get hosts() {
       return [...targets.values()];
@@ -200,7 +205,8 @@
     noteLoad(host, load) {
       const member = members.get(host);
       if (member !== undefined) {
-        members.set(host, { ...member, load, loadAt: clock.now() });
+        member.load = load;
+        member.loadAt = clock.now();
       }
     },
     notify,
--- a/src/features/gate/common/admission_decision.ts
+++ b/src/features/gate/common/admission_decision.ts
@@ -1,9 +1,10 @@
 /**
  * Whether a gate takes a call: it starts, waits, or is refused on arrival.
  *
- * Load pattern: sustained overload of one instance. A call that cannot finish by its deadline is
- * refused at once, so that its caller can try another gate or return later, and takes no place
- * from calls that can.
+ * Load pattern: sustained overload of one instance. A queue as long as the deadlines allow makes
+ * every call late, though the instance serves no more of them. A call waits only if it can finish within
+ * its objective; otherwise it is refused at once, so that its caller can try another gate or
+ * return later. A call that can start at once is taken even if it will be late.
  *
  * @module
  */
@@ -57,7 +58,8 @@
       ? { type: "refuse", retryAfter: 0 }
       : { type: "start" };
   }
-  return now + wait + call.expectedMilliseconds > call.deadlineAt
+  const latestEnd = Math.min(call.objectiveAt, call.deadlineAt);
+  return now + wait + call.expectedMilliseconds > latestEnd
     ? { type: "refuse", retryAfter: wait }
     : { type: "wait" };
 }
--- a/src/features/gate/common/admission_replay_test.ts
+++ b/src/features/gate/common/admission_replay_test.ts
@@ -23,6 +23,8 @@
   readonly wasted: number;
   /** Calls that waited until they were hopeless instead of being refused on arrival. */
   readonly heldToTheEnd: number;
+  /** The time for which calls waited that were not served, summed over them. */
+  readonly waitedInVain: number;
 }
 
 const SLOTS = 14;
@@ -57,7 +59,7 @@
 /** The gate's rules, or the simplest ones: in order of arrival, everything is taken. */
 function replay(
   arrivals: readonly Arrival[],
-  rule: "gate" | "gate-blind-to-urgency" | "arrival",
+  rule: "gate" | "gate-blind-to-urgency" | "gate-by-deadline" | "arrival",
 ): Replay {
   const clock = new VirtualClock();
   const room = createWaitingRoom<Arrival>();
@@ -72,8 +74,15 @@
     servedNested: 0,
     wasted: 0,
     heldToTheEnd: 0,
+    waitedInVain: 0,
   };
 
+  function giveUp(calls: readonly Arrival[], now: number): void {
+    for (const { arrivesAt } of calls) {
+      counts.waitedInVain += now - arrivesAt;
+    }
+  }
+
   function finish(call: Arrival): void {
     running -= 1;
     const now = clock.now();
@@ -101,7 +110,9 @@
   function startNext(): void {
     const now = clock.now();
     if (rule !== "arrival") {
-      counts.heldToTheEnd += room.takeHopeless(now).length;
+      const hopeless = room.takeHopeless(now);
+      counts.heldToTheEnd += hopeless.length;
+      giveUp(hopeless, now);
     }
     const next = rule === "arrival" ? queue.shift() : room.takeNext(now);
     if (next !== undefined) {
@@ -119,7 +130,10 @@
       return;
     }
     const now = clock.now();
-    const decision = decideAdmission(call, {
+    const judged = rule === "gate-by-deadline"
+      ? { ...call, objectiveAt: call.deadlineAt }
+      : call;
+    const decision = decideAdmission(judged, {
       running,
       limit: SLOTS,
       ahead: room.countAhead(call, now),
@@ -141,10 +155,10 @@
     }
   }
 
-  if (rule === "gate") {
+  if (rule === "gate" || rule === "gate-by-deadline") {
     clock.repeat(40, () => {
       const now = clock.now();
-      room.takeOvertaken(now, (call, ahead) =>
+      const overtaken = room.takeOvertaken(now, (call, ahead) =>
         expectWait({
           running,
           limit: SLOTS,
@@ -155,6 +169,7 @@
             meanMilliseconds: USUAL_MS,
           }, now),
         }));
+      giveUp(overtaken, now);
     });
   }
   for (const call of arrivals) {
@@ -172,6 +187,8 @@
       const gate = replay(arrivals, "gate");
       const simple = replay(arrivals, "arrival");
       const blind = replay(arrivals, "gate-blind-to-urgency");
+      const byDeadline = replay(arrivals, "gate-by-deadline");
+      context.diagnostic(`by deadline ${JSON.stringify(byDeadline)}`);
       context.diagnostic(`blind to urgency ${JSON.stringify(blind)}`);
       context.diagnostic(`gate ${JSON.stringify(gate)}`);
       context.diagnostic(`order of arrival ${JSON.stringify(simple)}`);
@@ -182,6 +199,9 @@
       assert.ok(gate.servedWrites > 0.95 * writes);
       assert.ok(gate.heldToTheEnd < blind.heldToTheEnd);
       assert.ok(gate.worth > 0.95 * blind.worth);
+      assert.ok(gate.worth >= byDeadline.worth);
+      assert.ok(gate.inObjective > byDeadline.inObjective);
+      assert.ok(gate.waitedInVain < byDeadline.waitedInVain);
       assert.ok(gate.servedNested > simple.servedNested);
     });
   }
--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -24,8 +24,8 @@
   readonly method: string;
   /** Path and query, unchanged. */
   readonly target: string;
-  /** End-to-end headers, names and values by turns. */
-  readonly rawHeaders: readonly string[];
+  /** The end-to-end headers as lines, each with its line end. */
+  readonly headerLines: string;
   readonly body: Uint8Array;
   readonly callerService: ServiceName;
   readonly isNested: boolean;
@@ -37,6 +37,18 @@
   readonly usualMilliseconds: Milliseconds;
 }
 
+/** The request as it is after a part of its time has passed. */
+export function shorten(
+  request: GateRequest,
+  elapsed: Milliseconds,
+): GateRequest {
+  return {
+    ...request,
+    objectiveInMilliseconds: request.objectiveInMilliseconds - elapsed,
+    deadlineInMilliseconds: request.deadlineInMilliseconds - elapsed,
+  };
+}
+
 /** The load of a gate, sent along with each answer. */
 export interface GateLoadReport {
   readonly running: number;
--- a/src/features/gate/common/gate_client.ts
+++ b/src/features/gate/common/gate_client.ts
@@ -12,14 +12,18 @@
 import type { HostName } from "../../../world/common/names.ts";
 import type { Peer, PeerNetwork } from "../../link/common/peer_network.ts";
 import type { Gate, GateTicket } from "./gate.ts";
-import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
+import {
+  type GateLoadReport,
+  type GateOutcome,
+  type GateRequest,
+  shorten,
+} from "./gate_call.ts";
 import {
   CANCEL_KIND,
   type CancelMessage,
-  OFFER_KIND,
-  type OfferMessage,
+  decodeOutcome,
+  encodeOffer,
   OUTCOME_KIND,
-  type OutcomeMessage,
 } from "./gate_messages.ts";
 
 export interface OfferOptions {
@@ -80,7 +84,8 @@
     }
     const { request, settle } = offerOptions;
     const peer = findPeer(host);
-    const message: OfferMessage = { kind: OFFER_KIND, request };
+    const offeredAt = clock.now();
+    const message = encodeOffer({ request, sentAt: offeredAt });
     if (peer === undefined || !network.send(host, message)) {
       settle({
         type: "refused",
@@ -94,7 +99,7 @@
       host,
       peerStartedAt: peer.process.startedAt,
       options: offerOptions,
-      offeredAt: clock.now(),
+      offeredAt,
       timer: undefined,
     });
     count(host, 1);
@@ -164,15 +169,11 @@
   function resume(
     { host, offeredAt, options: { request } }: Outstanding,
   ): void {
-    const elapsed = clock.now() - offeredAt;
-    const message: OfferMessage = {
-      kind: OFFER_KIND,
-      request: {
-        ...request,
-        objectiveInMilliseconds: request.objectiveInMilliseconds - elapsed,
-        deadlineInMilliseconds: request.deadlineInMilliseconds - elapsed,
-      },
-    };
+    const now = clock.now();
+    const message = encodeOffer({
+      request: shorten(request, now - offeredAt),
+      sentAt: now,
+    });
     log.write("info", "gate.call-resumed", {
       request: request.requestIdentity,
       peer: host,
@@ -182,9 +183,15 @@
 
   const registrations = [
     network.onMessage(OUTCOME_KIND, (peer, message) => {
-      const { identity, outcome, load } = message as OutcomeMessage;
-      options.onLoad(peer.process.host, load);
-      take(identity)?.options.settle(outcome);
+      const decoded = decodeOutcome(message);
+      if (decoded === undefined) {
+        log.write("error", "gate.outcome-unreadable", {
+          peer: peer.process.host,
+        });
+        return;
+      }
+      options.onLoad(peer.process.host, decoded.load);
+      take(decoded.identity)?.options.settle(decoded.outcome);
     }),
     network.onLinkClosed(handleClosed),
     network.onLinkOpened(handleOpened),
--- a/src/features/gate/common/gate_messages.ts
+++ b/src/features/gate/common/gate_messages.ts
@@ -1,9 +1,13 @@
 /**
  * The messages by which a caller's daemon uses the gate of another daemon.
  *
+ * Offers and outcomes are the bulk of the traffic between daemons, so they are sent as rows of values
+ * without names. A row of another length is from a daemon of another release and is not decoded.
+ *
  * @module
  */
 
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { LinkMessage } from "../../link/common/peer_network.ts";
 import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
 
@@ -13,7 +17,14 @@
 
 /** Offers a call, or asks again for the outcome of a call that was offered before. */
 export interface OfferMessage extends LinkMessage {
+  readonly row: readonly unknown[];
+  /** By the steady clock of the sender. */
+  readonly sentAt: Milliseconds;
+}
+
+export interface DecodedOffer {
   readonly request: GateRequest;
+  readonly sentAt: Milliseconds;
 }
 
 export interface CancelMessage extends LinkMessage {
@@ -21,7 +32,158 @@
 }
 
 export interface OutcomeMessage extends LinkMessage {
+  readonly identity: string;
+  readonly row: readonly unknown[];
+  readonly load: readonly unknown[];
+}
+
+export interface DecodedOutcome {
   readonly identity: string;
   readonly outcome: GateOutcome;
   readonly load: GateLoadReport;
 }
+
+const OFFER_LENGTH = 15;
+const LOAD_LENGTH = 4;
+const OUTCOME_LENGTHS = { answer: 6, refused: 4, failed: 2 } as const;
+
+export function encodeOffer(
+  { request, sentAt }: DecodedOffer,
+): OfferMessage {
+  return {
+    kind: OFFER_KIND,
+    sentAt,
+    row: [
+      request.identity,
+      request.requestIdentity,
+      request.service,
+      request.version ?? null,
+      request.route,
+      request.method,
+      request.target,
+      request.headerLines,
+      request.body,
+      request.callerService,
+      request.isNested,
+      request.rank,
+      request.objectiveInMilliseconds,
+      request.deadlineInMilliseconds,
+      request.usualMilliseconds,
+    ],
+  };
+}
+
+/** Undefined when the message is of another release. */
+export function decodeOffer(message: LinkMessage): DecodedOffer | undefined {
+  const { row, sentAt } = message as Partial<OfferMessage>;
+  if (
+    !Array.isArray(row) || row.length !== OFFER_LENGTH ||
+    typeof sentAt !== "number"
+  ) {
+    return undefined;
+  }
+  const [identity, requestIdentity, service, version, route, method, ...rest] =
+    row;
+  const [target, headerLines, body, callerService, isNested, rank, ...times] =
+    rest;
+  const [objective, deadline, usual] = times;
+  const request: GateRequest = {
+    identity,
+    requestIdentity,
+    service,
+    version: version ?? undefined,
+    route,
+    method,
+    target,
+    headerLines,
+    body,
+    callerService,
+    isNested,
+    rank,
+    objectiveInMilliseconds: objective,
+    deadlineInMilliseconds: deadline,
+    usualMilliseconds: usual,
+  };
+  return { request, sentAt };
+}
+
+export function encodeOutcome(
+  { identity, outcome, load }: DecodedOutcome,
+): OutcomeMessage {
+  return {
+    kind: OUTCOME_KIND,
+    identity,
+    row: toRow(outcome),
+    load: [load.running, load.waiting, load.limit, load.pace],
+  };
+}
+
+function toRow(outcome: GateOutcome): readonly unknown[] {
+  switch (outcome.type) {
+    case "answer":
+      return [
+        outcome.type,
+        outcome.status,
+        outcome.rawHeaders,
+        outcome.body,
+        outcome.serviceMilliseconds,
+        outcome.wasNestedRefused,
+      ];
+    case "refused":
+      return [
+        outcome.type,
+        outcome.reason,
+        outcome.retryAfter,
+        outcome.reachedInstance,
+      ];
+    case "failed":
+      return [outcome.type, outcome.reason];
+  }
+}
+
+/** Undefined when the message is of another release. */
+export function decodeOutcome(
+  message: LinkMessage,
+): DecodedOutcome | undefined {
+  const { identity, row, load } = message as Partial<OutcomeMessage>;
+  if (
+    typeof identity !== "string" || !Array.isArray(row) ||
+    !Array.isArray(load) || load.length !== LOAD_LENGTH
+  ) {
+    return undefined;
+  }
+  const outcome = fromRow(row);
+  const [running, waiting, limit, pace] = load;
+  return outcome === undefined
+    ? undefined
+    : { identity, outcome, load: { running, waiting, limit, pace } };
+}
+
+// deno-lint-ignore no-explicit-any
+function fromRow(row: readonly any[]): GateOutcome | undefined {
+  const type = row[0] as GateOutcome["type"];
+  if (OUTCOME_LENGTHS[type] !== row.length) {
+    return undefined;
+  }
+  const [, first, second, third, fourth, fifth] = row;
+  switch (type) {
+    case "answer":
+      return {
+        type,
+        status: first,
+        rawHeaders: second,
+        body: third,
+        serviceMilliseconds: fourth,
+        wasNestedRefused: fifth,
+      };
+    case "refused":
+      return {
+        type,
+        reason: first,
+        retryAfter: second,
+        reachedInstance: third,
+      };
+    case "failed":
+      return { type, reason: first };
+  }
+}
--- /dev/null
+++ b/src/features/gate/common/gate_messages_test.ts
@@ -0,0 +1,101 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/common/message_codec.ts";
+import type { LinkMessage } from "../../link/common/peer_network.ts";
+import type { GateOutcome, GateRequest } from "./gate_call.ts";
+import {
+  decodeOffer,
+  decodeOutcome,
+  encodeOffer,
+  encodeOutcome,
+} from "./gate_messages.ts";
+
+const REQUEST: GateRequest = {
+  identity: "host@1#7",
+  requestIdentity: "9c41d07be2a35f68",
+  service: "booking",
+  version: undefined,
+  route: "reserve",
+  method: "POST",
+  target: "/reserve/1?x=2",
+  headerLines: "Host: a.example\r\nX-Name: \u00e9\r\n",
+  body: Buffer.from("body"),
+  callerService: "dispatch",
+  isNested: true,
+  rank: 1,
+  objectiveInMilliseconds: 300.5,
+  deadlineInMilliseconds: 800.25,
+  usualMilliseconds: 90,
+};
+
+/** What the other daemon receives. */
+function transmit(message: LinkMessage): LinkMessage {
+  return decodeMessage(encodeMessage(message), "test").unwrap() as LinkMessage;
+}
+
+describe("messages between a caller's daemon and a gate", () => {
+  // Guards against a value that lands in the place of another one in a row.
+  for (const version of [undefined, "v2"]) {
+    test(`an offer for version ${version} arrives as it was`, () => {
+      const request = { ...REQUEST, version };
+      const offer = { request, sentAt: 1_234.5 };
+      assert.deepEqual(decodeOffer(transmit(encodeOffer(offer))), offer);
+    });
+  }
+
+  const outcomes: readonly GateOutcome[] = [
+    {
+      type: "answer",
+      status: 200,
+      rawHeaders: ["X-Seal", "s"],
+      body: Buffer.from("whole"),
+      serviceMilliseconds: 12.5,
+      wasNestedRefused: true,
+    },
+    { type: "refused", reason: "full", retryAfter: 40, reachedInstance: false },
+    { type: "failed", reason: "reset" },
+  ];
+  for (const outcome of outcomes) {
+    test(`the outcome ${outcome.type} arrives as it was`, () => {
+      const told = {
+        identity: REQUEST.identity,
+        outcome,
+        load: { running: 3, waiting: 1, limit: 14, pace: 0.7 },
+      };
+      assert.deepEqual(decodeOutcome(transmit(encodeOutcome(told))), told);
+    });
+  }
+
+  const malformed: readonly Record<string, unknown>[] = [
+    { kind: "gate.offer" },
+    { kind: "gate.offer", row: ["too", "short"], sentAt: 1 },
+    { kind: "gate.offer", row: Array(15).fill("no instant") },
+    {
+      kind: "gate.outcome",
+      identity: "i",
+      row: ["answer"],
+      load: [0, 0, 0, 1],
+    },
+    {
+      kind: "gate.outcome",
+      identity: "i",
+      row: ["other", 1],
+      load: [0, 0, 0, 1],
+    },
+    { kind: "gate.outcome", identity: "i", row: ["failed", "x"] },
+  ];
+  for (const [index, message] of malformed.entries()) {
+    test(`malformed message ${index} is not decoded`, () => {
+      const received = message as unknown as LinkMessage;
+      assert.equal(
+        message.kind === "gate.offer"
+          ? decodeOffer(received)
+          : decodeOutcome(received),
+        undefined,
+      );
+    });
+  }
+});
--- a/src/features/gate/common/gate_service.ts
+++ b/src/features/gate/common/gate_service.ts
@@ -9,23 +9,27 @@
 
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Disposable } from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { HostName } from "../../../world/common/names.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
 import type { Gate, GateTicket } from "./gate.ts";
-import type { GateOutcome, GateRequest } from "./gate_call.ts";
+import { type GateOutcome, type GateRequest, shorten } from "./gate_call.ts";
 import {
   CANCEL_KIND,
   type CancelMessage,
+  type DecodedOffer,
+  decodeOffer,
+  encodeOutcome,
   OFFER_KIND,
-  type OfferMessage,
-  OUTCOME_KIND,
-  type OutcomeMessage,
 } from "./gate_messages.ts";
+import { createTransitDelay, type TransitDelay } from "./transit_delay.ts";
 
 /** Outcomes are kept for this long after the deadline of their call. */
 const RETENTION_MS: Milliseconds = 1_000;
 const SWEEP_INTERVAL_MS: Milliseconds = 1_000;
+/** Messages vary by some milliseconds without having been held up. */
+const LEAST_DELAY_MS: Milliseconds = 20;
 
 interface RemoteCall {
   readonly host: HostName;
@@ -37,26 +41,42 @@
 
 export interface GateServiceOptions {
   readonly clock: Clock;
+  readonly log: EventLog;
   readonly network: PeerNetwork;
   readonly gate: Gate;
 }
 
 export function createGateService(options: GateServiceOptions): Disposable {
-  const { clock, network, gate } = options;
+  const { clock, log, network, gate } = options;
   const calls = new Map<string, RemoteCall>();
+  const delays = new Map<HostName, TransitDelay>();
 
   function sendOutcome(identity: string, call: RemoteCall): void {
-    const message: OutcomeMessage = {
-      kind: OUTCOME_KIND,
+    const message = encodeOutcome({
       identity,
       outcome: call.outcome!,
       load: gate.load,
-    };
+    });
     // Without a link the outcome is kept; the caller's daemon asks for it over the next one.
     network.send(call.host, message);
   }
 
-  function offer(host: HostName, { request }: OfferMessage): void {
+  function delayOf(host: HostName): TransitDelay {
+    const known = delays.get(host);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = createTransitDelay();
+    delays.set(host, created);
+    return created;
+  }
+
+  function take(host: HostName, { request, sentAt }: DecodedOffer): void {
+    const delay = delayOf(host).record(sentAt, clock.now());
+    offer(host, delay < LEAST_DELAY_MS ? request : shorten(request, delay));
+  }
+
+  function offer(host: HostName, request: GateRequest): void {
     const { identity } = request;
     const known = calls.get(identity);
     if (known !== undefined) {
@@ -100,12 +120,23 @@
   const registrations = [
     network.onMessage(
       OFFER_KIND,
-      (peer, message) => offer(peer.process.host, message as OfferMessage),
+      (peer, message) => {
+        const decoded = decodeOffer(message);
+        if (decoded === undefined) {
+          log.write("error", "gate.offer-unreadable", {
+            peer: peer.process.host,
+          });
+          return;
+        }
+        take(peer.process.host, decoded);
+      },
     ),
     network.onMessage(
       CANCEL_KIND,
       (_, message) => cancel(message as CancelMessage),
     ),
+    // A process that was suspended or restarted has another clock behind its next link.
+    network.onLinkOpened((peer) => void delays.delete(peer.process.host)),
     clock.repeat(SWEEP_INTERVAL_MS, () => {
       const now = clock.now();
       for (const [identity, call] of calls) {
--- a/src/features/gate/common/request_head.ts
+++ b/src/features/gate/common/request_head.ts
@@ -20,18 +20,14 @@
   request: GateRequest,
   { headers, expectedInstance, timeLeft }: RequestHeadOptions,
 ): string {
-  const lines = [`${request.method} ${request.target} HTTP/1.1`];
-  const { rawHeaders, body } = request;
-  for (let index = 0; index < rawHeaders.length; index += 2) {
-    lines.push(`${rawHeaders[index]}: ${rawHeaders[index + 1]}`);
-  }
-  lines.push(
-    `${headers.deadline}: ${Math.max(1, Math.floor(timeLeft))}`,
-    `${headers.expectedInstance}: ${expectedInstance}`,
-    `${headers.callerService}: ${request.callerService}`,
-  );
-  if (body.length > 0 || !METHODS_WITHOUT_BODY.has(request.method)) {
-    lines.push(`content-length: ${body.length}`);
-  }
-  return lines.join("\r\n") + "\r\n\r\n";
+  const { body } = request;
+  const length = body.length > 0 || !METHODS_WITHOUT_BODY.has(request.method)
+    ? `content-length: ${body.length}\r\n`
+    : "";
+  return `${request.method} ${request.target} HTTP/1.1\r\n` +
+    request.headerLines +
+    `${headers.deadline}: ${Math.max(1, Math.floor(timeLeft))}\r\n` +
+    `${headers.expectedInstance}: ${expectedInstance}\r\n` +
+    `${headers.callerService}: ${request.callerService}\r\n` +
+    `${length}\r\n`;
 }
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -85,6 +85,7 @@
   let coldUntil: Milliseconds = 0;
   let unreachableUntil = -Infinity;
   let wasServing = false;
+  let sweepTimer: Disposable | undefined;
 
   function isServing(): boolean {
     const now = clock.now();
@@ -112,10 +113,8 @@
     };
   }
 
-  const sweep = clock.repeat(SWEEP_INTERVAL_MS, () => {
-    if (room.size === 0) {
-      return;
-    }
+  function sweep(): void {
+    sweepTimer = undefined;
     const now = clock.now();
     const overtaken = room.takeOvertaken(
       now,
@@ -124,7 +123,15 @@
     for (const call of overtaken) {
       refuse(call, "hopeless", mean);
     }
-  });
+    scheduleSweep();
+  }
+
+  /** A timer that runs without calls that wait would wake an idle process. */
+  function scheduleSweep(): void {
+    if (room.size > 0) {
+      sweepTimer ??= clock.schedule(SWEEP_INTERVAL_MS, sweep);
+    }
+  }
 
   const watch = clock.repeat(options.heartbeatMilliseconds / 4, () => {
     if (isServing() !== wasServing) {
@@ -186,6 +193,7 @@
       case "wait":
         room.add(call);
         scheduleHopeless(call, now);
+        scheduleSweep();
         break;
     }
     return { cancel: () => cancel(call) };
@@ -499,21 +507,26 @@
       }
     },
     findParent(requestIdentity) {
-      const parent = [...running].find(({ request }) =>
-        request.requestIdentity !== requestIdentity &&
-        requestIdentity.includes(request.requestIdentity)
-      );
-      return parent === undefined ? undefined : {
-        rank: parent.rank,
-        noteNestedRefusal() {
-          parent.wasNestedRefused = true;
-        },
-      };
+      for (const call of running) {
+        const { request } = call;
+        if (
+          request.requestIdentity.length < requestIdentity.length &&
+          requestIdentity.includes(request.requestIdentity)
+        ) {
+          return {
+            rank: call.rank,
+            noteNestedRefusal() {
+              call.wasNestedRefused = true;
+            },
+          };
+        }
+      }
+      return undefined;
     },
     offer,
     dispose() {
       watch.dispose();
-      sweep.dispose();
+      sweepTimer?.dispose();
       refuseWaiting("cancelled");
       for (const call of [...running]) {
         call.connection?.dispose();
--- a/src/features/ingress/common/ingress_test.ts
+++ b/src/features/ingress/common/ingress_test.ts
@@ -27,9 +27,10 @@
 const STATE: CourseState = {
   kind: "safe",
   instancesReached: 1,
+  fullGates: 0,
   maximumInstances: 2,
   mayHaveRun: true,
-  hasCandidate: true,
+  hasCandidate: () => true,
   timeLeft: 500,
   usualMilliseconds: 90,
 };
@@ -92,17 +93,29 @@
     budget: false,
     next: "ask-next",
   },
+  {
+    name: "after two full gates a third one is asked",
+    outcome: GATE_FULL,
+    state: { mayHaveRun: false, instancesReached: 0, fullGates: 2 },
+    next: "ask-next",
+  },
+  {
+    name: "after three full gates no other one is asked",
+    outcome: GATE_FULL,
+    state: { mayHaveRun: false, instancesReached: 0, fullGates: 3 },
+    next: "refuse 40",
+  },
   {
     name: "a write that no instance has run is refused with a time to return",
     outcome: GATE_FULL,
-    state: { kind: "unsafe", mayHaveRun: false, hasCandidate: false },
+    state: { kind: "unsafe", mayHaveRun: false, hasCandidate: () => false },
     next: "refuse 40",
   },
   {
     name:
       "a call is not refused as not run when an earlier instance may have run it",
     outcome: GATE_FULL,
-    state: { hasCandidate: false },
+    state: { hasCandidate: () => false },
     next: "fail 502",
   },
   {
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -17,7 +17,10 @@
   MeshRoute,
 } from "../../../world/common/mesh_configuration.ts";
 import type { HostName, ServiceName } from "../../../world/common/names.ts";
-import { copyEndToEndHeaders } from "../../attempt/common/call_headers.ts";
+import {
+  copyEndToEndHeaders,
+  formatHeaderLines,
+} from "../../attempt/common/call_headers.ts";
 import {
   createRetryBudget,
   type RetryBudget,
@@ -34,7 +37,7 @@
 import type { VersionedCandidate } from "../../placement/common/candidates.ts";
 import type { HostRoutes } from "../../table/common/host_routes.ts";
 import type { VersionChoice } from "../../rollout/common/rollout_book.ts";
-import { decideNextStep } from "../common/call_course.ts";
+import { decideNextStep, isFull } from "../common/call_course.ts";
 import {
   formatRetryAfter,
   type OwnAnswer,
@@ -106,6 +109,7 @@
   readonly open: Set<OpenOffer>;
   secondSend: Disposable | undefined;
   instancesReached: number;
+  fullGates: number;
   mayHaveRun: boolean;
   isEnded: boolean;
   release: () => void;
@@ -200,6 +204,7 @@
       open: new Set(),
       secondSend: undefined,
       instancesReached: 0,
+      fullGates: 0,
       mayHaveRun: false,
       isEnded: false,
       release: () => {},
@@ -261,6 +266,7 @@
   function place(call: Call): PlacedCall<VersionedCandidate> | undefined {
     return chooseGate(listCandidates(call), {
       usualMilliseconds: usualTime(call),
+      ownHost: options.host,
       ownFailureDomain: options.failureDomain,
     }, options.random);
   }
@@ -296,9 +302,8 @@
         route: call.route.name,
         method: call.request.method ?? "GET",
         target: call.request.url ?? "/",
-        rawHeaders: copyEndToEndHeaders(
-          call.request.rawHeaders,
-          droppedHeaders,
+        headerLines: formatHeaderLines(
+          copyEndToEndHeaders(call.request.rawHeaders, droppedHeaders),
         ),
         body: call.body,
         callerService: options.callerService(),
@@ -377,9 +382,10 @@
     const next = decideNextStep(outcome, {
       kind: call.route.kind,
       instancesReached: call.instancesReached,
+      fullGates: call.fullGates,
       maximumInstances: call.route.maximumInstances,
       mayHaveRun: call.mayHaveRun,
-      hasCandidate: listCandidates(call).length > 0,
+      hasCandidate: () => listCandidates(call).length > 0,
       timeLeft: call.finalAt - now,
       usualMilliseconds: usualTime(call),
     }, () => budgetOf(call.service).takeRetry(now, REPEAT_SHARE));
@@ -418,6 +424,9 @@
     if (outcome.type === "answer") {
       times.record(call.route.name, outcome.serviceMilliseconds);
     }
+    if (isFull(outcome)) {
+      call.fullGates += 1;
+    }
     if (outcome.type !== "refused") {
       call.mayHaveRun = true;
     }
--- a/src/features/link/common/link_frame.ts
+++ b/src/features/link/common/link_frame.ts
@@ -7,7 +7,7 @@
 import type { LinkMessage, Peer } from "./peer_network.ts";
 
 /** Daemons with different numbers do not link. */
-export const LINK_PROTOCOL = 1;
+export const LINK_PROTOCOL = 2;
 
 /** A temporary link carries requests only and is not reported as a link. */
 export type LinkPurpose = "link" | "temporary";
--- a/src/features/link/node/frame_dispatcher.ts
+++ b/src/features/link/node/frame_dispatcher.ts
@@ -1,13 +1,12 @@
 /**
- * The task that hands messages and requests of all links to the handlers of the features.
+ * Hands messages and requests of all links to the handlers of the features.
+ *
+ * A frame is delivered in the event in which its bytes arrived. A queue between the two costs a turn
+ * of the event loop for each frame, which is half of the system calls of a relayed call.
  *
  * @module
  */
 
-import {
-  createChannel,
-  startMessageTask,
-} from "../../../base/common/channel.ts";
 import type { Disposable } from "../../../base/common/disposable.ts";
 import { registerHandler } from "../../../base/common/handler_map.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
@@ -15,9 +14,6 @@
 import type { LinkFrame } from "../common/link_frame.ts";
 import type { LinkMessage, Peer, PeerNetwork } from "../common/peer_network.ts";
 
-/** A process that was paused for seconds finds the frames of all its peers at once. */
-const INBOX_FRAMES = 8_192;
-
 /** A frame that a handler of a feature takes. */
 export type FeatureFrame = Extract<
   LinkFrame,
@@ -39,18 +35,7 @@
 export function createFrameDispatcher(log: EventLog): FrameDispatcher {
   const messageHandlers = new Map<string, MessageHandler>();
   const requestHandlers = new Map<string, RequestHandler>();
-  // A full inbox drops frames, so that a flood of messages takes bounded memory. Requesters
-  // then see a timeout, and the exchanges of the features repeat what was lost.
-  const inbox = createChannel<Delivery>({
-    capacity: INBOX_FRAMES,
-    overflow: "reject",
-  });
-
-  startMessageTask("link.deliver", inbox, {
-    handle: deliver,
-    onError: (error) =>
-      log.write("error", "link.handler-failed", { error: error.message }),
-  });
+  let isClosed = false;
 
   function deliver({ peer, frame, reply }: Delivery): void {
     if (frame.type === "request") {
@@ -83,9 +68,15 @@
 
   return {
     dispatch(delivery) {
-      if (!inbox.offer(delivery)) {
-        log.write("warn", "link.inbox-full", {
+      if (isClosed) {
+        return;
+      }
+      try {
+        deliver(delivery);
+      } catch (error) {
+        log.write("error", "link.handler-failed", {
           peer: delivery.peer.process.host,
+          error: describeError(error),
         });
       }
     },
@@ -93,7 +84,9 @@
       registerHandler(messageHandlers, kind, handler),
     onRequest: (kind, handler) =>
       registerHandler(requestHandlers, kind, handler),
-    dispose: () => inbox.close(),
+    dispose() {
+      isClosed = true;
+    },
   };
 }
 
--- a/src/features/link/node/link_dialer.ts
+++ b/src/features/link/node/link_dialer.ts
@@ -42,6 +42,7 @@
     handshakeTimeout: options.timeoutMilliseconds,
     maxPayload: MAXIMUM_MESSAGE_BYTES,
     perMessageDeflate: false,
+    generateMask: useNoMask,
   });
   let settled = false;
   const fail = (reason: string, retryMilliseconds = 0) => {
@@ -64,6 +65,12 @@
   return socket;
 }
 
+/**
+ * Leaves the mask at zero, which the library does not apply. Masks guard proxies against scripts
+ * in browsers; between daemons they would only cost a pass over each body on both sides.
+ */
+function useNoMask(): void {}
+
 export interface LinkDialer extends Disposable {
   readonly targets: ReadonlyMap<HostName, LinkTarget>;
   setTargets(targets: readonly LinkTarget[]): void;
--- a/src/features/link/node/peer_network_test.ts
+++ b/src/features/link/node/peer_network_test.ts
@@ -5,7 +5,7 @@
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import { encodeMessage } from "../../../base/common/message_codec.ts";
 import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
-import { toWireFrame } from "../common/link_frame.ts";
+import { LINK_PROTOCOL, toWireFrame } from "../common/link_frame.ts";
 import { createAcceptLimiter, replacesLink } from "../common/link_rules.ts";
 import type { LinkMessage, LinkTarget } from "../common/peer_network.ts";
 import { createPeerNetwork } from "./peer_network.ts";
@@ -56,7 +56,7 @@
 const hello = (host: string) =>
   encodeMessage(toWireFrame({
     type: "hello",
-    protocol: 1,
+    protocol: LINK_PROTOCOL,
     purpose: "link",
     peer: { process: { host, startedAt: 1 }, failureDomain: "d1" },
   }));
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -37,7 +37,8 @@
 const BEHIND_MS: Milliseconds = 250;
 /** How often a daemon that does not reach the store tries again. */
 const STORE_BACKOFF = { baseMilliseconds: 200, capMilliseconds: 1_500 };
-const CHECK_INTERVAL_MS: Milliseconds = 100;
+/** How often a daemon looks whether it has become the reader of its failure domain. */
+const READER_CHECK_MS: Milliseconds = 200;
 
 const STORE_SOURCE = "store";
 const UPDATE_KIND = "operator.update";
@@ -90,6 +91,7 @@
   let failures = 0;
   let disposed = false;
   let polling: AbortController | undefined;
+  let checkTimer: Disposable | undefined;
   let ahead:
     | { host: HostName; position: number; since: Milliseconds }
     | undefined;
@@ -123,9 +125,12 @@
     ) {
       return;
     }
-    ahead = { host, position, since: ahead?.since ?? clock.now() };
+    const now = clock.now();
+    ahead = { host, position, since: ahead?.since ?? now };
     if (records.position === NO_POSITION) {
       checkBehind();
+    } else {
+      scheduleCheck(ahead.since + BEHIND_MS - now);
     }
   }
 
@@ -172,7 +177,7 @@
           await poll(0);
         }
       } else {
-        await clock.sleep(CHECK_INTERVAL_MS);
+        await clock.sleep(READER_CHECK_MS);
       }
     }
   }
@@ -227,6 +232,13 @@
     }
   }
 
+  function scheduleCheck(delay: Milliseconds): void {
+    checkTimer ??= clock.schedule(Math.max(0, delay) + 1, () => {
+      checkTimer = undefined;
+      checkBehind();
+    });
+  }
+
   /** Fetches what another daemon has when the own reader does not bring it. */
   function checkBehind(): void {
     if (ahead === undefined || ahead.position <= records.position) {
@@ -236,6 +248,7 @@
     if (
       records.position !== NO_POSITION && now - ahead.since < BEHIND_MS
     ) {
+      scheduleCheck(ahead.since + BEHIND_MS - now);
       return;
     }
     log.write("info", "operator.behind", {
@@ -248,6 +261,7 @@
     // A poll that has not brought what another daemon has already read may be on a dead connection.
     polling?.abort();
     ahead = { ...ahead, since: now };
+    scheduleCheck(BEHIND_MS);
   }
 
   const registrations = [
@@ -264,7 +278,6 @@
         position: records.position,
       } as UpdateMessage);
     }),
-    clock.repeat(CHECK_INTERVAL_MS, checkBehind),
   ];
 
   return {
@@ -284,6 +297,7 @@
     },
     dispose() {
       disposed = true;
+      checkTimer?.dispose();
       polling?.abort();
       for (const registration of registrations) {
         registration.dispose();
--- a/src/features/placement/common/gate_choice.ts
+++ b/src/features/placement/common/gate_choice.ts
@@ -4,8 +4,8 @@
  * Load pattern: instances of one service that differ in speed by a factor of two or more, some of
  * them cold or slowed down, at loads that change faster than news of them arrives. Sending each
  * call to the nearest or least busy instance makes it wait at slow ones. Here the gate with the
- * earliest expected end of the call is chosen, with the cost of leaving the failure domain and
- * some randomness, so that daemons with the same news do not all choose the same gate.
+ * earliest expected end of the call is chosen, with the cost of leaving the host and the failure
+ * domain and some randomness, so that daemons with the same news do not all choose the same gate.
  *
  * @module
  */
@@ -30,6 +30,7 @@
 
 export interface PlacementCall {
   readonly usualMilliseconds: Milliseconds;
+  readonly ownHost: HostName;
   readonly ownFailureDomain: FailureDomainName;
 }
 
@@ -41,6 +42,8 @@
 
 /** Bytes between failure domains cost; a call leaves its own when it gains more than this. */
 const OTHER_DOMAIN_COST_MS: Milliseconds = 25;
+/** A call to another host is handled by two daemons; a call stays when it gains less than this. */
+const OTHER_HOST_COST_MS: Milliseconds = 15;
 /** A cold instance takes about this many times as long. */
 const COLD_FACTOR = 2;
 /** Spread of the random part, relative to the usual time of the call. */
@@ -59,9 +62,7 @@
   for (const candidate of candidates) {
     const wait = expectWaitAt(candidate, call);
     const cost = wait + expectService(candidate, call) +
-      (candidate.failureDomain === call.ownFailureDomain
-        ? 0
-        : OTHER_DOMAIN_COST_MS) +
+      distanceCost(candidate, call) +
       random.nextFraction() * RANDOM_PART * call.usualMilliseconds;
     if (cost < bestCost) {
       best = { candidate, wait };
@@ -71,6 +72,18 @@
   return best;
 }
 
+function distanceCost(
+  { host, failureDomain }: GateCandidate,
+  { ownHost, ownFailureDomain }: PlacementCall,
+): Milliseconds {
+  if (host === ownHost) {
+    return 0;
+  }
+  return failureDomain === ownFailureDomain
+    ? OTHER_HOST_COST_MS
+    : OTHER_HOST_COST_MS + OTHER_DOMAIN_COST_MS;
+}
+
 function occupancy({ load, outstanding }: GateCandidate): number {
   return Math.max(load.running + load.waiting, outstanding);
 }
--- a/src/features/placement/common/gate_choice_replay_test.ts
+++ b/src/features/placement/common/gate_choice_replay_test.ts
@@ -16,6 +16,7 @@
   readonly inObjective: number;
   readonly meanMilliseconds: number;
   readonly otherDomain: number;
+  readonly otherHost: number;
 }
 
 function replay(
@@ -32,6 +33,7 @@
   let inObjective = 0;
   let total = 0;
   let otherDomain = 0;
+  let otherHost = 0;
   const tell = (caller: number, index: number) => {
     told[caller][index] = running[index] + waiting[index].length;
   };
@@ -64,6 +66,7 @@
     if (rule === "expected-end") {
       const placed = chooseGate(candidates, {
         usualMilliseconds: USUAL_MS,
+        ownHost: String(caller),
         ownFailureDomain,
       }, random);
       return Number(placed!.candidate.host);
@@ -85,6 +88,7 @@
     const caller = random.nextInteger(PACES.length);
     const chosen = choose(caller);
     otherDomain += chosen % 4 === caller % 4 ? 0 : 1;
+    otherHost += chosen === caller ? 0 : 1;
     outstanding[caller][chosen] += 1;
     const start = () => {
       running[chosen] += 1;
@@ -116,6 +120,7 @@
     inObjective: inObjective / calls,
     meanMilliseconds: total / calls,
     otherDomain: otherDomain / calls,
+    otherHost: otherHost / calls,
   };
 }
 
@@ -132,6 +137,7 @@
       context.diagnostic(`nearest least busy ${JSON.stringify(simple)}`);
       assert.ok(chosen.inObjective >= simple.inObjective);
       assert.ok(chosen.meanMilliseconds < simple.meanMilliseconds);
+      assert.ok(chosen.otherHost < simple.otherHost);
     });
   }
 });
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -100,7 +100,7 @@
       heartbeatMilliseconds: settings.heartbeatSeconds * 1_000,
     }),
   );
-  owned.add(createGateService({ clock, network, gate }));
+  owned.add(createGateService({ clock, log, network, gate }));
   const gates = owned.add(
     createGateClient({
       self: self.process,
