Show a target version the whole share for a moment, and repeat calls on the old version

Slow calls that were left for a second send were no evidence at all, and repeats of failed calls went to the same version again. Ruled out: late news between daemons (verdict 0.2 s after the step); the load of single instances (two instances had 0.9 of their later load). Change: after the step on two instances all instances get the whole share for 3.5% of the time, then 5% of the calls while the evidence is judged, then all. Progress carries the step, so that a share can fall. Repeats and calls without a place prefer the version that is not under test. Calls that run for 2.5 times the usual time count as evidence while they run and when they are left. Evidence is told every 150 ms, less often in large fleets.

--- a/src/base/common/message_codec.ts
+++ b/src/base/common/message_codec.ts
@@ -4,13 +4,17 @@
  * @module
  */
 
-import { C1, Packr } from "msgpackr";
+// The main entry looks for a native addon, which takes longer than it saves in a daemon's life.
+import { Packr } from "msgpackr/pack";
 import { Err, Ok, type Result } from "./result.ts";
 import { describeError, StepError } from "./step_error.ts";
 
 // Plain msgpack maps keep messages readable for other implementations and other releases.
 const packr = new Packr({ useRecords: false, mapsAsObjects: true });
 
+/** What the library returns for 0xc1, a byte that msgpack never uses. */
+const UNUSED_BYTE: unknown = packr.unpack(Buffer.from([0xc1]));
+
 export function encodeMessage(value: unknown): Buffer {
   return packr.pack(value);
 }
@@ -22,8 +26,7 @@
 ): Result<unknown, StepError> {
   try {
     const value = packr.unpack(bytes);
-    // The library returns this constant for 0xc1, a byte that msgpack never uses.
-    return value === C1
+    return value === UNUSED_BYTE
       ? Err(new StepError(step, "Cannot decode a message: unused byte 0xc1"))
       : Ok(value);
   } catch (error) {
--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -30,7 +30,9 @@
 /** How often a daemon tells its status when nothing urgent changes. */
 const STATUS_INTERVAL_MS: Milliseconds = 1_000;
 /** The same while a rollout is judged by what gates have seen. */
-const EVIDENCE_INTERVAL_MS: Milliseconds = 400;
+const EVIDENCE_INTERVAL_MS: Milliseconds = 150;
+/** Limits what evidence costs in large fleets: each daemon tells all others. */
+const EVIDENCE_INTERVAL_PER_MEMBER_MS: Milliseconds = 6;
 
 /** Another daemon with an open link. */
 export interface FleetMember {
@@ -76,6 +78,7 @@
   /** Hosts whose address belongs to another host now; their names are not used again. */
   const retired = new Set<string>();
   const members = new Map<HostName, FleetMember>();
+  let notifiedAt = -Infinity;
   /** The values of `members`; each call asks for them, and they change seldom. */
   let memberList: readonly FleetMember[] = [];
   const departedByHost = new Map<HostName, readonly DepartedInstance[]>();
@@ -179,13 +182,18 @@
     ),
     clock.repeat(STATUS_INTERVAL_MS, notify),
     clock.repeat(EVIDENCE_INTERVAL_MS, () => {
-      if (options.describeSelf().evidence.length > 0) {
+      const interval = EVIDENCE_INTERVAL_PER_MEMBER_MS * members.size;
+      if (
+        clock.now() - notifiedAt >= interval &&
+        options.describeSelf().evidence.length > 0
+      ) {
         notify();
       }
     }),
   ];
 
   function notify(): void {
+    notifiedAt = clock.now();
     const status = createStatus();
     for (const peer of network.peers) {
       network.send(peer.process.host, status);
--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -24,6 +24,13 @@
   readonly duration: Milliseconds;
 }
 
+/** A call that the instance has worked on for much longer than is usual. */
+export interface OverdueCall {
+  readonly route: RouteName;
+  /** How long it has run so far. */
+  readonly duration: Milliseconds;
+}
+
 /** A call that the instance works on and for which it makes another one. */
 export interface ParentCall {
   readonly rank: number;
@@ -46,6 +53,8 @@
   readonly coldForMilliseconds: Milliseconds;
   /** Fires when something that callers' daemons choose by has changed, other than the load. */
   readonly onChanged: Event<void>;
+  /** Calls under way that already took several times as long as is usual, after the cold start. */
+  readonly overdue: readonly OverdueCall[];
   /** Fires after each call that the instance has worked on. */
   readonly onCalled: Event<CallRecord>;
   report(report: InstanceReport): ReportOutcome;
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -46,6 +46,8 @@
 const UNREACHABLE_MS: Milliseconds = 300;
 /** How often calls that wait are looked at again. */
 const SWEEP_INTERVAL_MS: Milliseconds = 40;
+/** About one call in twenty takes longer than this many times the usual. */
+const OVERDUE_FACTOR = 2.5;
 /** Heartbeats that may be missing before the instance counts as lost. */
 const MISSED_HEARTBEATS = 3;
 
@@ -288,10 +290,14 @@
     call.timer?.dispose();
     call.state = "ended";
     const judged = judgeExchange(call, outcome, now);
-    if (judged.type !== "refused" && !call.isCancelled) {
+    // The callers of slow calls leave them for a second send, so those count as well.
+    if (
+      judged.type !== "refused" && (!call.isCancelled || isOverdue(call, now))
+    ) {
       called.fire({
         route: call.request.route,
-        isFailure: judged.type === "failed" || judged.status >= 500,
+        isFailure: !call.isCancelled && !call.wasNestedRefused &&
+          (judged.type === "failed" || judged.status >= 500),
         isWarm: call.startedAt >= coldUntil,
         duration: now - call.startedAt,
       });
@@ -485,6 +491,15 @@
     get isServing() {
       return isServing();
     },
+    get overdue() {
+      const now = clock.now();
+      return [...running]
+        .filter((call) => call.startedAt >= coldUntil && isOverdue(call, now))
+        .map(({ request, startedAt }) => ({
+          route: request.route,
+          duration: now - startedAt,
+        }));
+    },
     get coldForMilliseconds() {
       return Math.max(0, coldUntil - clock.now());
     },
@@ -538,6 +553,10 @@
   };
 }
 
+function isOverdue(call: GateCall, now: Milliseconds): boolean {
+  return now - call.startedAt > OVERDUE_FACTOR * call.request.usualMilliseconds;
+}
+
 /**
  * How long a call may wait and run. A nested call holds the slot of its parent while it waits, so
  * it is served within its objective or not at all.
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -251,12 +251,19 @@
     const open = options.candidates(call.service).filter(({ host }) =>
       !call.asked.has(host)
     );
+    const isNext = call.fullGates > 0 || call.instancesReached > 0 ||
+      call.open.size > 0;
     const preferred = open.filter(({ version }) =>
-      call.versions.isPreferred(version)
+      isNext
+        ? call.versions.isPreferredNext(version)
+        : call.versions.isPreferred(version)
     );
-    return preferred.length > 0
-      ? concentrate(preferred, call.versions.instances)
-      : open.filter(({ version }) => call.versions.isAllowed(version));
+    if (preferred.length > 0) {
+      return isNext
+        ? preferred
+        : concentrate(preferred, call.versions.instances);
+    }
+    return open.filter(({ version }) => call.versions.isAllowed(version));
   }
 
   function usualTime(call: Call): Milliseconds {
--- a/src/features/rollout/common/rollout_book.ts
+++ b/src/features/rollout/common/rollout_book.ts
@@ -15,7 +15,7 @@
   ServiceName,
   ServiceVersion,
 } from "../../../world/common/names.ts";
-import { mayComplete, planStep } from "./rollout_plan.ts";
+import { LAST_STEP, mayComplete, NO_STEP, planStep } from "./rollout_plan.ts";
 import {
   isFinal,
   isSameProgress,
@@ -31,6 +31,8 @@
 export interface VersionChoice {
   /** The version that the call should run on. */
   isPreferred(version: ServiceVersion): boolean;
+  /** The version for a repeat, and for a call for which the preferred one had no place. */
+  isPreferredNext(version: ServiceVersion): boolean;
   /** Versions that may run the call when no preferred one can. */
   isAllowed(version: ServiceVersion): boolean;
   /** How many instances of the target version may run it; all when undefined. */
@@ -76,6 +78,7 @@
 
 const ANY_VERSION: VersionChoice = {
   isPreferred: () => true,
+  isPreferredNext: () => true,
   isAllowed: () => true,
 };
 
@@ -102,6 +105,7 @@
         service,
         targetVersion,
         orderOffset: offset,
+        step: NO_STEP,
         share: 0,
         state: "running",
         isStored: false,
@@ -120,7 +124,7 @@
         progress: theirs,
         duration: UNKNOWN_DURATION_MS,
         orderedAt: now,
-        fullShareAt: theirs.share === 1 ? now : undefined,
+        fullShareAt: theirs.step === LAST_STEP ? now : undefined,
       });
       return true;
     }
@@ -140,7 +144,7 @@
     now: Milliseconds,
   ): void {
     rollout.progress = progress;
-    if (progress.share === 1) {
+    if (progress.step === LAST_STEP) {
       rollout.fullShareAt ??= now;
     }
   }
@@ -169,9 +173,14 @@
       elapsed: step.now - rollout.orderedAt,
       duration: rollout.duration,
     };
-    const { share, instances } = planStep({ ...position, targetInstances });
-    if (share > progress.share) {
-      setProgress(rollout, { ...progress, share, instances }, step.now);
+    const planned = planStep({ ...position, targetInstances });
+    if (planned.step > progress.step) {
+      setProgress(rollout, {
+        ...progress,
+        step: planned.step,
+        share: planned.share,
+        instances: planned.instances,
+      }, step.now);
       return { type: "share", progress: rollout.progress };
     }
     if (
@@ -211,13 +220,23 @@
   const isOther = (version: ServiceVersion) => version !== targetVersion;
   switch (state) {
     case "reverted":
-      return { isPreferred: isOther, isAllowed: isOther };
+      return {
+        isPreferred: isOther,
+        isPreferredNext: isOther,
+        isAllowed: isOther,
+      };
     case "complete":
-      return { isPreferred: isTarget, isAllowed: () => true };
+      return {
+        isPreferred: isTarget,
+        isPreferredNext: isTarget,
+        isAllowed: () => true,
+      };
     case "running": {
       const getsTarget = hashToFraction(`rollout|${callIdentity}`) < share;
       return {
         isPreferred: getsTarget ? isTarget : isOther,
+        // A repeat on the version under test would fail again if that is bad, and adds to its calls.
+        isPreferredNext: isOther,
         // Before the first share nothing but an order speaks for the version.
         isAllowed: share === 0 ? isOther : () => true,
         instances: getsTarget ? instances : undefined,
--- a/src/features/rollout/common/rollout_plan.ts
+++ b/src/features/rollout/common/rollout_plan.ts
@@ -4,8 +4,10 @@
  * Load pattern: a rollout of some seconds at the full rate of the service. A bad version may get a
  * tenth of the calls, so most of the time is spent at a share well below that, long enough for
  * a version that turns bad late to show it. A version that is bad only under load shows nothing
- * at that share, so the next step gives two of its instances the load that they will have at the
- * whole share, which is still a small part of the calls.
+ * at that share. Two of its instances then get the load that they will have at the whole share, and after
+ * that all of them get the whole share for a moment, as some versions turn bad by the load of the
+ * service and not by that of an instance. What that moment showed is judged at a small share,
+ * since calls still run and evidence is still under way when it ends.
  *
  * @module
  */
@@ -20,6 +22,12 @@
   readonly instances?: number;
 }
 
+/** A step of the plan with its place in it. */
+export interface PlannedStep extends PlanStep {
+  /** From 0; the highest stands for the whole share for good. */
+  readonly step: number;
+}
+
 /** A verdict needs more than one instance, since one broken host is not a bad version. */
 const CONCENTRATED_INSTANCES = 2;
 /** The load of each of them, relative to its load at the whole share. */
@@ -29,15 +37,21 @@
 const STEPS: readonly PlanStep[] = [
   { from: 0, share: 0.03 },
   {
-    from: 0.42,
+    from: 0.4,
     share: CONCENTRATED_SHARE,
     instances: CONCENTRATED_INSTANCES,
   },
-  { from: 0.52, share: 0.45 },
-  { from: 0.58, share: 0.75 },
-  { from: 0.66, share: 1 },
+  { from: 0.47, share: 1 },
+  { from: 0.505, share: 0.05 },
+  { from: 0.57, share: 1 },
 ];
 
+/** The step at which the target version has the whole share for good. */
+export const LAST_STEP = STEPS.length - 1;
+
+/** No step of the plan has been taken. */
+export const NO_STEP = -1;
+
 /** The last part of the time is a reserve for writing the result. */
 const COMPLETE_FROM = 0.78;
 /** Calls on the replaced version end within this time after the last step. */
@@ -52,14 +66,15 @@
 
 export function planStep(
   { elapsed, duration, targetInstances }: PlanPosition,
-): PlanStep {
+): PlannedStep {
   const part = elapsed / duration;
-  const step = STEPS.findLast(({ from }) => part >= from) ?? STEPS[0];
-  return step.instances === undefined ? step : {
-    ...step,
+  const step = Math.max(0, STEPS.findLastIndex(({ from }) => part >= from));
+  const planned = { ...STEPS[step], step };
+  return planned.instances === undefined ? planned : {
+    ...planned,
     share: Math.min(
-      step.share,
-      CONCENTRATED_LOAD * step.instances / Math.max(1, targetInstances),
+      planned.share,
+      CONCENTRATED_LOAD * planned.instances / Math.max(1, targetInstances),
     ),
   };
 }
--- a/src/features/rollout/common/rollout_progress.ts
+++ b/src/features/rollout/common/rollout_progress.ts
@@ -15,6 +15,8 @@
   readonly targetVersion: ServiceVersion;
   /** The offset of the order; a later order replaces an earlier one. */
   readonly orderOffset: number;
+  /** The step of the plan that is in force; the share of a later one may be lower. */
+  readonly step: number;
   /** The share of the service's calls that the target version gets, 0 to 1. */
   readonly share: number;
   /** Instances of the target version that take the share; all when undefined. */
@@ -49,10 +51,12 @@
     STATE_ORDER.indexOf(left.state) >= STATE_ORDER.indexOf(right.state)
       ? left
       : right;
+  const { step, share, instances } = left.step >= right.step ? left : right;
   return {
     ...winner,
-    share: Math.max(left.share, right.share),
-    instances: left.share >= right.share ? left.instances : right.instances,
+    step,
+    share,
+    instances,
     isStored: (left.state === winner.state && left.isStored) ||
       (right.state === winner.state && right.isStored),
   };
@@ -67,6 +71,6 @@
   right: RolloutProgress,
 ): boolean {
   return left.orderOffset === right.orderOffset &&
-    left.share === right.share && left.state === right.state &&
+    left.step === right.step && left.state === right.state &&
     left.isStored === right.isStored;
 }
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -25,6 +25,7 @@
   type RolloutBook,
   type RolloutEvent,
 } from "../../features/rollout/common/rollout_book.ts";
+import { NO_STEP } from "../../features/rollout/common/rollout_plan.ts";
 import {
   isFinal,
   type RolloutProgress,
@@ -83,8 +84,7 @@
       evidenceInstance = gate.instance?.identity;
       evidence.clear();
     }
-    const row = evidence.get(route) ??
-      { route, calls: 0, failures: 0, warmMilliseconds: 0, warmCalls: 0 };
+    const row = evidence.get(route) ?? emptyEvidence(route);
     evidence.set(route, {
       route,
       calls: row.calls + 1,
@@ -98,9 +98,20 @@
     const progress = gate.instance === undefined
       ? undefined
       : book.find(gate.instance.service);
-    return progress === undefined || isFinal(progress)
-      ? []
-      : [...evidence.values()];
+    if (progress === undefined || isFinal(progress)) {
+      return [];
+    }
+    const rows = new Map(evidence);
+    for (const { route, duration } of gate.overdue) {
+      const row = rows.get(route) ?? emptyEvidence(route);
+      rows.set(route, {
+        ...row,
+        calls: row.calls + 1,
+        warmMilliseconds: row.warmMilliseconds + duration,
+        warmCalls: row.warmCalls + 1,
+      });
+    }
+    return [...rows.values()];
   }
 
   function allEvidence(): HostEvidence[] {
@@ -291,11 +302,12 @@
       for (const each of progress) {
         if (book.merge(each, clock.now())) {
           isChanged = true;
-          if (isFinal(each) || each.share > 0) {
+          if (isFinal(each) || each.step > NO_STEP) {
             announced.add(each.orderOffset);
           }
           log.write("info", "rollout.progress-taken", {
             service: each.service,
+            step: each.step,
             share: each.share,
             state: each.state,
           });
@@ -312,3 +324,7 @@
     },
   };
 }
+
+function emptyEvidence(route: RouteName): RouteEvidence {
+  return { route, calls: 0, failures: 0, warmMilliseconds: 0, warmCalls: 0 };
+}
