Serve metrics, weigh distance by bytes, wait less, and leave callers that have gone

Admission now reckons with 1.6 times the mean. The replay draws lognormal times now; they were uniform and hid this. - Bytes between failure domains are the dearest price after hosts, and an upload of 60 kB counted as much as a lookup of 400 bytes.

--- a/src/features/administration/common/metrics.ts
+++ b/src/features/administration/common/metrics.ts
@@ -11,6 +11,7 @@
 export type Labels = Readonly<Record<string, string>>;
 
 export interface Counter {
+  /** Labels are not changed after they were passed. */
   add(amount?: number, labels?: Labels): void;
 }
 
@@ -35,6 +36,7 @@
 
 /** Sets of labels per metric; more would let callers grow the memory of the process. */
 export const MAXIMUM_LABEL_SETS = 200;
+const NO_LABELS: Labels = {};
 const HIGHEST_VALUE = 600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999];
@@ -83,7 +85,7 @@
 function createCounter(name: string, help: string) {
   const series = createSeries(() => ({ total: 0 }));
   const metric: Counter = {
-    add(amount = 1, labels = {}) {
+    add(amount = 1, labels = NO_LABELS) {
       const entry = series.find(labels);
       if (entry !== undefined) {
         entry.total += amount;
@@ -103,7 +105,7 @@
     figures: new int32Histogram.default(1, HIGHEST_VALUE, SIGNIFICANT_DIGITS),
   }));
   const metric: Histogram = {
-    record(value, labels = {}) {
+    record(value, labels = NO_LABELS) {
       const entry = series.find(labels);
       if (entry !== undefined && value >= 0) {
         entry.sum += value;
@@ -131,16 +133,25 @@
   entries(): { labels: Labels; value: T }[];
 }
 
-function createSeries<T>(make: () => T): Series<T> {
+function createSeries<T extends object>(make: () => T): Series<T> {
   const byKey = new Map<string, { labels: Labels; value: T }>();
+  /** Callers that pass the same object each time spare the work of its key. */
+  const byLabels = new WeakMap<Labels, T>();
   return {
     find(labels) {
+      const known = byLabels.get(labels);
+      if (known !== undefined) {
+        return known;
+      }
       const key = formatLabels(labels);
       let entry = byKey.get(key);
       if (entry === undefined && byKey.size < MAXIMUM_LABEL_SETS) {
         entry = { labels, value: make() };
         byKey.set(key, entry);
       }
+      if (entry !== undefined) {
+        byLabels.set(labels, entry.value);
+      }
       return entry?.value;
     },
     entries: () => [...byKey.values()],
--- a/src/features/gate/common/admission_decision.ts
+++ b/src/features/gate/common/admission_decision.ts
@@ -27,6 +27,12 @@
 /** The least part of the capacity that is assumed for a call; urgent load comes in waves. */
 const LEAST_CAPACITY_PART = 0.1;
 
+/**
+ * Service times spread widely. A call that is admitted to end at its objective by the mean time is late
+ * every other time; about one call in eight takes longer than this many times the mean.
+ */
+const LONG_CALL_FACTOR = 1.6;
+
 export type AdmissionDecision =
   | { readonly type: "start" }
   | { readonly type: "wait" }
@@ -59,7 +65,7 @@
       : { type: "start" };
   }
   const latestEnd = Math.min(call.objectiveAt, call.deadlineAt);
-  return now + wait + call.expectedMilliseconds > latestEnd
+  return now + wait + LONG_CALL_FACTOR * call.expectedMilliseconds > latestEnd
     ? { type: "refuse", retryAfter: wait }
     : { type: "wait" };
 }
--- a/src/features/gate/common/admission_replay_test.ts
+++ b/src/features/gate/common/admission_replay_test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { VirtualClock } from "../../../base/common/clock.ts";
-import { createRandomSource } from "../../../base/common/random_source.ts";
+import {
+  createRandomSource,
+  type RandomSource,
+} from "../../../base/common/random_source.ts";
 import { decideAdmission, expectWait } from "./admission_decision.ts";
 import { createUrgentLoad } from "./urgent_load.ts";
 import { createWaitingRoom, type WaitingCall } from "./waiting_room.ts";
@@ -30,6 +33,13 @@
 const SLOTS = 14;
 const USUAL_MS = 90;
 
+/** About lognormal with a mean of 1: most calls are short, some take several times as long. */
+function drawSpread(random: RandomSource): number {
+  const normal = Array.from({ length: 12 }, () => random.nextFraction())
+    .reduce((sum, draw) => sum + draw, -6);
+  return Math.exp(0.5 * normal - 0.125);
+}
+
 function createBurst(seed: number): Arrival[] {
   const random = createRandomSource(seed);
   const arrivals: Arrival[] = [];
@@ -49,7 +59,7 @@
       objectiveAt: at + (isNested ? 100 : isWrite ? 400 : 300),
       deadlineAt: at + (isNested ? 250 : isWrite ? 1_000 : 800),
       expectedMilliseconds: USUAL_MS,
-      workMilliseconds: USUAL_MS * (0.4 + 1.2 * random.nextFraction()),
+      workMilliseconds: USUAL_MS * drawSpread(random),
       worth: isWrite ? 2 : 1,
     });
   }
--- a/src/features/gate/common/gate_service.ts
+++ b/src/features/gate/common/gate_service.ts
@@ -44,6 +44,8 @@
   readonly log: EventLog;
   readonly network: PeerNetwork;
   readonly gate: Gate;
+  /** For how long a message that is read now may have waited in this process. */
+  readonly loopDelay: () => Milliseconds;
 }
 
 export function createGateService(options: GateServiceOptions): Disposable {
@@ -72,7 +74,11 @@
   }
 
   function take(host: HostName, { request, sentAt }: DecodedOffer): void {
-    const delay = delayOf(host).record(sentAt, clock.now());
+    const delay = delayOf(host).record({
+      sentAt,
+      now: clock.now(),
+      loopDelay: options.loopDelay(),
+    });
     offer(host, delay < LEAST_DELAY_MS ? request : shorten(request, delay));
   }
 
--- a/src/features/gate/common/transit_delay_test.ts
+++ b/src/features/gate/common/transit_delay_test.ts
@@ -5,6 +5,7 @@
 interface Sample {
   readonly sentAt: number;
   readonly now: number;
+  readonly loopDelay?: number;
   readonly delay: number;
 }
 
@@ -25,6 +26,15 @@
       { sentAt: 1_500, now: 1_600, delay: 0 },
     ],
   },
+  {
+    name:
+      "a receiver that is busy right after the link has opened is late itself",
+    samples: [
+      { sentAt: 0, now: 700, loopDelay: 600, delay: 600 },
+      { sentAt: 100, now: 700, loopDelay: 600, delay: 600 },
+      { sentAt: 3_200, now: 3_900, loopDelay: 600, delay: 100 },
+    ],
+  },
   {
     name: "a shift of a clock is forgotten",
     samples: [
@@ -42,7 +52,9 @@
     test(name, () => {
       const transit = createTransitDelay();
       assert.deepEqual(
-        samples.map(({ sentAt, now }) => transit.record(sentAt, now)),
+        samples.map(({ sentAt, now, loopDelay = 0 }) =>
+          transit.record({ sentAt, now, loopDelay })
+        ),
         samples.map(({ delay }) => delay),
       );
     });
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -25,7 +25,7 @@
 } from "../common/instance_register.ts";
 import type { MeshHeaders } from "../common/mesh_headers.ts";
 import { formatRequestHead } from "../common/request_head.ts";
-import { createServiceTimes } from "../common/service_times.ts";
+import { createRunningMeans } from "../common/running_means.ts";
 import { createUrgentLoad } from "../common/urgent_load.ts";
 import {
   createWaitingRoom,
@@ -77,7 +77,7 @@
   const room = createWaitingRoom<GateCall>();
   const running = new Set<GateCall>();
   const idle: InstanceConnection[] = [];
-  const times = createServiceTimes();
+  const times = createRunningMeans();
   const urgentLoad = createUrgentLoad();
   const changed = createEmitter<void>();
   const called = createEmitter<CallRecord>();
--- a/src/features/ingress/common/ingress_test.ts
+++ b/src/features/ingress/common/ingress_test.ts
@@ -178,10 +178,38 @@
       objectiveIn: 100,
       delay: 20,
     },
+    {
+      name: "later at an instance that is slower than others",
+      usual: 90,
+      pace: 1.5,
+      objectiveIn: 600,
+      delay: 270,
+    },
+    {
+      name: "not much later at an instance that has a fault",
+      usual: 90,
+      pace: 8,
+      objectiveIn: 600,
+      delay: 360,
+    },
+    {
+      name: "later while answers take long on their way",
+      usual: 36,
+      response: 100,
+      objectiveIn: 400,
+      delay: 200,
+    },
   ];
-  for (const { name, usual, objectiveIn, delay } of cases) {
+  for (
+    const { name, usual, response = 0, pace = 1, objectiveIn, delay } of cases
+  ) {
     test(name, () => {
-      const chosen = secondSendDelay({ usualMilliseconds: usual, objectiveIn });
+      const chosen = secondSendDelay({
+        usualMilliseconds: usual,
+        responseMilliseconds: response,
+        pace,
+        objectiveIn,
+      });
       assert.equal(Math.round(chosen), delay);
     });
   }
--- a/src/features/ingress/common/second_send.ts
+++ b/src/features/ingress/common/second_send.ts
@@ -4,7 +4,9 @@
  * Load pattern: service times with a long tail, an instance that has become slow or silent, a link
  * that holds answers back. One such call also delays the pipelined calls behind it. A second
  * send that starts while the objective can still be met saves them; it is made only where an
- * instance has a free place, so that it adds no waiting under overload.
+ * instance has a free place, so that it adds no waiting under overload. What is usual includes the
+ * speed of the instance and the way there: daemons that are late themselves would otherwise
+ * send most calls twice, and be later still.
  *
  * @module
  */
@@ -12,7 +14,12 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 
 export interface SecondSendCall {
+  /** The time of such calls at an instance of usual speed. */
   readonly usualMilliseconds: Milliseconds;
+  /** The mean time from the offer of such calls to their answers; 0 while none is known. */
+  readonly responseMilliseconds: Milliseconds;
+  /** The time of the chosen instance for calls relative to what is usual. */
+  readonly pace: number;
   /** The time from the offer to the objective; may be negative. */
   readonly objectiveIn: Milliseconds;
 }
@@ -26,9 +33,16 @@
 /** Calls that take some milliseconds vary by as much. */
 const LEAST_DELAY_MS: Milliseconds = 20;
 
-export function secondSendDelay(
-  { usualMilliseconds, objectiveIn }: SecondSendCall,
-): Milliseconds {
+/** Instances of one service differ in speed by about this factor; slower ones have a fault. */
+const SLOWEST_PACE = 2;
+
+export function secondSendDelay(call: SecondSendCall): Milliseconds {
+  const { objectiveIn } = call;
+  const pace = Math.min(SLOWEST_PACE, Math.max(1, call.pace));
+  const usualMilliseconds = Math.max(
+    call.usualMilliseconds * pace,
+    call.responseMilliseconds,
+  );
   const latest = objectiveIn - RESERVE_FACTOR * usualMilliseconds;
   const wanted = Math.min(USUAL_FACTOR * usualMilliseconds, latest);
   return Math.max(
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -8,13 +8,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Disposable } from "../../../base/common/disposable.ts";
+import { createEmitter, type Event } from "../../../base/common/emitter.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
-import { rankByRendezvous } from "../../../base/common/hashing.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { RandomSource } from "../../../base/common/random_source.ts";
 import type {
   CallerLimits,
   MeshRoute,
+  RouteKind,
 } from "../../../world/common/mesh_configuration.ts";
 import type { HostName, ServiceName } from "../../../world/common/names.ts";
 import {
@@ -29,7 +30,7 @@
 import type { GateClient } from "../../gate/common/gate_client.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import type { MeshHeaders } from "../../gate/common/mesh_headers.ts";
-import { createServiceTimes } from "../../gate/common/service_times.ts";
+import { createRunningMeans } from "../../gate/common/running_means.ts";
 import {
   chooseGate,
   type PlacedCall,
@@ -44,12 +45,15 @@
   refuseNotRun,
 } from "../common/call_refusal.ts";
 import { secondSendDelay } from "../common/second_send.ts";
+import { selectCandidates } from "../common/candidate_selection.ts";
 import { chooseService } from "../common/service_choice.ts";
 
 /** Repeats of a service as a part of its first sends; below the share that is allowed. */
 const REPEAT_SHARE = 0.15;
 /** A call that may be repeated elsewhere does not wait longer for a lost link. */
 const RESUME_REPEATABLE_MS: Milliseconds = 300;
+/** A caller may have left while its request waited for longer than this in a busy process. */
+const STALE_MS: Milliseconds = 100;
 /** When nothing is known about when a call could be served. */
 const UNKNOWN_RETRY_MS: Milliseconds = 100;
 
@@ -73,14 +77,31 @@
   readonly findParent: (
     requestIdentity: string,
   ) => ParentCall | undefined;
+  /** For how long a request that is read now may have waited in this process. */
+  readonly loopDelay: () => Milliseconds;
   readonly chooseVersion: (
     service: ServiceName,
     callIdentity: string,
   ) => VersionChoice;
 }
 
+/** A call that has got its final answer, or whose client has left. */
+export interface EndedCall {
+  readonly kind: RouteKind;
+  readonly result: CallResult;
+  readonly duration: Milliseconds;
+}
+
+export type CallResult =
+  | "answered"
+  | "failed"
+  | "refused"
+  | "expired"
+  | "abandoned";
+
 export interface Ingress {
   readonly activeCalls: number;
+  readonly onEnded: Event<EndedCall>;
   /** Answers close their connections from now on. */
   stopKeepingConnections(): void;
   handle(request: IncomingMessage, response: ServerResponse): void;
@@ -117,9 +138,13 @@
 
 export function createIngress(options: IngressOptions): Ingress {
   const { clock, log, headers } = options;
-  const times = createServiceTimes();
+  const times = createRunningMeans();
+  const answerBytes = createRunningMeans();
+  /** Times from an offer to its answer: the time at the instance, waiting and the way. */
+  const responseTimes = createRunningMeans();
   const budgets = new Map<ServiceName, RetryBudget>();
   const active = new Set<Call>();
+  const ended = createEmitter<EndedCall>();
   const droppedHeaders = new Set([
     headers.deadline,
     headers.expectedInstance,
@@ -169,23 +194,52 @@
       answer(response, { status: 404, message: "No route matches" });
       return;
     }
-    begin(request, response, { identity, route });
+    const delay = options.loopDelay();
+    if (delay < STALE_MS) {
+      begin(request, response, { identity, route, delay: 0 });
+      return;
+    }
+    afterPendingEvents(() => {
+      if (request.destroyed || request.socket.destroyed) {
+        log.write("info", "call.stale", {
+          request: identity,
+          delay: Math.round(delay),
+        });
+      } else {
+        begin(request, response, { identity, route, delay });
+      }
+    });
   }
 
   function begin(
     request: IncomingMessage,
     response: ServerResponse,
-    { identity, route }: {
+    { identity, route, delay }: {
       readonly identity: string;
       readonly route: MeshRoute;
+      /** For how long the request may have waited in this process. */
+      readonly delay: Milliseconds;
     },
   ): void {
-    const arrivedAt = clock.now();
+    const arrivedAt = clock.now() - delay;
     const told = Number(request.headers[headers.deadline] ?? NaN);
     const allowed = Math.min(
       Number.isFinite(told) ? told : Infinity,
       route.timeoutMilliseconds,
     );
+    if (allowed <= delay) {
+      log.write("info", "call.refused", {
+        request: identity,
+        reason: "stale",
+        delay: Math.round(delay),
+      });
+      request.resume();
+      answer(
+        response,
+        refuseNotRun("The call was read too late", UNKNOWN_RETRY_MS),
+      );
+      return;
+    }
     const service = chooseService(route, options.random);
     const parent = options.findParent(identity);
     const call: Call = {
@@ -210,7 +264,7 @@
       release: () => {},
     };
     active.add(call);
-    const timer = clock.schedule(allowed, () => expire(call));
+    const timer = clock.schedule(allowed - delay, () => expire(call));
     const leave = () => abandon(call);
     request.socket.once("close", leave);
     call.release = () => {
@@ -248,22 +302,12 @@
   }
 
   function listCandidates(call: Call): readonly VersionedCandidate[] {
-    const open = options.candidates(call.service).filter(({ host }) =>
-      !call.asked.has(host)
-    );
-    const isNext = call.fullGates > 0 || call.instancesReached > 0 ||
-      call.open.size > 0;
-    const preferred = open.filter(({ version }) =>
-      isNext
-        ? call.versions.isPreferredNext(version)
-        : call.versions.isPreferred(version)
-    );
-    if (preferred.length > 0) {
-      return isNext
-        ? preferred
-        : concentrate(preferred, call.versions.instances);
-    }
-    return open.filter(({ version }) => call.versions.isAllowed(version));
+    return selectCandidates(options.candidates(call.service), {
+      asked: call.asked,
+      versions: call.versions,
+      isNext: call.fullGates > 0 || call.instancesReached > 0 ||
+        call.open.size > 0,
+    });
   }
 
   function usualTime(call: Call): Milliseconds {
@@ -273,6 +317,7 @@
   function place(call: Call): PlacedCall<VersionedCandidate> | undefined {
     return chooseGate(listCandidates(call), {
       usualMilliseconds: usualTime(call),
+      relayedBytes: call.body.length + answerBytes.usual(call.route.name, 0),
       ownHost: options.host,
       ownFailureDomain: options.failureDomain,
     }, options.random);
@@ -292,7 +337,8 @@
     offer(call, placed.candidate);
   }
 
-  function offer(call: Call, { host, version }: VersionedCandidate): void {
+  function offer(call: Call, candidate: VersionedCandidate): void {
+    const { host, version } = candidate;
     const now = clock.now();
     const timeLeft = call.finalAt - now;
     const usualMilliseconds = usualTime(call);
@@ -326,18 +372,27 @@
         : timeLeft,
       settle(outcome) {
         call.open.delete(open);
+        if (outcome.type === "answer") {
+          responseTimes.record(call.route.name, clock.now() - now);
+        }
         proceed(call, host, outcome);
       },
     });
     if (call.open.has(open) && call.route.kind === "safe") {
-      scheduleSecondSend(call, now);
+      scheduleSecondSend(call, candidate, now);
     }
   }
 
-  function scheduleSecondSend(call: Call, now: Milliseconds): void {
+  function scheduleSecondSend(
+    call: Call,
+    { load }: VersionedCandidate,
+    now: Milliseconds,
+  ): void {
     const objectiveAt = call.arrivedAt + call.route.objectiveMilliseconds;
     const delay = secondSendDelay({
       usualMilliseconds: usualTime(call),
+      responseMilliseconds: responseTimes.usual(call.route.name, 0),
+      pace: load.pace,
       objectiveIn: objectiveAt - now,
     });
     call.secondSend?.dispose();
@@ -430,6 +485,7 @@
   function noteOutcome(call: Call, outcome: GateOutcome): void {
     if (outcome.type === "answer") {
       times.record(call.route.name, outcome.serviceMilliseconds);
+      answerBytes.record(call.route.name, outcome.body.length);
     }
     if (isFull(outcome)) {
       call.fullGates += 1;
@@ -469,7 +525,7 @@
     outcome: Extract<GateOutcome, { type: "answer" }>,
   ): void {
     const { response } = call;
-    finish(call);
+    finish(call, outcome.status < 500 ? "answered" : "failed");
     const kept = copyEndToEndHeaders(outcome.rawHeaders, CONTENT_LENGTH);
     if (closesConnections) {
       response.shouldKeepAlive = false;
@@ -505,19 +561,24 @@
   /** The client has left. */
   function abandon(call: Call): void {
     if (!call.isEnded) {
-      finish(call);
+      finish(call, "abandoned");
     }
   }
 
   function end(call: Call, own: OwnAnswer): void {
     if (!call.isEnded) {
-      finish(call);
+      finish(call, describeOwn(own));
       answer(call.response, own);
     }
   }
 
-  function finish(call: Call): void {
+  function finish(call: Call, result: CallResult): void {
     call.isEnded = true;
+    ended.fire({
+      kind: call.route.kind,
+      result,
+      duration: clock.now() - call.arrivedAt,
+    });
     call.release();
     for (const { ticket } of call.open) {
       ticket?.cancel();
@@ -544,6 +605,7 @@
     get activeCalls() {
       return active.size;
     },
+    onEnded: ended.event,
     stopKeepingConnections() {
       closesConnections = true;
     },
@@ -551,23 +613,28 @@
   };
 }
 
-function isSuccess(outcome: GateOutcome): boolean {
-  return outcome.type === "answer" && outcome.status < 500;
+/**
+ * Calls back when the events that had already come about are handled. A read that does not fill its
+ * buffer ends the reading of a connection for this turn of the event loop, so the end of a connection
+ * that is right behind a request is seen in the next turn.
+ */
+function afterPendingEvents(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
 }
 
-/** All daemons choose the same few of the candidates. */
-function concentrate(
-  candidates: readonly VersionedCandidate[],
-  instances: number | undefined,
-): readonly VersionedCandidate[] {
-  if (instances === undefined || candidates.length <= instances) {
-    return candidates;
+function describeOwn({ status }: OwnAnswer): CallResult {
+  switch (status) {
+    case 503:
+      return "refused";
+    case 504:
+      return "expired";
+    default:
+      return "failed";
   }
-  const chosen = rankByRendezvous(
-    "concentrated",
-    candidates.map(({ host }) => host),
-  ).slice(0, instances);
-  return candidates.filter(({ host }) => chosen.includes(host));
+}
+
+function isSuccess(outcome: GateOutcome): boolean {
+  return outcome.type === "answer" && outcome.status < 500;
 }
 
 const CONTENT_LENGTH = new Set(["content-length"]);
--- a/src/features/placement/common/gate_choice.ts
+++ b/src/features/placement/common/gate_choice.ts
@@ -30,6 +30,8 @@
 
 export interface PlacementCall {
   readonly usualMilliseconds: Milliseconds;
+  /** Of the request and its answer, as far as they are known. */
+  readonly relayedBytes: number;
   readonly ownHost: HostName;
   readonly ownFailureDomain: FailureDomainName;
 }
@@ -40,8 +42,10 @@
   readonly wait: Milliseconds;
 }
 
-/** Bytes between failure domains cost; a call leaves its own when it gains more than this. */
-const OTHER_DOMAIN_COST_MS: Milliseconds = 25;
+/** A call leaves its failure domain when it gains more than this, whatever its size. */
+const OTHER_DOMAIN_COST_MS: Milliseconds = 8;
+/** Bytes between failure domains are dear: an upload of 60 kB gains as much by a quarter second. */
+const OTHER_DOMAIN_COST_MS_PER_BYTE = 0.004;
 /** A call to another host is handled by two daemons; a call stays when it gains less than this. */
 const OTHER_HOST_COST_MS: Milliseconds = 15;
 /** A cold instance takes about this many times as long. */
@@ -74,14 +78,15 @@
 
 function distanceCost(
   { host, failureDomain }: GateCandidate,
-  { ownHost, ownFailureDomain }: PlacementCall,
+  { ownHost, ownFailureDomain, relayedBytes }: PlacementCall,
 ): Milliseconds {
   if (host === ownHost) {
     return 0;
   }
   return failureDomain === ownFailureDomain
     ? OTHER_HOST_COST_MS
-    : OTHER_HOST_COST_MS + OTHER_DOMAIN_COST_MS;
+    : OTHER_HOST_COST_MS + OTHER_DOMAIN_COST_MS +
+      OTHER_DOMAIN_COST_MS_PER_BYTE * relayedBytes;
 }
 
 function occupancy({ load, outstanding }: GateCandidate): number {
--- a/src/features/placement/common/gate_choice_replay_test.ts
+++ b/src/features/placement/common/gate_choice_replay_test.ts
@@ -11,6 +11,7 @@
 /** Each answer tells its caller the load of the gate; all are told at this interval besides. */
 const NEWS_INTERVAL_MS = 500;
 const OBJECTIVE_MS = 300;
+const ANSWER_BYTES = 5_000;
 
 interface Replay {
   readonly inObjective: number;
@@ -66,6 +67,7 @@
     if (rule === "expected-end") {
       const placed = chooseGate(candidates, {
         usualMilliseconds: USUAL_MS,
+        relayedBytes: ANSWER_BYTES,
         ownHost: String(caller),
         ownFailureDomain,
       }, random);
@@ -141,3 +143,28 @@
     });
   }
 });
+
+describe("an upload and a lookup whose own failure domain is busier than another one", () => {
+  const cases = [
+    { name: "an upload of 60 kB stays", relayedBytes: 60_000, chosen: "near" },
+    { name: "a lookup of 400 bytes leaves", relayedBytes: 400, chosen: "far" },
+  ];
+  for (const { name, relayedBytes, chosen } of cases) {
+    test(name, () => {
+      const candidate = (host: string, running: number): GateCandidate => ({
+        host,
+        failureDomain: host,
+        load: { running, waiting: 0, limit: SLOTS, pace: 1 },
+        outstanding: 0,
+        isCold: false,
+      });
+      const placed = chooseGate([candidate("near", 18), candidate("far", 2)], {
+        usualMilliseconds: USUAL_MS,
+        relayedBytes,
+        ownHost: "own",
+        ownFailureDomain: "near",
+      }, createRandomSource(1));
+      assert.equal(placed?.candidate.host, chosen);
+    });
+  }
+});
--- a/src/features/rollout/common/rollout_book.ts
+++ b/src/features/rollout/common/rollout_book.ts
@@ -37,6 +37,12 @@
   isAllowed(version: ServiceVersion): boolean;
   /** How many instances of the target version may run it; all when undefined. */
   readonly instances?: number;
+  /**
+   * Whether any version may run the call while no instance of an allowed version is known. The other
+   * instances are stopped when a rollout is complete, so there may be none when a daemon that has
+   * restarted still takes the rollout for running.
+   */
+  readonly mayRunOnAny?: boolean;
 }
 
 export interface RolloutStep {
@@ -240,6 +246,7 @@
         // Before the first share nothing but an order speaks for the version.
         isAllowed: share === 0 ? isOther : () => true,
         instances: getsTarget ? instances : undefined,
+        mayRunOnAny: true,
       };
     }
   }
--- a/src/programs/common/mesh_settings.ts
+++ b/src/programs/common/mesh_settings.ts
@@ -36,6 +36,8 @@
   }),
   /** The first and the last port for links between daemons. */
   internalPorts: valibot.tuple([targetPortValue, targetPortValue]),
+  /** Where counters and histograms are served; nowhere when absent. */
+  metrics: valibot.optional(endpointValue),
   store: endpointValue,
   heartbeatSeconds: seconds,
   /** The time between the request to stop and the end by force. */
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -14,6 +14,7 @@
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { createRandomSource } from "../../base/common/random_source.ts";
 import { type HttpListener, listenHttp } from "../../base/node/http_server.ts";
+import { createLoopDelay } from "../../base/node/loop_delay.ts";
 import { STEADY_CLOCK } from "../../base/node/system_clock.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import { createFleet } from "../../features/fleet/common/fleet.ts";
@@ -30,6 +31,7 @@
 import { formatProcess, type HostIdentity } from "../../world/common/host.ts";
 import { parseEndpoint } from "../../base/common/endpoint.ts";
 import type { MeshSettings } from "../common/mesh_settings.ts";
+import { createMeshMetrics } from "./mesh_metrics.ts";
 import { createMeshState } from "./mesh_state.ts";
 import type { MeshPlatform } from "./mesh_platform.ts";
 import { registerHost } from "./host_registration.ts";
@@ -100,7 +102,16 @@
       heartbeatMilliseconds: settings.heartbeatSeconds * 1_000,
     }),
   );
-  owned.add(createGateService({ clock, log, network, gate }));
+  const loopDelay = owned.add(createLoopDelay(clock));
+  owned.add(
+    createGateService({
+      clock,
+      log,
+      network,
+      gate,
+      loopDelay: () => loopDelay.current,
+    }),
+  );
   const gates = owned.add(
     createGateClient({
       self: self.process,
@@ -195,6 +206,7 @@
     candidates: (service) =>
       listCandidates(service, { self: place, clock, gate, gates, fleet }),
     findParent: gate.findParent,
+    loopDelay: () => loopDelay.current,
     chooseVersion: rollouts.book.chooseVersion,
   });
 
@@ -241,7 +253,20 @@
       parseEndpoint(settings.listen.readiness),
     ),
   ]);
-  const listeners: readonly HttpListener[] = [calls, heartbeats, readiness];
+  const metrics = createMeshMetrics({
+    ingress,
+    gate,
+    network,
+    sync,
+    state,
+    loopDelay,
+  });
+  const listeners: HttpListener[] = [calls, heartbeats, readiness];
+  if (settings.metrics !== undefined) {
+    listeners.push(
+      await listenHttp(metrics.handle, parseEndpoint(settings.metrics)),
+    );
+  }
   // Each pipelined call listens for the end of its connection.
   calls.server.on("connection", (socket: Socket) => socket.setMaxListeners(0));
   owned.add(state.onConfiguration(({ limits }) => {
--- /dev/null
+++ b/src/programs/node/mesh_metrics.ts
@@ -0,0 +1,145 @@
+/**
+ * The figures of a mesh daemon in the text format of Prometheus.
+ *
+ * @module
+ */
+
+import type { HttpHandler } from "../../base/node/http_server.ts";
+import type { LoopDelay } from "../../base/node/loop_delay.ts";
+import { sendJson } from "../../base/node/http_server.ts";
+import {
+  createMetrics,
+  type Labels,
+} from "../../features/administration/common/metrics.ts";
+import type { Gate } from "../../features/gate/common/gate.ts";
+import type {
+  CallResult,
+  Ingress,
+} from "../../features/ingress/node/ingress.ts";
+import type { PeerNetwork } from "../../features/link/common/peer_network.ts";
+import type { RecordSync } from "../../features/operator/common/record_sync.ts";
+import type { RouteKind } from "../../world/common/mesh_configuration.ts";
+import type { MeshState } from "./mesh_state.ts";
+
+const METRICS_PATH = "/metrics";
+/** The text format of Prometheus, version 0.0.4. */
+const CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+const MICROSECONDS = 1_000;
+const ANSWERED: Labels = { result: "answered" };
+const FAILED: Labels = { result: "failed" };
+
+export interface MeshMetricsSources {
+  readonly ingress: Pick<Ingress, "activeCalls" | "onEnded">;
+  readonly gate: Pick<Gate, "load" | "onCalled" | "isServing">;
+  readonly network: Pick<PeerNetwork, "peers">;
+  readonly sync: Pick<RecordSync, "position" | "reachesStore">;
+  readonly loopDelay: Pick<LoopDelay, "current">;
+  readonly state: Pick<MeshState, "configuration">;
+}
+
+export interface MeshMetrics {
+  /** Answers requests for the figures. */
+  readonly handle: HttpHandler;
+}
+
+export function createMeshMetrics(
+  { ingress, gate, network, sync, state, loopDelay }: MeshMetricsSources,
+): MeshMetrics {
+  const metrics = createMetrics();
+  const calls = metrics.counter(
+    "guavarun_calls_total",
+    "Calls of the clients on this host, by kind and result",
+  );
+  const durations = metrics.histogram(
+    "guavarun_call_duration_microseconds",
+    "Time from the head of a call to its answer, by kind",
+  );
+  const runs = metrics.counter(
+    "guavarun_instance_calls_total",
+    "Calls that the instance on this host has worked on, by result",
+  );
+  const runDurations = metrics.histogram(
+    "guavarun_instance_call_duration_microseconds",
+    "Time for which the instance on this host worked on a call",
+  );
+  const callLabels = new Map<string, Labels>();
+  const kindLabels = new Map<string, Labels>();
+
+  /** The same object for the same values, which the metrics find by its identity. */
+  function labelsOf(kind: RouteKind, result: CallResult): Labels {
+    const key = `${kind}|${result}`;
+    let labels = callLabels.get(key);
+    if (labels === undefined) {
+      labels = { kind, result };
+      callLabels.set(key, labels);
+      kindLabels.set(kind, kindLabels.get(kind) ?? { kind });
+    }
+    return labels;
+  }
+
+  ingress.onEnded(({ kind, result, duration }) => {
+    calls.add(1, labelsOf(kind, result));
+    durations.record(duration * MICROSECONDS, kindLabels.get(kind));
+  });
+  gate.onCalled(({ isFailure, duration }) => {
+    runs.add(1, isFailure ? FAILED : ANSWERED);
+    runDurations.record(duration * MICROSECONDS);
+  });
+
+  const gauges: readonly (readonly [string, string, () => number])[] = [
+    [
+      "loop_delay_milliseconds",
+      "For how long events wait in this process",
+      () => Math.round(loopDelay.current),
+    ],
+    ["active_calls", "Calls under way", () => ingress.activeCalls],
+    ["gate_running", "Calls at the instance", () => gate.load.running],
+    ["gate_waiting", "Calls that wait", () => gate.load.waiting],
+    ["gate_limit", "Calls at the instance at most", () => gate.load.limit],
+    [
+      "gate_pace_ratio",
+      "Time of the instance for calls relative to what is usual",
+      () => gate.load.pace,
+    ],
+    [
+      "instance_serving",
+      "1 when the instance on this host may be sent calls",
+      () => Number(gate.isServing),
+    ],
+    ["links", "Open links to other daemons", () => network.peers.length],
+    [
+      "store_reachable",
+      "1 when the last call to the store succeeded",
+      () => Number(sync.reachesStore),
+    ],
+    [
+      "records_position",
+      "Offset up to which the operator's records are known; -1 for none",
+      () => sync.position,
+    ],
+    [
+      "configuration_version",
+      "Version of the configuration in force; -1 for none",
+      () => state.configuration?.version ?? -1,
+    ],
+  ];
+  for (const [name, help, read] of gauges) {
+    metrics.gauge(`guavarun_${name}`, help, () => [{ value: read() }]);
+  }
+
+  return {
+    handle(request, response) {
+      request.resume();
+      if (request.url !== METRICS_PATH) {
+        sendJson(response, 404, { error: "No such call" });
+        return;
+      }
+      const text = Buffer.from(metrics.format());
+      response.writeHead(200, {
+        "content-type": CONTENT_TYPE,
+        "content-length": text.length,
+      });
+      response.end(text);
+    },
+  };
+}
