Do not start a rollout again after all daemons have restarted

A restarted daemon that hears of a rollout from a peer before it has read the order did not mark the order as older than itself, so the leader passed over the status `complete` in the store, wrote `running` and began again. By then the old instances are gone; failures of the only version counted against it for want of a reference, and the verdict refused every call. Ruled out: the merging of progress by steps (the final state wins as before).

--- a/src/features/rollout/common/rollout_test.ts
+++ b/src/features/rollout/common/rollout_test.ts
@@ -103,6 +103,18 @@
   }
 });
 
+test("failures of the only version there is are no evidence against it", () => {
+  const rows = [
+    row({ host: "c", version: "v2", calls: 20, failures: 10 }),
+    row({ host: "d", version: "v2", calls: 20, failures: 9 }),
+  ];
+  const found = findVersionDifference(rows, {
+    service: "booking",
+    version: "v2",
+  });
+  assert.equal(found, undefined);
+});
+
 describe("what two daemons know of a rollout", () => {
   const base: RolloutProgress = {
     service: "booking",
--- a/src/features/rollout/common/version_evidence.ts
+++ b/src/features/rollout/common/version_evidence.ts
@@ -66,6 +66,10 @@
     version === target.version
   );
   const others = ofService.filter(({ version }) => version !== target.version);
+  // Without another version there is nothing to compare with and nothing to go back to.
+  if (others.length === 0) {
+    return undefined;
+  }
   const routes = new Set(
     ofTarget.flatMap(({ routes }) => routes.map(({ route }) => route)),
   );
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -282,11 +282,15 @@
       return ownEvidence();
     },
     takeOrder(order, { offset, isInherited }) {
-      if (!book.order(order, offset, clock.now())) {
-        return;
-      }
+      const isNew = book.order(order, offset, clock.now());
+      // A peer may have told of the rollout before the order was read.
       if (isInherited) {
         inherited.add(order.service);
+      } else if (isNew) {
+        inherited.delete(order.service);
+      }
+      if (!isNew) {
+        return;
       }
       evidence.clear();
       log.write("info", "rollout.ordered", {
