Explain what became of a request from the logs of all hosts

Cause: an operator had to search the logs of 13 hosts by hand and to know which event decides. Change: `guavarun explain REQUEST-ID LOG...` on the time line; lines may stand behind the fields of a collector; an instance's own 5xx that is delivered is logged, as it is a failure that callers ask about.

--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -451,7 +451,7 @@
       timeLeft: call.finalAt - now,
       usualMilliseconds: usualTime(call),
     }, () => budgetOf(call.service).takeRetry(now, REPEAT_SHARE));
-    if (next.type !== "deliver" || outcome.type !== "answer") {
+    if (next.type !== "deliver" || !isSuccess(outcome)) {
       logStep(call, host, outcome, next.type);
     }
     switch (next.type) {
--- a/src/features/timeline/common/timeline_event.ts
+++ b/src/features/timeline/common/timeline_event.ts
@@ -20,8 +20,13 @@
 
 const PAIR = /([A-Za-z][\w.-]*)=("(?:[^"\\]|\\.)*"|\S*)(?: |$)/y;
 
+/** Log collectors put fields of their own in front of a line. */
+const LINE_START = /(?:^|\s)time=/;
+
 /** Parses a line of a process log; undefined when it is not an event. */
-export function parseLogLine(line: string): TimelineEvent | undefined {
+export function parseLogLine(text: string): TimelineEvent | undefined {
+  const start = LINE_START.exec(text);
+  const line = start === null ? text : text.slice(start.index).trimStart();
   const pairs: Record<string, string> = {};
   PAIR.lastIndex = 0;
   let end = 0;
--- a/src/features/timeline/node/timeline_sources.ts
+++ b/src/features/timeline/node/timeline_sources.ts
@@ -48,6 +48,20 @@
   }
 }
 
+/** Reads several files; those that cannot be read are named in `failures`. */
+export async function readLogFiles(
+  files: readonly string[],
+): Promise<{
+  readonly events: readonly TimelineEvent[];
+  readonly failures: readonly StepError[];
+}> {
+  const reads = await Promise.all(files.map(readLogFile));
+  return {
+    events: reads.flatMap((read) => read.ok ? read.val.events : []),
+    failures: reads.flatMap((read) => read.err ? [read.val] : []),
+  };
+}
+
 /** The answer of `GET /events`. */
 interface EventsAnswer {
   readonly host: string;
--- a/src/programs/node/command_line.ts
+++ b/src/programs/node/command_line.ts
@@ -30,6 +30,9 @@
   timeline: async () => [
     (await import("./commands/timeline_command.ts")).TimelineCommand,
   ],
+  explain: async () => [
+    (await import("./commands/explain_command.ts")).ExplainCommand,
+  ],
   check: async () => [
     (await import("./commands/check_command.ts")).CheckCommand,
   ],
--- a/src/programs/node/command_line_test.ts
+++ b/src/programs/node/command_line_test.ts
@@ -55,6 +55,8 @@
     [["check", faulty], undefined, 1, /key upsert.routes.0.name/],
     [["daemon", faulty], undefined, 1, /unknown key/],
     [["timeline"], undefined, 64, /Name log files/],
+    [["explain", "r1"], undefined, 64, /Name a request, log files/],
+    [["explain", "r1", "none.log"], undefined, 3, /Cannot read none.log/],
     [["publish", "--help"], undefined, 0, /Examples/],
   ];
   await Promise.all(cases.map(async ([words, target, code, expected]) => {
