Try any free gate of the own failure domain with 2% of the calls

Ruled out: readiness and links of the new hosts (the calls of their own hosts were served). Change: 2% of the calls go to any gate of the own failure domain that has room and is not cold.

--- a/src/features/placement/common/gate_choice.ts
+++ b/src/features/placement/common/gate_choice.ts
@@ -50,6 +50,11 @@
 const OTHER_HOST_COST_MS: Milliseconds = 15;
 /** A cold instance takes about this many times as long. */
 const COLD_FACTOR = 2;
+/**
+ * The part of the calls that goes to any free gate of the own failure domain. The speed of an instance
+ * is known from its calls only: one that was slow, or has just joined, would otherwise get none.
+ */
+const EXPLORING_PART = 0.02;
 /** Spread of the random part, relative to the usual time of the call. */
 const RANDOM_PART = 0.1;
 /** An instance near its limit tends to slow down. */
@@ -61,6 +66,15 @@
   call: PlacementCall,
   random: RandomSource,
 ): PlacedCall<T> | undefined {
+  if (random.nextFraction() < EXPLORING_PART) {
+    const free = candidates.filter((candidate) =>
+      candidate.failureDomain === call.ownFailureDomain && !candidate.isCold &&
+      occupancy(candidate) < CROWDED_PART * candidate.load.limit
+    );
+    if (free.length > 0) {
+      return { candidate: free[random.nextInteger(free.length)], wait: 0 };
+    }
+  }
   let best: PlacedCall<T> | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
--- a/src/features/placement/common/gate_choice_replay_test.ts
+++ b/src/features/placement/common/gate_choice_replay_test.ts
@@ -168,3 +168,44 @@
     });
   }
 });
+
+describe("instances that would never be chosen by what is known of them", () => {
+  const cases = [
+    { name: "one that was slow is tried", pace: 5, least: 1, most: 40 },
+    { name: "a crowded one is not", pace: 5, running: 13, least: 0, most: 0 },
+    { name: "nor a cold one", pace: 5, isCold: true, least: 0, most: 0 },
+  ];
+  for (
+    const { name, pace, running = 0, isCold = false, least, most } of cases
+  ) {
+    test(name, () => {
+      const random = createRandomSource(5);
+      const common = { failureDomain: "east", outstanding: 0 };
+      const candidates: readonly GateCandidate[] = [
+        {
+          ...common,
+          host: "own",
+          load: { running: 0, waiting: 0, limit: SLOTS, pace: 1 },
+          isCold: false,
+        },
+        {
+          ...common,
+          host: "other",
+          load: { running, waiting: 0, limit: SLOTS, pace },
+          isCold,
+        },
+      ];
+      let tried = 0;
+      for (let call = 0; call < 1_000; call += 1) {
+        const placed = chooseGate(candidates, {
+          usualMilliseconds: USUAL_MS,
+          relayedBytes: ANSWER_BYTES,
+          ownHost: "own",
+          ownFailureDomain: "east",
+        }, random);
+        tried += placed?.candidate.host === "other" ? 1 : 0;
+      }
+      assert.ok(tried >= least && tried <= most, `${tried} of 1000 calls`);
+    });
+  }
+});
