After a stall, look for the cancellation behind an offer in later reads too

Offers are passed on at the end of the read that brought them; since frames are no longer queued, a cancellation in the next read comes too late, and a link that is younger than 3 s has no times to compare with. Ruled out: a stalled ingress (it would have refused a call with 11 ms left by its own delay). Change: in the first 5 s of a process and after a stall of 100 ms an offer is passed on two turns of the event loop later. Tests: gate_service_test; the case of a later read after a stall fails without the change (1 run instead of 0).

--- a/src/base/node/loop_delay.ts
+++ b/src/base/node/loop_delay.ts
@@ -31,3 +31,15 @@
     dispose: () => checks.dispose(),
   };
 }
+
+/** Events may have waited in this process for longer than is usual. */
+export const STALLED_MS: Milliseconds = 100;
+
+/**
+ * Calls back when the events that had already come about are handled. A read that does not fill its
+ * buffer ends the reading of a connection for this turn of the event loop, so what is right behind it
+ * is seen in the next turn.
+ */
+export function afterPendingEvents(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
+}
--- a/src/features/gate/common/gate_service.ts
+++ b/src/features/gate/common/gate_service.ts
@@ -46,6 +46,10 @@
   readonly gate: Gate;
   /** For how long a message that is read now may have waited in this process. */
   readonly loopDelay: () => Milliseconds;
+  /** Whether messages may have waited in this process for longer than is usual. */
+  readonly isStalled: () => boolean;
+  /** Calls back when the messages that have already arrived are handled. */
+  readonly afterPendingEvents: (callback: () => void) => void;
 }
 
 export function createGateService(options: GateServiceOptions): Disposable {
@@ -99,9 +103,12 @@
       outcome: undefined,
     };
     calls.set(identity, call);
-    // A link that was held up delivers an offer and its cancellation together. The frames of one
-    // delivery are handled before microtasks, so such a call does not reach the instance.
-    queueMicrotask(() => {
+    // What was held up delivers an offer and its cancellation together. The frames of one read are
+    // handled before microtasks; after a stall the cancellation may be in a later read.
+    const defer = options.isStalled()
+      ? options.afterPendingEvents
+      : queueMicrotask;
+    defer(() => {
       if (!call.isCancelled) {
         pass(request, call);
       }
--- /dev/null
+++ b/src/features/gate/common/gate_service_test.ts
@@ -0,0 +1,107 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { createDisposable } from "../../../base/common/disposable.ts";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import type {
+  LinkMessage,
+  PeerNetwork,
+} from "../../link/common/peer_network.ts";
+import type { Gate } from "./gate.ts";
+import type { GateRequest } from "./gate_call.ts";
+import { CANCEL_KIND, encodeOffer } from "./gate_messages.ts";
+import { createGateService } from "./gate_service.ts";
+
+const PEER = { process: { host: "caller", startedAt: 1 }, failureDomain: "x" };
+const REQUEST: GateRequest = {
+  identity: "caller@1#1",
+  requestIdentity: "r1",
+  service: "booking",
+  version: undefined,
+  route: "lookup",
+  method: "GET",
+  target: "/",
+  headerLines: "",
+  body: Buffer.alloc(0),
+  callerService: "booking",
+  isNested: false,
+  rank: 1,
+  objectiveInMilliseconds: 300,
+  deadlineInMilliseconds: 800,
+  usualMilliseconds: 90,
+};
+
+function start(isStalled: boolean) {
+  const handlers = new Map<string, (message: LinkMessage) => void>();
+  const pending: (() => void)[] = [];
+  const offered: GateRequest[] = [];
+  createGateService({
+    clock: new VirtualClock(1_000),
+    log: SILENT_LOG,
+    network: {
+      onMessage(
+        kind: string,
+        handler: (peer: typeof PEER, message: LinkMessage) => void,
+      ) {
+        handlers.set(kind, (message) => handler(PEER, message));
+        return createDisposable(() => {});
+      },
+      onLinkOpened: () => createDisposable(() => {}),
+      send: () => true,
+    } as unknown as PeerNetwork,
+    gate: {
+      offer(request: GateRequest) {
+        offered.push(request);
+        return { cancel() {} };
+      },
+    } as unknown as Gate,
+    loopDelay: () => isStalled ? 600 : 0,
+    isStalled: () => isStalled,
+    afterPendingEvents: (callback) => void pending.push(callback),
+  });
+  return {
+    offered,
+    receive: (message: LinkMessage) => handlers.get(message.kind)!(message),
+    async endRead() {
+      await Promise.resolve();
+    },
+    endTurn: () => pending.splice(0).forEach((callback) => callback()),
+  };
+}
+
+// Guards against work on a call whose cancellation has already arrived behind its offer.
+describe("an offer whose cancellation is behind it", () => {
+  const cancel = { kind: CANCEL_KIND, identity: REQUEST.identity };
+  const offer = encodeOffer({ request: REQUEST, sentAt: 5 });
+  const cases = [
+    { name: "in the same read", isStalled: false, inLaterRead: false, runs: 0 },
+    { name: "in a later read", isStalled: false, inLaterRead: true, runs: 1 },
+    {
+      name: "in a later read after a stall",
+      isStalled: true,
+      inLaterRead: true,
+      runs: 0,
+    },
+  ];
+  for (const { name, isStalled, inLaterRead, runs } of cases) {
+    test(`${name} reaches the instance ${runs} times`, async () => {
+      const service = start(isStalled);
+      service.receive(offer);
+      if (inLaterRead) {
+        await service.endRead();
+      }
+      service.receive(cancel as LinkMessage);
+      await service.endRead();
+      service.endTurn();
+      assert.equal(service.offered.length, runs);
+    });
+  }
+
+  test("without one the call is passed on after a stall, with less time", async () => {
+    const service = start(true);
+    service.receive(offer);
+    await service.endRead();
+    service.endTurn();
+    assert.equal(service.offered[0].deadlineInMilliseconds, 200);
+  });
+});
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -12,6 +12,10 @@
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { RandomSource } from "../../../base/common/random_source.ts";
+import {
+  afterPendingEvents,
+  STALLED_MS,
+} from "../../../base/node/loop_delay.ts";
 import type {
   CallerLimits,
   MeshRoute,
@@ -52,8 +56,6 @@
 const REPEAT_SHARE = 0.15;
 /** A call that may be repeated elsewhere does not wait longer for a lost link. */
 const RESUME_REPEATABLE_MS: Milliseconds = 300;
-/** A caller may have left while its request waited for longer than this in a busy process. */
-const STALE_MS: Milliseconds = 100;
 /** When nothing is known about when a call could be served. */
 const UNKNOWN_RETRY_MS: Milliseconds = 100;
 
@@ -195,10 +197,11 @@
       return;
     }
     const delay = options.loopDelay();
-    if (delay < STALE_MS) {
+    if (delay < STALLED_MS) {
       begin(request, response, { identity, route, delay: 0 });
       return;
     }
+    // The caller may have left: the end of its connection is then right behind the request.
     afterPendingEvents(() => {
       if (request.destroyed || request.socket.destroyed) {
         log.write("info", "call.stale", {
@@ -613,15 +616,6 @@
   };
 }
 
-/**
- * Calls back when the events that had already come about are handled. A read that does not fill its
- * buffer ends the reading of a connection for this turn of the event loop, so the end of a connection
- * that is right behind a request is seen in the next turn.
- */
-function afterPendingEvents(callback: () => void): void {
-  setImmediate(() => setImmediate(callback));
-}
-
 function describeOwn({ status }: OwnAnswer): CallResult {
   switch (status) {
     case 503:
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -14,7 +14,11 @@
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { createRandomSource } from "../../base/common/random_source.ts";
 import { type HttpListener, listenHttp } from "../../base/node/http_server.ts";
-import { createLoopDelay } from "../../base/node/loop_delay.ts";
+import {
+  afterPendingEvents,
+  createLoopDelay,
+  STALLED_MS,
+} from "../../base/node/loop_delay.ts";
 import { STEADY_CLOCK } from "../../base/node/system_clock.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import { createFleet } from "../../features/fleet/common/fleet.ts";
@@ -45,6 +49,8 @@
 const RECONNECT_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 2_000 };
 /** Clients are moved elsewhere after two readiness checks, one a second. */
 const SERVE_AFTER_STOP_MS: Milliseconds = 3_200;
+/** A process that has just started runs code that is not optimized and is late by itself. */
+const STARTING_MS: Milliseconds = 5_000;
 /** Time left for the end of the process. */
 const EXIT_RESERVE_MS: Milliseconds = 500;
 const STOP_CHECK_MS: Milliseconds = 25;
@@ -110,6 +116,10 @@
       network,
       gate,
       loopDelay: () => loopDelay.current,
+      isStalled: () =>
+        loopDelay.current >= STALLED_MS ||
+        clock.now() - startedAt < STARTING_MS,
+      afterPendingEvents,
     }),
   );
   const gates = owned.add(
