Take no calls late in a stop that could not end before the process does

Cause: after 3.2 s a stopping daemon closed its listener but went on serving open connections for as long as requests came on them, until the end of the stop cut those under way. Callers stay when fewer than half of the daemons of their failure domain are ready, and use one old connection after the other. Class of fault: a drain that bounds how long it waits but not until when it takes work.

Change: a stop has a plan (stop_course.ts). Calls are taken for 2.8 s, which is longer than callers need to leave after two readiness checks; then they are refused at once as not run, with the time until the process has ended, so that more than 2 s are left for those that were taken. The listener stays open until the end, for calls that the instance makes for a call at work: before, they found none after 3.2 s and failed the call that made them. What is still under way at the end is answered and logged (call.broken-off) instead of cut.

The replay in stop_course_test.ts: 11 calls cut without the rule, 0 with it.

--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -39,6 +39,11 @@
    * connection could take a request with it that is already on its way.
    */
   drain(): Promise<void>;
+  /**
+   * Stops accepting, gives clients that were sent their last answers up to the time to read them, and
+   * destroys every connection.
+   */
+  finish(withinMilliseconds: Milliseconds): Promise<void>;
   /** Destroys every connection. */
   close(): Promise<void>;
 }
@@ -76,6 +81,7 @@
         server,
         port: (server.address() as AddressInfo).port,
         drain: () => drainServer(server),
+        finish: (within) => finishServer(server, within),
         close: () => closeServer(server),
       });
     });
@@ -99,6 +105,16 @@
   });
 }
 
+async function finishServer(
+  server: Server,
+  withinMilliseconds: Milliseconds,
+): Promise<void> {
+  // The method of the HTTP server would close the connections at once.
+  NetServer.prototype.close.call(server);
+  await new Promise((resolve) => setTimeout(resolve, withinMilliseconds));
+  server.closeAllConnections();
+}
+
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
--- /dev/null
+++ b/src/features/ingress/common/stop_course.ts
@@ -0,0 +1,62 @@
+/**
+ * What a daemon does with the calls that it reads while it stops.
+ *
+ * Load pattern: restarts in turn that overlap. Callers are moved away from a daemon that is not ready, unless
+ * too few daemons of the failure domain are; then calls go on arriving until the process ends, and those under
+ * way at that moment would be cut. So a stop has a moment after which calls are refused as not run, early
+ * enough that every call taken before can end. Calls that the instance makes for a call at work
+ * are taken as long as that call runs: refusing them would fail it.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+
+/**
+ * `serving`: the daemon does not stop. `leaving`: calls are served, and connections are closed behind them.
+ * `finishing`: only what is under way is brought to its end.
+ */
+export type StopPhase = "serving" | "leaving" | "finishing";
+
+/** How long after the request to stop each part of a stop lasts. */
+export interface StopPlan {
+  /** The gate takes calls of other daemons. */
+  readonly takesOffersFor: Milliseconds;
+  /** The ingress takes calls of its clients. */
+  readonly takesCallsFor: Milliseconds;
+  /** Calls under way are ended. */
+  readonly endsAfter: Milliseconds;
+}
+
+/** Callers are moved elsewhere after two readiness checks, one a second; the rest is for delays. */
+const TAKES_CALLS_MS: Milliseconds = 2_800;
+/** The least part of a stop that is left for the calls that were taken. */
+const FINISHING_PART = 1 / 2;
+/**
+ * For this part of a stop the gate goes on taking calls of other daemons. Restarts in turn would otherwise take
+ * a quarter of a service away; two thirds are left for the longest calls.
+ */
+const OFFERS_PART = 1 / 3;
+/** Time left for the end of the process. */
+const EXIT_RESERVE_MS: Milliseconds = 500;
+
+/** `allowed` is the time after which the platform ends the process by force. */
+export function planStop(allowed: Milliseconds): StopPlan {
+  const takesCallsFor = Math.min(
+    TAKES_CALLS_MS,
+    (1 - FINISHING_PART) * allowed,
+  );
+  return {
+    takesOffersFor: Math.min(takesCallsFor, OFFERS_PART * allowed),
+    takesCallsFor,
+    endsAfter: Math.max(takesCallsFor, allowed - EXIT_RESERVE_MS),
+  };
+}
+
+/** Whether a call that is read now is served; otherwise it is refused as not run. */
+export function admitsCall(
+  phase: StopPhase,
+  { isNested }: { readonly isNested: boolean },
+): boolean {
+  return phase !== "finishing" || isNested;
+}
--- /dev/null
+++ b/src/features/ingress/common/stop_course_test.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { admitsCall, planStop } from "./stop_course.ts";
+
+const ALLOWED_MS = 6_000;
+/** Callers may stay for this long after the request to stop. */
+const MOVED_AFTER_MS = 2_300;
+
+describe("calls that go on arriving while a daemon stops", () => {
+  const plan = planStop(ALLOWED_MS);
+
+  test("none that is taken needs more time than the stop leaves, and callers have time to leave", () => {
+    assert.ok(plan.takesCallsFor > MOVED_AFTER_MS);
+    assert.ok(plan.endsAfter - plan.takesCallsFor >= ALLOWED_MS / 3);
+    assert.ok(plan.endsAfter < ALLOWED_MS);
+    assert.ok(plan.takesOffersFor <= plan.takesCallsFor);
+  });
+
+  // Restarts in turn that overlap: a call each 100 ms until the end, each of which takes 1.2 s at most.
+  test("a replay of calls until the end of the process cuts none; serving them all cuts the last ones", () => {
+    const LONGEST_MS = 1_200;
+    const arrivals = Array.from(
+      { length: ALLOWED_MS / 100 },
+      (_, number) => number * 100,
+    );
+    const phaseAt = (at: number) =>
+      at < plan.takesCallsFor ? "leaving" as const : "finishing" as const;
+    const isCut = (at: number) => at + LONGEST_MS > plan.endsAfter;
+    const served = arrivals.filter((at) => at < plan.endsAfter);
+    const admitted = served.filter((at) =>
+      admitsCall(phaseAt(at), { isNested: false })
+    );
+    const cut = {
+      withoutRule: served.filter(isCut).length,
+      withRule: admitted.filter(isCut).length,
+    };
+    console.log(`calls cut: ${JSON.stringify(cut)}`);
+    assert.deepEqual(cut, { withoutRule: 11, withRule: 0 });
+  });
+
+  for (
+    const { name, phase, isNested, isAdmitted } of [
+      {
+        name: "before a stop",
+        phase: "serving",
+        isNested: false,
+        isAdmitted: true,
+      },
+      {
+        name: "while callers leave",
+        phase: "leaving",
+        isNested: false,
+        isAdmitted: true,
+      },
+      {
+        name: "after that",
+        phase: "finishing",
+        isNested: false,
+        isAdmitted: false,
+      },
+      {
+        name: "for a call at work",
+        phase: "finishing",
+        isNested: true,
+        isAdmitted: true,
+      },
+    ] as const
+  ) {
+    test(`a call is ${isAdmitted ? "taken" : "refused"} ${name}`, () => {
+      assert.equal(admitsCall(phase, { isNested }), isAdmitted);
+    });
+  }
+});
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -52,6 +52,7 @@
 import { createFullGates } from "../common/full_gates.ts";
 import { selectCandidates } from "../common/candidate_selection.ts";
 import { chooseService } from "../common/service_choice.ts";
+import { admitsCall, type StopPhase } from "../common/stop_course.ts";
 import { relayAnswer, writeOwnAnswer } from "./answer_writer.ts";
 import { readBody } from "./body_reader.ts";
 
@@ -83,6 +84,9 @@
   ) => ParentCall | undefined;
   /** For how long a request that is read now may have waited in this process. */
   readonly loopDelay: () => Milliseconds;
+  readonly stopPhase: () => StopPhase;
+  /** Until this process has ended at the latest, while it stops. */
+  readonly untilStopped: () => Milliseconds;
   readonly chooseVersion: (
     service: ServiceName,
     callIdentity: string,
@@ -106,8 +110,8 @@
 export interface Ingress {
   readonly activeCalls: number;
   readonly onEnded: Event<EndedCall>;
-  /** Answers close their connections from now on. */
-  stopKeepingConnections(): void;
+  /** Answers the calls that are still under way at the end of a stop. */
+  endCalls(): void;
   handle(request: IncomingMessage, response: ServerResponse): void;
 }
 
@@ -162,7 +166,6 @@
     "expect",
   ]);
   let nextNumber = 0;
-  let closesConnections = false;
 
   options.gates.onSilent((host) => {
     for (const call of active) {
@@ -188,30 +191,34 @@
   function handle(request: IncomingMessage, response: ServerResponse): void {
     const identity = request.headers[headers.requestIdentity];
     if (typeof identity !== "string" || identity === "") {
-      answer(response, {
+      answer(request, response, {
         status: 400,
         message: `The request has no ${headers.requestIdentity} header`,
       });
       return;
     }
+    const isNested = options.findParent(identity) !== undefined;
+    if (!admitsCall(options.stopPhase(), { isNested })) {
+      refuseUnread(request, response, {
+        reason: "stopping",
+        message: "The daemon stops",
+        retryAfter: options.untilStopped(),
+      });
+      return;
+    }
     const routes = options.routes();
     if (routes === undefined) {
-      log.write("info", "call.refused", {
-        request: identity,
+      refuseUnread(request, response, {
         reason: "not-ready",
+        message: "No configuration is known yet",
       });
-      request.resume();
-      answer(
-        response,
-        refuseNotRun("No configuration is known yet", UNKNOWN_RETRY_MS),
-      );
       return;
     }
     const route = routes.find(request.headers.host ?? "", request.url ?? "");
     if (route === undefined) {
       log.write("info", "call.no-route", { request: identity });
       request.resume();
-      answer(response, { status: 404, message: "No route matches" });
+      answer(request, response, { status: 404, message: "No route matches" });
       return;
     }
     const delay = options.loopDelay();
@@ -232,6 +239,27 @@
     });
   }
 
+  /** Refuses a call whose body is not needed. */
+  function refuseUnread(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { reason, message, retryAfter = UNKNOWN_RETRY_MS, delay }: {
+      readonly reason: "stopping" | "not-ready" | "stale";
+      readonly message: string;
+      readonly retryAfter?: Milliseconds;
+      readonly delay?: Milliseconds;
+    },
+  ): void {
+    log.write("info", "call.refused", {
+      request: String(request.headers[headers.requestIdentity]),
+      reason,
+      delay,
+      retryAfter: Math.round(retryAfter),
+    });
+    request.resume();
+    answer(request, response, refuseNotRun(message, retryAfter));
+  }
+
   function begin(
     request: IncomingMessage,
     response: ServerResponse,
@@ -249,16 +277,11 @@
       route.timeoutMilliseconds,
     );
     if (allowed <= delay) {
-      log.write("info", "call.refused", {
-        request: identity,
+      refuseUnread(request, response, {
         reason: "stale",
+        message: "The call was read too late",
         delay: Math.round(delay),
       });
-      request.resume();
-      answer(
-        response,
-        refuseNotRun("The call was read too late", UNKNOWN_RETRY_MS),
-      );
       return;
     }
     const service = chooseService(route, options.random);
@@ -599,7 +622,7 @@
   ): void {
     finish(call, outcome.status < 500 ? "answered" : "failed");
     relayAnswer(call.response, outcome, {
-      closesConnection: closesConnections,
+      closesConnection: options.stopPhase() !== "serving",
       isHead: call.request.method === "HEAD",
     });
   }
@@ -635,7 +658,27 @@
   function end(call: Call, own: OwnAnswer): void {
     if (!call.isEnded) {
       finish(call, describeOwn(own));
-      answer(call.response, own);
+      answer(call.request, call.response, own);
+    }
+  }
+
+  function endCalls(): void {
+    for (const call of [...active]) {
+      const wasOffered = call.open.size > 0 || call.mayHaveRun;
+      log.write("warn", "call.broken-off", {
+        request: call.identity,
+        route: call.route.name,
+        kind: call.route.kind,
+        gates: [...call.asked].join(","),
+        after: Math.round(clock.now() - call.arrivedAt),
+        timeLeft: Math.round(call.finalAt - clock.now()),
+      });
+      end(
+        call,
+        wasOffered
+          ? { status: 502, message: "The daemon ended and the call may run" }
+          : refuseNotRun("The daemon ended", UNKNOWN_RETRY_MS),
+      );
     }
   }
 
@@ -656,8 +699,14 @@
     }
   }
 
-  function answer(response: ServerResponse, own: OwnAnswer): void {
-    writeOwnAnswer(response, own, { closesConnection: closesConnections });
+  function answer(
+    _request: IncomingMessage,
+    response: ServerResponse,
+    own: OwnAnswer,
+  ): void {
+    writeOwnAnswer(response, own, {
+      closesConnection: options.stopPhase() !== "serving",
+    });
   }
 
   return {
@@ -665,9 +714,7 @@
       return active.size;
     },
     onEnded: ended.event,
-    stopKeepingConnections() {
-      closesConnections = true;
-    },
+    endCalls,
     handle,
   };
 }
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -27,6 +27,10 @@
 import { createGateClient } from "../../features/gate/common/gate_client.ts";
 import { createGateService } from "../../features/gate/common/gate_service.ts";
 import { createGate } from "../../features/gate/node/gate.ts";
+import {
+  planStop,
+  type StopPhase,
+} from "../../features/ingress/common/stop_course.ts";
 import { createIngress } from "../../features/ingress/node/ingress.ts";
 import { createPeerNetwork } from "../../features/link/node/peer_network.ts";
 import {
@@ -50,17 +54,10 @@
 const ACCEPTED_LINKS_PER_SECOND = 200;
 /** A host may be cut off for seconds and is needed as soon as it is back. */
 const RECONNECT_BACKOFF = { baseMilliseconds: 100, capMilliseconds: 2_000 };
-/** Clients are moved elsewhere after two readiness checks, one a second. */
-const SERVE_AFTER_STOP_MS: Milliseconds = 3_200;
-/**
- * For this part of the time that a stop may take, the gate goes on taking calls of other daemons. Restarts
- * in turn would otherwise take a quarter of a service away; two thirds are left for the longest calls.
- */
-const OFFERS_AFTER_STOP_PART = 1 / 3;
 /** A process that has just started runs code that is not optimized and is late by itself. */
 const STARTING_MS: Milliseconds = 5_000;
-/** Time left for the end of the process. */
-const EXIT_RESERVE_MS: Milliseconds = 500;
+/** Clients read their last answers, and close, within this time. */
+const LAST_ANSWERS_MS: Milliseconds = 200;
 const STOP_CHECK_MS: Milliseconds = 25;
 /** A daemon that finds no peer within this time serves alone. */
 const ALONE_AFTER_MS: Milliseconds = 2_500;
@@ -90,8 +87,8 @@
   const processName = formatProcess(self.process);
   const log = options.log;
   const random = createRandomSource(hashText(processName) | 0);
-  /** Callers are sent elsewhere. */
-  let isStopping = false;
+  let stopPhase: StopPhase = "serving";
+  let endsAt: Milliseconds = Infinity;
   /** Other daemons are told: they offer no more calls and read the store in place of this one. */
   let isLeaving = false;
   let isDisposed = false;
@@ -245,11 +242,13 @@
     hostDelays,
     findParent: gate.findParent,
     loopDelay: () => loopDelay.current,
+    stopPhase: () => stopPhase,
+    untilStopped: () => endsAt - clock.now(),
     chooseVersion: rollouts.book.chooseVersion,
   });
 
   function isReady(): boolean {
-    return !isStopping && state.routes !== undefined &&
+    return stopPhase === "serving" && state.routes !== undefined &&
       (network.peers.length > 0 || clock.now() - startedAt > ALONE_AFTER_MS);
   }
 
@@ -347,28 +346,31 @@
       log.write("info", "settings.reloaded", { service: next.service });
     },
     async stop() {
-      const stopBy = clock.now() + settings.stopSeconds * 1_000 -
-        EXIT_RESERVE_MS;
-      isStopping = true;
+      const plan = planStop(settings.stopSeconds * 1_000);
+      endsAt = clock.now() + plan.endsAfter;
+      stopPhase = "leaving";
       log.write("info", "process.stopping", {
         activeCalls: ingress.activeCalls,
+        ...plan,
       });
-      ingress.stopKeepingConnections();
-      const takesOffersFor = Math.min(
-        SERVE_AFTER_STOP_MS,
-        OFFERS_AFTER_STOP_PART * settings.stopSeconds * 1_000,
-      );
-      await clock.sleep(takesOffersFor);
+      await clock.sleep(plan.takesOffersFor);
       isLeaving = true;
       fleet.notify();
-      await clock.sleep(SERVE_AFTER_STOP_MS - takesOffersFor);
-      calls.drain();
+      await clock.sleep(plan.takesCallsFor - plan.takesOffersFor);
+      stopPhase = "finishing";
+      log.write("info", "process.finishing", {
+        activeCalls: ingress.activeCalls,
+        running: gate.load.running,
+        waiting: gate.load.waiting,
+      });
       while (
-        clock.now() < stopBy &&
+        clock.now() < endsAt &&
         (ingress.activeCalls > 0 || gate.load.running + gate.load.waiting > 0)
       ) {
         await clock.sleep(STOP_CHECK_MS);
       }
+      ingress.endCalls();
+      await calls.finish(LAST_ANSWERS_MS);
       log.write("info", "process.stopped", {
         activeCalls: ingress.activeCalls,
       });
