End connections at a stop behind the last request that was read

Callers that send requests behind others saw most of them cut when their daemon stopped: the answer to the first said that it closes the connection, and Node ends the connection behind it, with calls that already ran.

Change: only the answer to the last request that was read ends its connection; what is read behind such an answer is not run (connection_ends.ts). A connection that ends is read until its client closes it, 1 s at most: closed with a request still on its way it would be reset, and the client could lose the answer (RFC 9112, section 9.6).

--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -11,7 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { Milliseconds } from "../common/milliseconds.ts";
 import { Err, Ok, type Result } from "../common/result.ts";
 import { StepError } from "../common/step_error.ts";
@@ -21,9 +21,13 @@
 const REQUEST_TIMEOUT_MS: Milliseconds = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS: Milliseconds = 30_000;
 
+/** A client that has got its last answer closes its side within this time. */
+const LINGER_MS: Milliseconds = 1_000;
+
 /** Callers that still use this server use an open connection within this time. */
 const QUIET_MS: Milliseconds = 1_000;
 const QUIET_CHECK_MS: Milliseconds = 50;
+const FINISH_CHECK_MS: Milliseconds = 10;
 
 export type HttpHandler = (
   request: IncomingMessage,
@@ -67,6 +71,10 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     noDelay: true,
   }, handler);
+  const lingering = new Set<Socket>();
+  server.on("connection", (socket: Socket) => {
+    socket.destroySoon = () => linger(socket, lingering);
+  });
   return new Promise((resolve, reject) => {
     server.once("error", (error) =>
       reject(
@@ -81,7 +89,7 @@
         server,
         port: (server.address() as AddressInfo).port,
         drain: () => drainServer(server),
-        finish: (within) => finishServer(server, within),
+        finish: (within) => finishServer(server, lingering, within),
         close: () => closeServer(server),
       });
     });
@@ -105,13 +113,35 @@
   });
 }
 
+/**
+ * Ends a connection behind its last answer but reads on until the client closes it. Destroyed at once with
+ * a request still on its way, the connection would be reset, and the client could lose the answer (RFC 9112,
+ * section 9.6).
+ */
+function linger(socket: Socket, lingering: Set<Socket>): void {
+  if (socket.destroyed || lingering.has(socket)) {
+    return;
+  }
+  lingering.add(socket);
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once("close", () => {
+    clearTimeout(timer);
+    lingering.delete(socket);
+  });
+  socket.end();
+}
+
 async function finishServer(
   server: Server,
+  lingering: ReadonlySet<Socket>,
   withinMilliseconds: Milliseconds,
 ): Promise<void> {
   // The method of the HTTP server would close the connections at once.
   NetServer.prototype.close.call(server);
-  await new Promise((resolve) => setTimeout(resolve, withinMilliseconds));
+  const until = performance.now() + withinMilliseconds;
+  while (lingering.size > 0 && performance.now() < until) {
+    await new Promise((resolve) => setTimeout(resolve, FINISH_CHECK_MS));
+  }
   server.closeAllConnections();
 }
 
--- a/src/features/ingress/common/stop_course.ts
+++ b/src/features/ingress/common/stop_course.ts
@@ -60,3 +60,14 @@
 ): boolean {
   return phase !== "finishing" || isNested;
 }
+
+/**
+ * Whether an answer ends its connection. Requests that were read behind it are at work already, so only the
+ * answer to the last one does.
+ */
+export function closesConnection(
+  phase: StopPhase,
+  { isLastRead }: { readonly isLastRead: boolean },
+): boolean {
+  return phase !== "serving" && isLastRead;
+}
--- a/src/features/ingress/common/stop_course_test.ts
+++ b/src/features/ingress/common/stop_course_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { admitsCall, planStop } from "./stop_course.ts";
+import { admitsCall, closesConnection, planStop } from "./stop_course.ts";
 
 const ALLOWED_MS = 6_000;
 /** Callers may stay for this long after the request to stop. */
@@ -70,4 +70,22 @@
       assert.equal(admitsCall(phase, { isNested }), isAdmitted);
     });
   }
+
+  for (
+    const { phase, isLastRead, closes } of [
+      { phase: "serving", isLastRead: true, closes: false },
+      { phase: "leaving", isLastRead: false, closes: false },
+      { phase: "leaving", isLastRead: true, closes: true },
+      { phase: "finishing", isLastRead: true, closes: true },
+    ] as const
+  ) {
+    test(
+      `an answer ${closes ? "ends" : "keeps"} its connection: ${phase}, ${
+        isLastRead ? "the last request" : "others behind it"
+      }`,
+      () => {
+        assert.equal(closesConnection(phase, { isLastRead }), closes);
+      },
+    );
+  }
 });
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -55,6 +55,7 @@
 import { admitsCall, type StopPhase } from "../common/stop_course.ts";
 import { relayAnswer, writeOwnAnswer } from "./answer_writer.ts";
 import { readBody } from "./body_reader.ts";
+import { createConnectionEnds } from "./connection_ends.ts";
 
 /** A call that may be repeated elsewhere does not wait longer for a lost link. */
 const RESUME_REPEATABLE_MS: Milliseconds = 300;
@@ -165,6 +166,7 @@
     "content-length",
     "expect",
   ]);
+  const connectionEnds = createConnectionEnds(options.stopPhase);
   let nextNumber = 0;
 
   options.gates.onSilent((host) => {
@@ -190,6 +192,11 @@
 
   function handle(request: IncomingMessage, response: ServerResponse): void {
     const identity = request.headers[headers.requestIdentity];
+    if (!connectionEnds.noteRead(request)) {
+      log.write("info", "call.behind-end", { request: String(identity) });
+      request.resume();
+      return;
+    }
     if (typeof identity !== "string" || identity === "") {
       answer(request, response, {
         status: 400,
@@ -622,7 +629,7 @@
   ): void {
     finish(call, outcome.status < 500 ? "answered" : "failed");
     relayAnswer(call.response, outcome, {
-      closesConnection: options.stopPhase() !== "serving",
+      closesConnection: connectionEnds.endsBehind(call.request),
       isHead: call.request.method === "HEAD",
     });
   }
@@ -700,12 +707,12 @@
   }
 
   function answer(
-    _request: IncomingMessage,
+    request: IncomingMessage,
     response: ServerResponse,
     own: OwnAnswer,
   ): void {
     writeOwnAnswer(response, own, {
-      closesConnection: options.stopPhase() !== "serving",
+      closesConnection: connectionEnds.endsBehind(request),
     });
   }
 
