Decode responses of instances in linear work, and limit each of their parts

Callers saw: no incident on record. A faulty instance that sends bytes without end could take the daemon beside it down, and with it all calls of its host. Cause: the decoder joined and parsed all bytes of a response again at each read; chunked bodies, trailers and interim responses had no limit in all; a body with a length or without one could take 64 MB, of 350 MB of a host, in each of 12 calls at once. Lines of the header were matched with a pattern that takes quadratic time on blanks. Limits: a header section, a chunk line and a trailer 64 KiB each, a body 3.75 MiB with its chunk lines, 16 interim responses. Bytes that do not begin with the name of the protocol are given up at once. Why these limits: a link carries messages of at most 4 MiB, so a larger answer never reached a caller on another host; it waited for its deadline instead. The existing tests of the decoder pass unchanged.

--- /dev/null
+++ b/src/features/gate/common/chunked_body.ts
@@ -0,0 +1,131 @@
+/**
+ * Decodes a chunked body as it arrives.
+ *
+ * @module
+ */
+
+import { createByteCollector } from "./byte_collector.ts";
+import { type ByteCursor, createDelimitedReader } from "./delimited_reader.ts";
+import {
+  MAXIMUM_RESPONSE_BODY_BYTES,
+  MAXIMUM_RESPONSE_HEADER_BYTES,
+} from "./response_limits.ts";
+
+export type ChunkedStep =
+  | { readonly type: "more" }
+  | { readonly type: "body"; readonly body: Buffer }
+  | { readonly type: "malformed"; readonly reason: string };
+
+export interface ChunkedBody {
+  readonly heldBytes: number;
+  read(cursor: ByteCursor): ChunkedStep;
+}
+
+const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;.*)?$/;
+const LINE_END = Buffer.from("\r\n");
+
+type Position =
+  | { readonly type: "size" | "end" | "trailer" }
+  | { readonly type: "data"; readonly left: number };
+
+export function createChunkedBody(): ChunkedBody {
+  const lines = createDelimitedReader();
+  const body = createByteCollector();
+  let position: Position = { type: "size" };
+  let trailerBytes = 0;
+
+  function readLine(cursor: ByteCursor, maximumBytes: number) {
+    return lines.read(cursor, { delimiter: LINE_END, maximumBytes });
+  }
+
+  function readSize(cursor: ByteCursor): ChunkedStep | undefined {
+    const line = readLine(cursor, MAXIMUM_RESPONSE_HEADER_BYTES);
+    if (line === "more") {
+      return { type: "more" };
+    }
+    if (line === "too-long") {
+      return malformed("a chunk line is too long");
+    }
+    const match = CHUNK_SIZE_LINE.exec(line.toString("latin1"));
+    if (match === null) {
+      return malformed("a chunk line is malformed");
+    }
+    const size = parseInt(match[1], 16);
+    if (size > MAXIMUM_RESPONSE_BODY_BYTES) {
+      return malformed("a chunk is too long");
+    }
+    position = size === 0 ? { type: "trailer" } : { type: "data", left: size };
+    return undefined;
+  }
+
+  function readData(cursor: ByteCursor, left: number): ChunkedStep | undefined {
+    const start = cursor.position;
+    const data = cursor.bytes.subarray(start, start + left);
+    body.append(data);
+    cursor.position += data.length;
+    position = data.length === left
+      ? { type: "end" }
+      : { type: "data", left: left - data.length };
+    return data.length === left ? undefined : { type: "more" };
+  }
+
+  function readEnd(cursor: ByteCursor): ChunkedStep | undefined {
+    const line = readLine(cursor, 0);
+    if (line === "more") {
+      return { type: "more" };
+    }
+    if (line === "too-long") {
+      return malformed("a chunk does not end where it should");
+    }
+    position = { type: "size" };
+    return undefined;
+  }
+
+  function readTrailer(cursor: ByteCursor): ChunkedStep | undefined {
+    const line = readLine(cursor, MAXIMUM_RESPONSE_HEADER_BYTES - trailerBytes);
+    if (line === "more") {
+      return { type: "more" };
+    }
+    if (line === "too-long") {
+      return malformed("the trailer is too long");
+    }
+    if (line.length === 0) {
+      return { type: "body", body: body.join() };
+    }
+    trailerBytes += line.length + LINE_END.length;
+    return trailerBytes > MAXIMUM_RESPONSE_HEADER_BYTES
+      ? malformed("the trailer is too long")
+      : undefined;
+  }
+
+  function step(cursor: ByteCursor): ChunkedStep | undefined {
+    switch (position.type) {
+      case "size":
+        return readSize(cursor);
+      case "data":
+        return readData(cursor, position.left);
+      case "end":
+        return readEnd(cursor);
+      case "trailer":
+        return readTrailer(cursor);
+    }
+  }
+
+  return {
+    get heldBytes() {
+      return lines.heldBytes + body.capacity;
+    },
+    read(cursor) {
+      while (true) {
+        const result = step(cursor);
+        if (result !== undefined) {
+          return result;
+        }
+      }
+    },
+  };
+}
+
+function malformed(reason: string): ChunkedStep {
+  return { type: "malformed", reason };
+}
--- a/src/features/gate/common/response_decoder.ts
+++ b/src/features/gate/common/response_decoder.ts
@@ -6,9 +6,22 @@
  * decoder hands over each response as it is complete, and its owner picks the one with the
  * identity of the request.
  *
+ * Load pattern: a faulty instance sends bytes without end, in any part of a response. Each part has
+ * a limit, and the work on a response grows with its bytes only.
+ *
  * @module
  */
 
+import { type ByteCollector, createByteCollector } from "./byte_collector.ts";
+import { type ChunkedBody, createChunkedBody } from "./chunked_body.ts";
+import { type ByteCursor, createDelimitedReader } from "./delimited_reader.ts";
+import { parseResponseHead, type ResponseHead } from "./response_head.ts";
+import {
+  MAXIMUM_INTERIM_RESPONSES,
+  MAXIMUM_RESPONSE_BODY_BYTES,
+  MAXIMUM_RESPONSE_HEADER_BYTES,
+} from "./response_limits.ts";
+
 export interface DecodedResponse {
   readonly status: number;
   /** Names and values by turns, as received. */
@@ -26,6 +39,8 @@
 export interface ResponseDecoder {
   /** Whether bytes of an unfinished response, or surplus bytes, have arrived. */
   readonly hasBytes: boolean;
+  /** The memory that bytes of an unfinished response take. */
+  readonly heldBytes: number;
   /** Whether the end of the connection completes the response that has begun. */
   readonly awaitsEnd: boolean;
   push(bytes: Buffer): void;
@@ -35,132 +50,184 @@
   finish(): DecodeStep;
 }
 
-export const MAXIMUM_RESPONSE_HEADER_BYTES = 64 * 1024;
-export const MAXIMUM_RESPONSE_BODY_BYTES = 64 * 1024 * 1024;
-
-const STATUS_LINE = /^HTTP\/1\.([01]) (\d{3})(?: [^\r\n]*)?$/;
-const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*(.*?)[ \t]*$/;
-const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;.*)?$/;
-const LINE_END = Buffer.from("\r\n");
 const HEADER_END = Buffer.from("\r\n\r\n");
+/** The beginning of every response; other bytes are not read up to a limit first. */
+const PROTOCOL = Buffer.from("HTTP/1.");
+const EMPTY = Buffer.alloc(0);
+const MORE: DecodeStep = { type: "more" };
 
-type BodyFraming =
-  | { readonly type: "length"; readonly length: number }
-  | { readonly type: "chunked" }
-  | { readonly type: "until-close" };
-
-interface Head {
-  readonly status: number;
-  readonly rawHeaders: readonly string[];
-  readonly framing: BodyFraming;
-  readonly keepsConnection: boolean;
+/** A response whose header section is complete. */
+interface OpenResponse {
+  readonly head: ResponseHead;
+  readonly collector: ByteCollector;
+  readonly chunked: ChunkedBody | undefined;
+  /** The bytes of the body so far, with chunk lines and trailers. */
+  received: number;
 }
 
-const MORE: DecodeStep = { type: "more" };
-
 export function createResponseDecoder(
   options: { readonly isHeadRequest: () => boolean },
 ): ResponseDecoder {
-  let chunks: Buffer[] = [];
-  let length = 0;
-  let head: Head | undefined;
+  let cursor: ByteCursor = { bytes: EMPTY, position: 0 };
+  const heads = createDelimitedReader();
+  let open: OpenResponse | undefined;
+  /** How much of the name of the protocol the beginning of the current header has. */
+  let protocolBytes = 0;
+  let interimResponses = 0;
   let failure: DecodeStep | undefined;
 
-  function peek(): Buffer {
-    if (chunks.length > 1) {
-      chunks = [Buffer.concat(chunks, length)];
-    }
-    return chunks[0] ?? Buffer.alloc(0);
-  }
-
-  function consume(count: number): void {
-    const rest = peek().subarray(count);
-    chunks = rest.length === 0 ? [] : [rest];
-    length = rest.length;
+  function unread(): number {
+    return cursor.bytes.length - cursor.position;
   }
 
   function fail(reason: string): DecodeStep {
     failure = { type: "malformed", reason };
+    open = undefined;
+    cursor = { bytes: EMPTY, position: 0 };
     return failure;
   }
 
-  function complete(body: Buffer): DecodeStep {
-    const { status, rawHeaders, keepsConnection } = head!;
-    head = undefined;
+  function complete({ head }: OpenResponse, body: Buffer): DecodeStep {
+    const { status, rawHeaders, keepsConnection } = head;
+    open = undefined;
+    interimResponses = 0;
     return {
       type: "response",
       response: { status, rawHeaders, body, keepsConnection },
     };
   }
 
+  function startsWithProtocol(): boolean {
+    const { bytes, position } = cursor;
+    for (
+      let index = position;
+      index < bytes.length && protocolBytes < PROTOCOL.length;
+      index += 1
+    ) {
+      if (bytes[index] !== PROTOCOL[protocolBytes]) {
+        return false;
+      }
+      protocolBytes += 1;
+    }
+    return true;
+  }
+
+  /** Returns undefined after a whole header section, be it of an interim response. */
   function readHead(): DecodeStep | undefined {
-    const bytes = peek();
-    const end = bytes.indexOf(HEADER_END);
-    if (end < 0) {
-      return bytes.length > MAXIMUM_RESPONSE_HEADER_BYTES
-        ? fail("the header is too long")
-        : MORE;
+    if (!startsWithProtocol()) {
+      return fail("the status line is malformed");
     }
-    const parsed = parseHead(
-      bytes.toString("latin1", 0, end),
+    const section = heads.read(cursor, {
+      delimiter: HEADER_END,
+      maximumBytes: MAXIMUM_RESPONSE_HEADER_BYTES,
+    });
+    if (section === "more") {
+      return MORE;
+    }
+    if (section === "too-long") {
+      return fail("the header is too long");
+    }
+    protocolBytes = 0;
+    const head = parseResponseHead(
+      section.toString("latin1"),
       options.isHeadRequest(),
     );
-    if (typeof parsed === "string") {
-      return fail(parsed);
+    if (typeof head === "string") {
+      return fail(head);
     }
-    consume(end + HEADER_END.length);
     // Interim responses announce the final one and carry no answer.
-    if (parsed.status >= 200) {
-      head = parsed;
+    if (head.status < 200) {
+      interimResponses += 1;
+      return interimResponses > MAXIMUM_INTERIM_RESPONSES
+        ? fail("there are too many interim responses")
+        : undefined;
     }
+    open = {
+      head,
+      collector: createByteCollector(),
+      chunked: head.framing.type === "chunked"
+        ? createChunkedBody()
+        : undefined,
+      received: 0,
+    };
     return undefined;
   }
 
-  function readBody(framing: BodyFraming): DecodeStep {
-    switch (framing.type) {
-      case "length": {
-        if (length < framing.length) {
-          return MORE;
-        }
-        const body = Buffer.from(peek().subarray(0, framing.length));
-        consume(framing.length);
-        return complete(body);
-      }
-      case "chunked": {
-        const result = parseChunks(peek());
-        if (result === "more") {
-          return MORE;
-        }
-        if ("reason" in result) {
-          return fail(result.reason);
-        }
-        consume(result.end);
-        return complete(result.body);
-      }
-      case "until-close":
-        return length > MAXIMUM_RESPONSE_BODY_BYTES
-          ? fail("the body is too long")
-          : MORE;
+  function readBody(response: OpenResponse): DecodeStep {
+    const { head: { framing }, chunked } = response;
+    const start = cursor.position;
+    const step = chunked === undefined
+      ? readPlain(
+        response,
+        framing.type === "length" ? framing.length : Infinity,
+      )
+      : readChunked(response, chunked);
+    response.received += cursor.position - start;
+    return step.type !== "malformed" &&
+        response.received > MAXIMUM_RESPONSE_BODY_BYTES
+      ? fail("the body is too long")
+      : step;
+  }
+
+  function readPlain(response: OpenResponse, length: number): DecodeStep {
+    const { collector } = response;
+    const start = cursor.position;
+    const part = cursor.bytes.subarray(
+      start,
+      start + length - collector.length,
+    );
+    cursor.position += part.length;
+    // Most bodies arrive in one read.
+    if (part.length === length) {
+      return complete(response, Buffer.from(part));
+    }
+    collector.append(part);
+    return collector.length === length
+      ? complete(response, collector.join())
+      : MORE;
+  }
+
+  function readChunked(
+    response: OpenResponse,
+    chunked: ChunkedBody,
+  ): DecodeStep {
+    const step = chunked.read(cursor);
+    switch (step.type) {
+      case "more":
+        return MORE;
+      case "malformed":
+        return fail(step.reason);
+      case "body":
+        return complete(response, step.body);
     }
   }
 
   return {
     get hasBytes() {
-      return length > 0 || head !== undefined;
+      return unread() > 0 || heads.heldBytes > 0 || open !== undefined;
+    },
+    get heldBytes() {
+      return unread() + heads.heldBytes +
+        (open === undefined
+          ? 0
+          : open.collector.capacity + (open.chunked?.heldBytes ?? 0));
     },
     get awaitsEnd() {
-      return head?.framing.type === "until-close";
+      return open?.head.framing.type === "until-close";
     },
     push(bytes) {
-      chunks.push(bytes);
-      length += bytes.length;
+      const rest = cursor.bytes.subarray(cursor.position);
+      cursor = {
+        bytes: rest.length === 0 ? bytes : Buffer.concat([rest, bytes]),
+        position: 0,
+      };
     },
     next() {
       if (failure !== undefined) {
         return failure;
       }
-      while (head === undefined) {
-        if (length === 0) {
+      while (open === undefined) {
+        if (unread() === 0) {
           return MORE;
         }
         const step = readHead();
@@ -168,141 +235,16 @@
           return step;
         }
       }
-      return readBody(head.framing);
+      return readBody(open);
     },
     finish() {
-      if (head?.framing.type !== "until-close") {
+      if (failure !== undefined) {
+        return failure;
+      }
+      if (open?.head.framing.type !== "until-close") {
         return fail("the connection closed before the response was complete");
       }
-      const body = Buffer.from(peek());
-      consume(body.length);
-      return complete(body);
+      return complete(open, open.collector.join());
     },
   };
 }
-
-function parseHead(text: string, isHeadRequest: boolean): Head | string {
-  const lines = text.split("\r\n");
-  const statusLine = STATUS_LINE.exec(lines[0]);
-  if (statusLine === null) {
-    return "the status line is malformed";
-  }
-  const status = Number(statusLine[2]);
-  const rawHeaders: string[] = [];
-  let contentLength: number | undefined;
-  let coding: string | undefined;
-  let connection = "";
-  for (const line of lines.slice(1)) {
-    const field = HEADER_LINE.exec(line);
-    if (field === null) {
-      return "a header line is malformed";
-    }
-    const [, name, value] = field;
-    rawHeaders.push(name, value);
-    switch (name.toLowerCase()) {
-      case "content-length": {
-        if (
-          !/^\d{1,15}$/.test(value) ||
-          (contentLength !== undefined && contentLength !== Number(value))
-        ) {
-          return "the content length is malformed";
-        }
-        contentLength = Number(value);
-        break;
-      }
-      case "transfer-encoding":
-        coding = coding === undefined ? value : `${coding}, ${value}`;
-        break;
-      case "connection":
-        connection = `${connection},${value}`.toLowerCase();
-        break;
-    }
-  }
-  const framing = chooseFraming({
-    hasNoBody: isHeadRequest || status < 200 || status === 204 ||
-      status === 304,
-    contentLength,
-    coding,
-  });
-  if (typeof framing === "string") {
-    return framing;
-  }
-  const keepsConnection = framing.type !== "until-close" &&
-    statusLine[1] === "1" && !/(^|,)\s*close\s*(,|$)/.test(connection);
-  return { status, rawHeaders, framing, keepsConnection };
-}
-
-function chooseFraming(
-  { hasNoBody, contentLength, coding }: {
-    readonly hasNoBody: boolean;
-    readonly contentLength: number | undefined;
-    readonly coding: string | undefined;
-  },
-): BodyFraming | string {
-  if (coding !== undefined) {
-    return coding.trim().toLowerCase() === "chunked" &&
-        contentLength === undefined
-      ? (hasNoBody ? { type: "length", length: 0 } : { type: "chunked" })
-      : "the framing is ambiguous";
-  }
-  if (hasNoBody) {
-    return { type: "length", length: 0 };
-  }
-  if (contentLength === undefined) {
-    return { type: "until-close" };
-  }
-  return contentLength > MAXIMUM_RESPONSE_BODY_BYTES
-    ? "the body is too long"
-    : { type: "length", length: contentLength };
-}
-
-/** Parses a whole chunked body at the start of the bytes. */
-function parseChunks(
-  bytes: Buffer,
-): "more" | { readonly reason: string } | {
-  readonly body: Buffer;
-  readonly end: number;
-} {
-  const parts: Buffer[] = [];
-  let position = 0;
-  while (true) {
-    const lineEnd = bytes.indexOf(LINE_END, position);
-    if (lineEnd < 0) {
-      return bytes.length - position > MAXIMUM_RESPONSE_HEADER_BYTES
-        ? { reason: "a chunk line is too long" }
-        : "more";
-    }
-    const line = CHUNK_SIZE_LINE.exec(
-      bytes.toString("latin1", position, lineEnd),
-    );
-    if (line === null) {
-      return { reason: "a chunk line is malformed" };
-    }
-    const size = parseInt(line[1], 16);
-    const start = lineEnd + LINE_END.length;
-    if (size === 0) {
-      return parseTrailer(bytes, start, parts);
-    }
-    if (size > MAXIMUM_RESPONSE_BODY_BYTES) {
-      return { reason: "a chunk is too long" };
-    }
-    if (bytes.length < start + size + LINE_END.length) {
-      return "more";
-    }
-    if (!bytes.subarray(start + size, start + size + 2).equals(LINE_END)) {
-      return { reason: "a chunk does not end where it should" };
-    }
-    parts.push(bytes.subarray(start, start + size));
-    position = start + size + LINE_END.length;
-  }
-}
-
-function parseTrailer(bytes: Buffer, start: number, parts: Buffer[]) {
-  if (bytes.subarray(start, start + LINE_END.length).equals(LINE_END)) {
-    return { body: Buffer.concat(parts), end: start + LINE_END.length };
-  }
-  const end = bytes.indexOf(HEADER_END, start);
-  return end < 0
-    ? "more" as const
-    : { body: Buffer.concat(parts), end: end + HEADER_END.length };
-}
--- /dev/null
+++ b/src/features/gate/common/response_head.ts
@@ -0,0 +1,132 @@
+/**
+ * The status line and the header section of a response, and how its body is delimited.
+ *
+ * @module
+ */
+
+import { MAXIMUM_RESPONSE_BODY_BYTES } from "./response_limits.ts";
+
+export type BodyFraming =
+  | { readonly type: "length"; readonly length: number }
+  | { readonly type: "chunked" }
+  | { readonly type: "until-close" };
+
+export interface ResponseHead {
+  readonly status: number;
+  /** Names and values by turns, as received. */
+  readonly rawHeaders: readonly string[];
+  readonly framing: BodyFraming;
+  readonly keepsConnection: boolean;
+}
+
+const STATUS_LINE = /^HTTP\/1\.([01]) (\d{3})(?: [^\r\n]*)?$/;
+const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+const CONTENT_LENGTH = /^\d{1,15}$/;
+
+/** Returns why the text is no header section, when it is not. */
+export function parseResponseHead(
+  text: string,
+  isHeadRequest: boolean,
+): ResponseHead | string {
+  const lines = text.split("\r\n");
+  const statusLine = STATUS_LINE.exec(lines[0]);
+  if (statusLine === null) {
+    return "the status line is malformed";
+  }
+  const status = Number(statusLine[2]);
+  const rawHeaders: string[] = [];
+  const codings: string[] = [];
+  const connections: string[] = [];
+  let contentLength: number | undefined;
+  for (let index = 1; index < lines.length; index += 1) {
+    const line = lines[index];
+    const colon = line.indexOf(":");
+    const name = line.slice(0, Math.max(0, colon));
+    if (!HEADER_NAME.test(name)) {
+      return "a header line is malformed";
+    }
+    const value = trimBlanks(line.slice(colon + 1));
+    if (value.includes("\n") || value.includes("\r")) {
+      return "a header line is malformed";
+    }
+    rawHeaders.push(name, value);
+    switch (name.toLowerCase()) {
+      case "content-length": {
+        if (
+          !CONTENT_LENGTH.test(value) ||
+          (contentLength !== undefined && contentLength !== Number(value))
+        ) {
+          return "the content length is malformed";
+        }
+        contentLength = Number(value);
+        break;
+      }
+      case "transfer-encoding":
+        codings.push(value);
+        break;
+      case "connection":
+        connections.push(value);
+        break;
+    }
+  }
+  const framing = chooseFraming({
+    hasNoBody: isHeadRequest || status < 200 || status === 204 ||
+      status === 304,
+    contentLength,
+    coding: codings.length === 0 ? undefined : codings.join(", "),
+  });
+  if (typeof framing === "string") {
+    return framing;
+  }
+  const keepsConnection = framing.type !== "until-close" &&
+    statusLine[1] === "1" && !namesClose(connections);
+  return { status, rawHeaders, framing, keepsConnection };
+}
+
+function chooseFraming(
+  { hasNoBody, contentLength, coding }: {
+    readonly hasNoBody: boolean;
+    readonly contentLength: number | undefined;
+    readonly coding: string | undefined;
+  },
+): BodyFraming | string {
+  if (coding !== undefined) {
+    return coding.trim().toLowerCase() === "chunked" &&
+        contentLength === undefined
+      ? (hasNoBody ? { type: "length", length: 0 } : { type: "chunked" })
+      : "the framing is ambiguous";
+  }
+  if (hasNoBody) {
+    return { type: "length", length: 0 };
+  }
+  if (contentLength === undefined) {
+    return { type: "until-close" };
+  }
+  return contentLength > MAXIMUM_RESPONSE_BODY_BYTES
+    ? "the body is too long"
+    : { type: "length", length: contentLength };
+}
+
+function namesClose(connections: readonly string[]): boolean {
+  return connections.some((value) =>
+    value.split(",").some((option) => option.trim().toLowerCase() === "close")
+  );
+}
+
+/** A pattern that trims both ends takes quadratic time on a value with many blanks inside. */
+function trimBlanks(text: string): string {
+  let start = 0;
+  let end = text.length;
+  while (start < end && isBlank(text, start)) {
+    start += 1;
+  }
+  while (end > start && isBlank(text, end - 1)) {
+    end -= 1;
+  }
+  return text.slice(start, end);
+}
+
+function isBlank(text: string, index: number): boolean {
+  const character = text[index];
+  return character === " " || character === "\t";
+}
