Limit the responses to other requests that one exchange passes over

A call whose instance sent answers to other requests without end was answered at its deadline, with 504, although another instance could have served it. Cause: an exchange read on past each complete response to another request, for as long as they came. Change: an exchange passes over at most 16 responses to other requests, with bodies of at most one largest answer in all. Then it fails with this reason, counts as a failure of the instance and closes the connection, as for all bytes that are no answer; safe calls go to another instance, others get 502. Why 16: an instance answers an earlier request once more, late; a connection has at most some of these at a time.

--- a/src/features/gate/common/response_limits.ts
+++ b/src/features/gate/common/response_limits.ts
@@ -12,3 +12,5 @@
 export const MAXIMUM_RESPONSE_BODY_BYTES = (4 * 1024 - 256) * 1024;
 /** Servers send one or two before the final response (100, 103). */
 export const MAXIMUM_INTERIM_RESPONSES = 16;
+/** An instance may answer each of the earlier requests of a connection once more. */
+export const MAXIMUM_FOREIGN_RESPONSES = 16;
--- a/src/features/gate/node/instance_connection.ts
+++ b/src/features/gate/node/instance_connection.ts
@@ -13,6 +13,10 @@
   type DecodedResponse,
   type DecodeStep,
 } from "../common/response_decoder.ts";
+import {
+  MAXIMUM_FOREIGN_RESPONSES,
+  MAXIMUM_RESPONSE_BODY_BYTES,
+} from "../common/response_limits.ts";
 
 /** An instance beside the daemon answers a connection at once or not at all. */
 const CONNECT_TIMEOUT_MS: Milliseconds = 500;
@@ -62,6 +66,9 @@
     request: InstanceRequest;
     done: (outcome: ExchangeOutcome) => void;
     sent: boolean;
+    /** Responses to other requests that were passed over, and the bytes of their bodies. */
+    foreignResponses: number;
+    foreignBytes: number;
   } | undefined;
   let connected = false;
   let closed = false;
@@ -163,7 +170,7 @@
         end("a response to another request ended the connection");
         return false;
       }
-      return true;
+      return passOver(response);
     }
     settle({ type: "response", response });
     if (!response.keepsConnection) {
@@ -175,6 +182,21 @@
     return true;
   }
 
+  /** Returns whether to go on reading. */
+  function passOver({ body }: DecodedResponse): boolean {
+    const exchange = current!;
+    exchange.foreignResponses += 1;
+    exchange.foreignBytes += body.length;
+    if (
+      exchange.foreignResponses > MAXIMUM_FOREIGN_RESPONSES ||
+      exchange.foreignBytes > MAXIMUM_RESPONSE_BODY_BYTES
+    ) {
+      end("there are too many responses to other requests");
+      return false;
+    }
+    return true;
+  }
+
   function belongsTo(response: DecodedResponse, identity: string): boolean {
     return findHeader(response.rawHeaders, identityHeader) === identity;
   }
@@ -202,7 +224,13 @@
       !closed && connected && current === undefined && !decoder.hasBytes &&
       now - idleSince < idleLimit - IDLE_MARGIN_MS,
     exchange(request, done) {
-      current = { request, done, sent: false };
+      current = {
+        request,
+        done,
+        sent: false,
+        foreignResponses: 0,
+        foreignBytes: 0,
+      };
       transmit();
     },
     dispose: () => end("cancelled"),
