End connections whose clients go on sending a body after their answer

Callers saw: no incident on record. A client of any listener (calls, heartbeats, readiness, metrics) that sends a body without end keeps the daemon reading it, for up to the 60 s of the request's time, although it has got its answer (413, 404, 503 or 400). Cause: Node reads the rest of a body after the answer; nothing limits that rest but the time of the whole request. Evidence: surplus_body_test without the change: the client with the endless body is still read after 20 s. Change: listeners close a connection whose body has not ended 5 s after its answer was sent, or after 8 MiB of it. A body that ends before that keeps its connection, as before.

--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -15,6 +15,7 @@
 import type { Milliseconds } from "../common/milliseconds.ts";
 import { Err, Ok, type Result } from "../common/result.ts";
 import { StepError } from "../common/step_error.ts";
+import { limitSurplusBody } from "./surplus_body.ts";
 
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
 const HEADERS_TIMEOUT_MS: Milliseconds = 5_000;
@@ -61,7 +62,10 @@
     requestTimeout: REQUEST_TIMEOUT_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     noDelay: true,
-  }, handler);
+  }, (request, response) => {
+    limitSurplusBody(request, response);
+    handler(request, response);
+  });
   return new Promise((resolve, reject) => {
     server.once("error", (error) =>
       reject(
