Limit the memory of the answers that are kept for a lost link

Answers to other daemons' calls are kept until a second after the deadline of their call. An instance that answers all calls with large bodies would fill the memory with them: 240 answers of 3.75 MiB a second at 12 calls of 50 ms. Cause: the number of the answers that are kept had a limit by time, their bytes had none. Evidence: gate_service_test without the change: all 20 answers of 3 MiB are sent again. Change: at most 16 MiB are kept, the newest; an older call that is asked for again has failed and may have run. Some thousand of the usual answers fit.

--- a/src/features/gate/common/gate_service.ts
+++ b/src/features/gate/common/gate_service.ts
@@ -13,6 +13,7 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { HostName } from "../../../world/common/names.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
+import { createAnswerRetention } from "./answer_retention.ts";
 import type { Gate, GateTicket } from "./gate.ts";
 import { type GateOutcome, type GateRequest, shorten } from "./gate_call.ts";
 import {
@@ -56,6 +57,7 @@
 export function createGateService(options: GateServiceOptions): Disposable {
   const { clock, log, network, gate } = options;
   const calls = new Map<string, RemoteCall>();
+  const retention = createAnswerRetention();
   const delays = new Map<HostName, TransitDelay>();
 
   function sendOutcome(identity: string, call: RemoteCall): void {
@@ -120,9 +122,24 @@
     call.ticket = gate.offer(request, (outcome) => {
       call.outcome = outcome;
       sendOutcome(request.identity, call);
+      if (outcome.type === "answer") {
+        keepAnswer(request.identity, outcome.body.length);
+      }
     });
   }
 
+  function keepAnswer(identity: string, bytes: number): void {
+    for (const dropped of retention.keep(identity, bytes)) {
+      const call = calls.get(dropped);
+      if (call !== undefined) {
+        call.outcome = {
+          type: "failed",
+          reason: "the answer is not kept any longer",
+        };
+      }
+    }
+  }
+
   function cancel({ identity }: CancelMessage): void {
     const call = calls.get(identity);
     if (call !== undefined) {
@@ -157,6 +174,7 @@
       for (const [identity, call] of calls) {
         if (now > call.keepUntil) {
           calls.delete(identity);
+          retention.forget(identity);
         }
       }
     }),
--- a/src/features/gate/common/gate_service_test.ts
+++ b/src/features/gate/common/gate_service_test.ts
@@ -8,8 +8,8 @@
   PeerNetwork,
 } from "../../link/common/peer_network.ts";
 import type { Gate } from "./gate.ts";
-import type { GateRequest } from "./gate_call.ts";
-import { CANCEL_KIND, encodeOffer } from "./gate_messages.ts";
+import type { GateOutcome, GateRequest } from "./gate_call.ts";
+import { CANCEL_KIND, decodeOutcome, encodeOffer } from "./gate_messages.ts";
 import { createGateService } from "./gate_service.ts";
 
 const PEER = { process: { host: "caller", startedAt: 1 }, failureDomain: "x" };
@@ -31,10 +31,14 @@
   usualMilliseconds: 90,
 };
 
-function start(isStalled: boolean) {
+function start(
+  isStalled: boolean,
+  answer: () => GateOutcome | undefined = () => undefined,
+) {
   const handlers = new Map<string, (message: LinkMessage) => void>();
   const pending: (() => void)[] = [];
   const offered: GateRequest[] = [];
+  const sent: LinkMessage[] = [];
   createGateService({
     clock: new VirtualClock(1_000),
     log: SILENT_LOG,
@@ -48,13 +52,21 @@
       },
       onRequest: () => createDisposable(() => {}),
       onLinkOpened: () => createDisposable(() => {}),
-      send: () => true,
+      send(_: string, message: LinkMessage) {
+        sent.push(message);
+        return true;
+      },
     } as unknown as PeerNetwork,
     gate: {
-      offer(request: GateRequest) {
+      offer(request: GateRequest, settle: (outcome: GateOutcome) => void) {
         offered.push(request);
+        const outcome = answer();
+        if (outcome !== undefined) {
+          settle(outcome);
+        }
         return { cancel() {} };
       },
+      load: { running: 0, waiting: 0, limit: 1, pace: 1, failurePart: 0 },
     } as unknown as Gate,
     loopDelay: () => isStalled ? 600 : 0,
     isStalled: () => isStalled,
@@ -62,6 +74,7 @@
   });
   return {
     offered,
+    sent,
     receive: (message: LinkMessage) => handlers.get(message.kind)!(message),
     async endRead() {
       await Promise.resolve();
@@ -106,3 +119,41 @@
     assert.equal(service.offered[0].deadlineInMilliseconds, 200);
   });
 });
+
+// Guards against memory that grows with each large answer until its call's time is over.
+test("of large answers to many calls only the newest are sent again over a new link", async () => {
+  const body = Buffer.alloc(3 * 1024 * 1024);
+  const service = start(false, () => ({
+    type: "answer",
+    status: 200,
+    rawHeaders: [],
+    body,
+    serviceMilliseconds: 1,
+    wasNestedRefused: false,
+  }));
+  const offers = Array.from(
+    { length: 20 },
+    (_, index) =>
+      encodeOffer({
+        request: { ...REQUEST, identity: `caller@1#${index}` },
+        sentAt: 5,
+      }),
+  );
+  for (const offer of offers) {
+    service.receive(offer);
+  }
+  await service.endRead();
+  assert.equal(service.sent.length, offers.length);
+  service.sent.length = 0;
+  for (const offer of offers) {
+    service.receive(offer);
+  }
+  const types = service.sent.map((message) =>
+    decodeOutcome(message)?.outcome.type
+  );
+  assert.deepEqual(types, [
+    ...Array(15).fill("failed"),
+    ...Array(5).fill("answer"),
+  ]);
+  assert.equal(service.offered.length, offers.length);
+});
