--- a/src/features/gate/node/instance_connection.ts
+++ b/src/features/gate/node/instance_connection.ts
@@ -8,11 +8,16 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Disposable } from "../../../base/common/disposable.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { AnswerBudget } from "../common/answer_budget.ts";
 import {
   createResponseDecoder,
   type DecodedResponse,
   type DecodeStep,
 } from "../common/response_decoder.ts";
+import {
+  MAXIMUM_FOREIGN_RESPONSES,
+  MAXIMUM_RESPONSE_BODY_BYTES,
+} from "../common/response_limits.ts";
 
 /** An instance beside the daemon answers a connection at once or not at all. */
 const CONNECT_TIMEOUT_MS: Milliseconds = 500;
@@ -51,6 +56,8 @@
   readonly clock: Clock;
   /** The response header that names the request, in lower case. */
   readonly identityHeader: string;
+  /** Shared by all connections of a gate. */
+  readonly budget?: AnswerBudget;
   readonly onClosed: () => void;
 }
 
@@ -62,6 +69,9 @@
     request: InstanceRequest;
     done: (outcome: ExchangeOutcome) => void;
     sent: boolean;
+    /** Responses to other requests that were passed over, and the bytes of their bodies. */
+    foreignResponses: number;
+    foreignBytes: number;
   } | undefined;
   let connected = false;
   let closed = false;
@@ -71,6 +81,9 @@
   const decoder = createResponseDecoder({
     isHeadRequest: () => current?.request.isHead ?? false,
   });
+  const share = options.budget?.open(() =>
+    end("the answers under way take too much memory")
+  );
   const socket: Socket = connect({
     host: options.address,
     port: options.port,
@@ -94,6 +107,7 @@
       return;
     }
     readResponses();
+    share?.resize(closed ? 0 : decoder.heldBytes);
   });
   socket.on("end", () => {
     if (current?.sent && decoder.awaitsEnd) {
@@ -163,7 +177,7 @@
         end("a response to another request ended the connection");
         return false;
       }
-      return true;
+      return passOver(response);
     }
     settle({ type: "response", response });
     if (!response.keepsConnection) {
@@ -175,6 +189,21 @@
     return true;
   }
 
+  /** Returns whether to go on reading. */
+  function passOver({ body }: DecodedResponse): boolean {
+    const exchange = current!;
+    exchange.foreignResponses += 1;
+    exchange.foreignBytes += body.length;
+    if (
+      exchange.foreignResponses > MAXIMUM_FOREIGN_RESPONSES ||
+      exchange.foreignBytes > MAXIMUM_RESPONSE_BODY_BYTES
+    ) {
+      end("there are too many responses to other requests");
+      return false;
+    }
+    return true;
+  }
+
   function belongsTo(response: DecodedResponse, identity: string): boolean {
     return findHeader(response.rawHeaders, identityHeader) === identity;
   }
@@ -193,6 +222,8 @@
     connectTimer.dispose();
     socket.destroy();
     const sent = current?.sent ?? false;
+    decoder.discard();
+    share?.dispose();
     options.onClosed();
     settle(sent ? { type: "broken", reason } : { type: "not-sent", reason });
   }
@@ -202,7 +233,13 @@
       !closed && connected && current === undefined && !decoder.hasBytes &&
       now - idleSince < idleLimit - IDLE_MARGIN_MS,
     exchange(request, done) {
-      current = { request, done, sent: false };
+      current = {
+        request,
+        done,
+        sent: false,
+        foreignResponses: 0,
+        foreignBytes: 0,
+      };
       transmit();
     },
     dispose: () => end("cancelled"),
