End the soak's instances and daemons with its run

A run did not end after its last line, and ended by a signal it left its daemons behind.

Cause: replacements of an instance that overlap (a drain and a release of one host) left the first of two instances open, with its heartbeats; an instance whose caller had left wrote bytes without end to a closed connection; the handler of the exit, which ends the daemons, does not run when a signal ends the process.

Change: a host closes every instance that it started, an instance writes nothing to a closed connection, and the soak ends by itself on SIGINT and SIGTERM.

--- a/soak/broken_answer.ts
+++ b/soak/broken_answer.ts
@@ -29,7 +29,7 @@
   const kinds = Object.keys(BEGINNINGS) as BrokenKind[];
   const kind = kinds[Math.floor(Math.random() * kinds.length)];
   const socket = response.socket;
-  if (socket === null) {
+  if (socket === null || socket.destroyed) {
     return;
   }
   socket.write(BEGINNINGS[kind]);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -65,6 +65,11 @@
   }
 }
 
+// The daemons end with this process, but not if a signal ends it at once.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(EXIT_BROKEN));
+}
+
 const cli = new Cli({ binaryName: "npm run soak --" });
 cli.register(Builtins.HelpCommand);
 cli.register(SoakCommand);
--- a/soak/soak_host.ts
+++ b/soak/soak_host.ts
@@ -115,6 +115,8 @@
   let endOfOutput: Promise<unknown> = Promise.resolve();
   let processNumber = 0;
   let instance: InstanceStandIn | undefined;
+  /** Replacements that overlap leave more than one. */
+  const instances = new Set<InstanceStandIn>();
   let instanceNumber = 0;
   let breaksAnswers = false;
   /** The instance is gone, and with it the calls that it worked on. */
@@ -136,6 +138,7 @@
         return true;
       },
     });
+    instances.add(instance);
   }
 
   /** Works on a call, with a nested call for some, until its connection ends. */
@@ -282,6 +285,7 @@
       link.close();
       storeLink.close();
       await stopInstance();
+      await Promise.all([...instances].map((each) => each.close()));
       log.end();
     },
   };
