Destroy proxied connections that are ending instead of resetting them

Runs of the soak still did not end after their last line, with one processor busy, until they were killed.

Cause: a relay whose one side failed reset its other side, also when that was ending already. Node cannot reset such a socket, leaves it open with its request pending, and waits for that request without end when the process exits. Evidence: 127 open descriptors after the last line; SIGTERM then ended the process without its handler, which Node removes before it waits.

--- a/soak/fault_proxy.ts
+++ b/soak/fault_proxy.ts
@@ -55,12 +55,12 @@
         to.destroy();
       }
     });
-    from.on("error", () => to.resetAndDestroy());
+    from.on("error", () => reset(to));
   }
 
   const listener = createServer((client) => {
     if (fault.type === "reset") {
-      client.resetAndDestroy();
+      reset(client);
       return;
     }
     const server = connect({ host: target.address, port: target.port });
@@ -80,8 +80,8 @@
 
   function resetAll(): void {
     for (const { client, server } of relays) {
-      client.resetAndDestroy();
-      server.resetAndDestroy();
+      reset(client);
+      reset(server);
     }
     relays.clear();
   }
@@ -100,3 +100,12 @@
     },
   };
 }
+
+/** A socket that is ending cannot be reset; Node then neither closes it nor ends the process. */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
