Let a drain of the proxy end while callers go on calling

And each answer in a drain closed its connection, also with calls behind it that already ran.

Change: calls are taken in the notice time; later ones are refused as not run (reason draining, which was declared and never used). The phases of a stop and the rule which answer ends a connection move to src/base, where both servers use them.

--- a/src/features/ingress/node/connection_ends.ts
+++ b/src/base/node/connection_ends.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { closesConnection, type StopPhase } from "../common/stop_course.ts";
+import { closesConnection, type StopPhase } from "../common/stop_phase.ts";
 
 export interface ConnectionEnds {
   /** Returns whether the request may run: no answer before it says that it ends the connection. */
--- a/src/features/attempt/node/call.ts
+++ b/src/features/attempt/node/call.ts
@@ -58,6 +58,10 @@
     refuse(context, reply, excess);
     return;
   }
+  if (!context.takesCalls()) {
+    refuse(context, reply, notRun("draining", "The proxy stops"));
+    return;
+  }
   const match = matchCall(context, request);
   if (typeof match === "string") {
     refuse(
@@ -228,7 +232,7 @@
   const notes = {
     outcome: end.outcome === "answered" ? undefined : end.outcome,
     retryNever: end.retryNever,
-    closeConnection: context.isDraining(),
+    closeConnection: context.endsConnection(response),
   };
   if (last.kind === "answered") {
     storeAnswer(context, exchange, last);
@@ -352,7 +356,7 @@
     outcome: refusal.outcome,
   });
   // The rest of a body that is too large is not read.
-  const closeConnection = context.isDraining() ||
+  const closeConnection = context.endsConnection(response) ||
     refusal.reason === "body-too-large";
   sendRefusal(response, refusal, closeConnection);
 }
--- a/src/features/attempt/node/call_context.ts
+++ b/src/features/attempt/node/call_context.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { ServerResponse } from "node:http";
 import type { Clock } from "../../../base/common/clock.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { RandomSource } from "../../../base/common/random_source.ts";
@@ -57,7 +58,10 @@
   readonly counts: ProxyCounts;
   readonly limits: CallLimits;
   readonly callsInFlight: () => number;
-  readonly isDraining: () => boolean;
+  /** False at the end of a drain, when new calls are refused as not run. */
+  readonly takesCalls: () => boolean;
+  /** Whether the connection ends behind this answer; asked once, when it is written. */
+  readonly endsConnection: (response: ServerResponse) => boolean;
   readonly budgetOf: (customer: CustomerName) => RetryBudget;
 }
 
--- a/src/features/attempt/node/proxy.ts
+++ b/src/features/attempt/node/proxy.ts
@@ -8,6 +8,8 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { describeError } from "../../../base/common/step_error.ts";
 import type { HttpHandler } from "../../../base/node/http_server.ts";
+import type { StopPhase } from "../../../base/common/stop_phase.ts";
+import { createConnectionEnds } from "../../../base/node/connection_ends.ts";
 import type { CustomerName } from "../../../world/common/names.ts";
 import { createRetryBudget, type RetryBudget } from "../common/retry_budget.ts";
 import { createStaleCache } from "../common/stale_cache.ts";
@@ -26,10 +28,10 @@
   /** Calls that have no whole answer yet. */
   readonly callsInFlight: number;
   /**
-   * Asks callers to close their connections with each answer, and resolves when the notice
-   * time has passed and no call is in flight. Calls that still arrive are served, so that
-   * none is cut. The listener drains afterwards: it closes idle connections at once, also
-   * one whose next request is on its way.
+   * Asks callers to close their connections, and resolves when the notice time has passed and no call is in
+   * flight. Calls that arrive in the notice time are served, so that none is cut; later ones are refused as not
+   * run, since callers that do not leave would keep the drain from ending. The listener drains afterwards: it
+   * closes idle connections at once, also one whose next request is on its way.
    */
   drain(): Promise<void>;
 }
@@ -47,7 +49,8 @@
   };
   const waiting: (() => void)[] = [];
   let callsInFlight = 0;
-  let draining = false;
+  let stopPhase: StopPhase = "serving";
+  const connectionEnds = createConnectionEnds(() => stopPhase);
 
   const context: CallContext = {
     ...options,
@@ -56,7 +59,8 @@
     pool,
     cache: createStaleCache(),
     counts,
-    isDraining: () => draining,
+    takesCalls: () => stopPhase !== "finishing",
+    endsConnection: (response) => connectionEnds.endsBehind(response.req),
     budgetOf(customer) {
       let budget = budgets.get(customer);
       if (budget === undefined) {
@@ -75,6 +79,13 @@
   }
 
   const handle: HttpHandler = (request, response) => {
+    if (!connectionEnds.noteRead(request)) {
+      options.log.write("info", "call.behind-end", {
+        peer: request.socket.remoteAddress,
+      });
+      request.resume();
+      return;
+    }
     counts.calls += 1;
     callsInFlight += 1;
     // Errors of a connection that the caller closed; its `close` event ends the call.
@@ -100,8 +111,9 @@
       return callsInFlight;
     },
     async drain() {
-      draining = true;
+      stopPhase = "leaving";
       await options.clock.sleep(DRAIN_NOTICE_MS);
+      stopPhase = "finishing";
       await new Promise<void>((resolve) => {
         if (callsInFlight === 0) {
           resolve();
--- a/src/features/ingress/common/stop_course.ts
+++ b/src/features/ingress/common/stop_course.ts
@@ -11,12 +11,7 @@
  */
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
-
-/**
- * `serving`: the daemon does not stop. `leaving`: calls are served, and connections are closed behind them.
- * `finishing`: only what is under way is brought to its end.
- */
-export type StopPhase = "serving" | "leaving" | "finishing";
+import type { StopPhase } from "../../../base/common/stop_phase.ts";
 
 /** How long after the request to stop each part of a stop lasts. */
 export interface StopPlan {
@@ -60,14 +55,3 @@
 ): boolean {
   return phase !== "finishing" || isNested;
 }
-
-/**
- * Whether an answer ends its connection. Requests that were read behind it are at work already, so only the
- * answer to the last one does.
- */
-export function closesConnection(
-  phase: StopPhase,
-  { isLastRead }: { readonly isLastRead: boolean },
-): boolean {
-  return phase !== "serving" && isLastRead;
-}
--- a/src/features/ingress/common/stop_course_test.ts
+++ b/src/features/ingress/common/stop_course_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { admitsCall, closesConnection, planStop } from "./stop_course.ts";
+import { closesConnection } from "../../../base/common/stop_phase.ts";
+import { admitsCall, planStop } from "./stop_course.ts";
 
 const ALLOWED_MS = 6_000;
 /** Callers may stay for this long after the request to stop. */
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -12,6 +12,8 @@
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { StopPhase } from "../../../base/common/stop_phase.ts";
+import { createConnectionEnds } from "../../../base/node/connection_ends.ts";
 import {
   afterPendingEvents,
   afterStall,
@@ -52,10 +54,9 @@
 import { createFullGates } from "../common/full_gates.ts";
 import { selectCandidates } from "../common/candidate_selection.ts";
 import { chooseService } from "../common/service_choice.ts";
-import { admitsCall, type StopPhase } from "../common/stop_course.ts";
+import { admitsCall } from "../common/stop_course.ts";
 import { relayAnswer, writeOwnAnswer } from "./answer_writer.ts";
 import { readBody } from "./body_reader.ts";
-import { createConnectionEnds } from "./connection_ends.ts";
 
 /** A call that may be repeated elsewhere does not wait longer for a lost link. */
 const RESUME_REPEATABLE_MS: Milliseconds = 300;
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -13,6 +13,7 @@
 import { hashText } from "../../base/common/hashing.ts";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { createRandomSource } from "../../base/common/random_source.ts";
+import type { StopPhase } from "../../base/common/stop_phase.ts";
 import { compress, expand } from "../../base/node/compression.ts";
 import { type HttpListener, listenHttp } from "../../base/node/http_server.ts";
 import {
@@ -27,10 +28,7 @@
 import { createGateClient } from "../../features/gate/common/gate_client.ts";
 import { createGateService } from "../../features/gate/common/gate_service.ts";
 import { createGate } from "../../features/gate/node/gate.ts";
-import {
-  planStop,
-  type StopPhase,
-} from "../../features/ingress/common/stop_course.ts";
+import { planStop } from "../../features/ingress/common/stop_course.ts";
 import { createIngress } from "../../features/ingress/node/ingress.ts";
 import { createPeerNetwork } from "../../features/link/node/peer_network.ts";
 import {
