Answer 504 to calls that a gate ends since their time is over

Callers saw 502 ("The call failed and may have run") instead of 504 for a call that outlasted its route's time-out; the test "a call that outlasts its route's time-out ends soon after it ..." was red in 8 of 50 runs beside load. Cause: the gate ends a call a little before its caller's daemon does, and that answered 504 only when its own time was over. Traced, two ways: the gate took 13 ms, for which the offer was held up, off the time left (reason "deadline", 12.8 ms left); and its timer fired more than 1 ms before its time, since timers count whole milliseconds, so that it took its own end for another one (reason "cancelled"). Ruled out: the instance, which does not answer in either, and the caller's daemon, which had not cancelled the call. Change: the gate notes that its timer ended the call, and a call that failed for that reason ends with 504. Both statuses promise nothing; which calls are repeated does not change. Tests: gate_time_test (before: "cancelled" in place of "deadline") and two cases of ingress_test (before: "fail 502").

--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -60,6 +60,9 @@
   readonly failurePart: number;
 }
 
+/** Why a call failed that was ended since its time was over. */
+export const TIME_OVER_REASON = "deadline";
+
 export type RefusalReason =
   | "no-instance"
   | "other-service"
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -14,10 +14,11 @@
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import type { CallRecord, Gate, GateTicket } from "../common/gate.ts";
 import { decideAdmission, expectWait } from "../common/admission_decision.ts";
-import type {
-  GateOutcome,
-  GateRequest,
-  RefusalReason,
+import {
+  type GateOutcome,
+  type GateRequest,
+  type RefusalReason,
+  TIME_OVER_REASON,
 } from "../common/gate_call.ts";
 import {
   createInstanceRegister,
@@ -66,6 +67,7 @@
   readonly settle: (outcome: GateOutcome) => void;
   state: "waiting" | "running" | "ended";
   isCancelled: boolean;
+  isTimeOver: boolean;
   wasNestedRefused: boolean;
   /** When the work on the call is ended. */
   readonly endAt: Milliseconds;
@@ -169,6 +171,7 @@
       settle,
       state: "waiting",
       isCancelled: false,
+      isTimeOver: false,
       wasNestedRefused: false,
       endAt: now + request.deadlineInMilliseconds,
       startedAt: now,
@@ -241,6 +244,7 @@
     running.add(call);
     const timeLeft = call.endAt - now;
     call.timer = clock.schedule(timeLeft, () => {
+      call.isTimeOver = true;
       call.connection?.dispose();
     });
     const connection = takeConnection(instance, now);
@@ -325,7 +329,8 @@
     outcome: ExchangeOutcome,
     now: Milliseconds,
   ): GateOutcome {
-    const timedOut = now >= call.endAt - 1;
+    // The timer can fire a little before its time.
+    const timedOut = call.isTimeOver || now >= call.endAt - 1;
     switch (outcome.type) {
       case "not-sent":
         if (!timedOut && !call.isCancelled) {
@@ -593,5 +598,5 @@
   if (call.isCancelled) {
     return "cancelled";
   }
-  return timedOut ? "deadline" : reason;
+  return timedOut ? TIME_OVER_REASON : reason;
 }
--- /dev/null
+++ b/src/features/gate/node/gate_time_test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { Clock } from "../../../base/common/clock.ts";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { STEADY_CLOCK } from "../../../base/node/system_clock.ts";
+import { type GateOutcome, TIME_OVER_REASON } from "../common/gate_call.ts";
+import { createGate } from "./gate.ts";
+
+const EARLY_MS = 3;
+const DEADLINE_MS = 100;
+
+/** Timers may fire early, since their times are cut to whole milliseconds. */
+class EarlyClock extends Clock {
+  override now() {
+    return STEADY_CLOCK.now();
+  }
+
+  override schedule(delay: number, callback: () => void) {
+    return STEADY_CLOCK.schedule(delay - EARLY_MS, callback);
+  }
+}
+
+test(
+  "a call that the gate ends since its time is over says so, though the timer fired early",
+  {
+    timeout: 10_000,
+  },
+  async (context) => {
+    const server = createServer(() => {});
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const gate = createGate({
+      clock: new EarlyClock(),
+      log: SILENT_LOG,
+      headers: {
+        requestIdentity: "x-request",
+        deadline: "x-deadline",
+        expectedInstance: "x-instance",
+        callerService: "x-caller",
+        notRun: "x-refused",
+      },
+      heartbeatMilliseconds: 5_000,
+      afterStall: (callback) => callback(),
+    });
+    context.after(() => {
+      gate.dispose();
+      server.closeAllConnections();
+      server.close();
+    });
+    gate.report({
+      identity: "i-1",
+      startedAt: 1,
+      service: "booking",
+      version: "v1",
+      address: `127.0.0.1:${port}`,
+      failureDomain: "east",
+      slots: 1,
+      state: "ready",
+      coldForMilliseconds: 0,
+      sequence: 1,
+    });
+    const outcome = await new Promise<GateOutcome>((resolve) => {
+      gate.offer({
+        identity: "late",
+        requestIdentity: "late",
+        service: "booking",
+        version: undefined,
+        route: "lookup",
+        method: "GET",
+        target: "/",
+        headerLines: "Host: mesh.example\r\nX-Request: late\r\n",
+        body: Buffer.alloc(0),
+        callerService: "booking",
+        isNested: false,
+        rank: 1,
+        objectiveInMilliseconds: DEADLINE_MS,
+        deadlineInMilliseconds: DEADLINE_MS,
+        usualMilliseconds: 20,
+      }, resolve);
+    });
+    assert.deepEqual(outcome, { type: "failed", reason: TIME_OVER_REASON });
+  },
+);
--- a/src/features/ingress/common/call_course.ts
+++ b/src/features/ingress/common/call_course.ts
@@ -13,7 +13,10 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { RouteKind } from "../../../world/common/mesh_configuration.ts";
-import type { GateOutcome } from "../../gate/common/gate_call.ts";
+import {
+  type GateOutcome,
+  TIME_OVER_REASON,
+} from "../../gate/common/gate_call.ts";
 
 export interface CourseState {
   readonly kind: RouteKind;
@@ -63,7 +66,13 @@
     case "failed":
       return mayRepeat(state, true) && takeRepeat()
         ? { type: "ask-next", isRepeat: true }
-        : { type: "fail", status: state.timeLeft <= 0 ? 504 : 502 };
+        : {
+          type: "fail",
+          // The gate takes the time that an offer was held up off the time left, so it ends a call earlier.
+          status: outcome.reason === TIME_OVER_REASON || state.timeLeft <= 0
+            ? 504
+            : 502,
+        };
     case "refused":
       if (
         !outcome.reachedInstance && state.timeLeft > 0 &&
--- a/src/features/ingress/common/ingress_test.ts
+++ b/src/features/ingress/common/ingress_test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { createRandomSource } from "../../../base/common/random_source.ts";
-import type { GateOutcome } from "../../gate/common/gate_call.ts";
+import {
+  type GateOutcome,
+  TIME_OVER_REASON,
+} from "../../gate/common/gate_call.ts";
 import { type CourseState, decideNextStep } from "./call_course.ts";
 import { secondSendDelay } from "./second_send.ts";
 import { chooseService } from "./service_choice.ts";
@@ -16,6 +19,7 @@
 };
 const FAILURE: GateOutcome = { ...ANSWER, status: 500 };
 const BROKEN: GateOutcome = { type: "failed", reason: "reset" };
+const TIME_OVER: GateOutcome = { type: "failed", reason: TIME_OVER_REASON };
 const GATE_FULL: GateOutcome = {
   type: "refused",
   reason: "full",
@@ -131,6 +135,20 @@
     budget: false,
     next: "refuse 40",
   },
+  {
+    name:
+      "a call whose time was over at the gate ends as one that is over here",
+    outcome: TIME_OVER,
+    state: { kind: "unsafe", timeLeft: 13 },
+    next: "fail 504",
+  },
+  {
+    name:
+      "a read whose time was over at the gate ends as one that is over here",
+    outcome: TIME_OVER,
+    state: { timeLeft: 13 },
+    next: "fail 504",
+  },
   {
     name: "no repeat starts when it could not end in time",
     outcome: BROKEN,
