--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -659,6 +659,12 @@
   /** The client has left. */
   function abandon(call: Call): void {
     if (!call.isEnded) {
+      log.write("info", "call.abandoned", {
+        request: call.identity,
+        route: call.route.name,
+        gates: [...call.asked].join(","),
+        after: Math.round(clock.now() - call.arrivedAt),
+      });
       finish(call, "abandoned");
     }
   }
