Keep one instance on each host of the soak when replacements overlap

A host of the platform has one instance, so this was a fault of the soak. The second replacement now finds the instance of the first and leaves it.

--- a/soak/soak_host.ts
+++ b/soak/soak_host.ts
@@ -115,8 +115,7 @@
   let endOfOutput: Promise<unknown> = Promise.resolve();
   let processNumber = 0;
   let instance: InstanceStandIn | undefined;
-  /** Replacements that overlap leave more than one. */
-  const instances = new Set<InstanceStandIn>();
+  let isStartingInstance = false;
   let instanceNumber = 0;
   let breaksAnswers = false;
   /** The instance is gone, and with it the calls that it worked on. */
@@ -124,7 +123,12 @@
   const asked = new Set<ChildProcess>();
   let isClosed = false;
 
+  /** A host has one instance, also when replacements of it overlap. */
   async function startInstance(): Promise<void> {
+    if (instance !== undefined || isStartingInstance) {
+      return;
+    }
+    isStartingInstance = true;
     instanceNumber += 1;
     const identity = `${name}-i${instanceNumber}`;
     instance = await startInstanceStandIn({
@@ -138,7 +142,7 @@
         return true;
       },
     });
-    instances.add(instance);
+    isStartingInstance = false;
   }
 
   /** Works on a call, with a nested call for some, until its connection ends. */
@@ -285,7 +289,6 @@
       link.close();
       storeLink.close();
       await stopInstance();
-      await Promise.all([...instances].map((each) => each.close()));
       log.end();
     },
   };
