Tell with a heartbeat how full the gate was when it refused offers

The logs say that offers were refused as full, not how many calls ran and waited then and what pace the gate took its instance to have. Without these, instances that have become slow cannot be told from a service that is full.

--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -92,6 +92,8 @@
   let unreachableUntil = -Infinity;
   let wasServing = false;
   let sweepTimer: Disposable | undefined;
+  /** Offers refused as full since the last heartbeat of the instance. */
+  let refusedAsFull = 0;
 
   function isServing(): boolean {
     const now = clock.now();
@@ -191,6 +193,7 @@
     }
     switch (decision.type) {
       case "refuse":
+        refusedAsFull += 1;
         refuse(call, "full", decision.retryAfter);
         break;
       case "start":
@@ -468,6 +471,7 @@
     }
     const now = clock.now();
     reportedAt = now;
+    logPressure();
     coldUntil = now + report.coldForMilliseconds;
     if (outcome.type === "new") {
       unreachableUntil = -Infinity;
@@ -484,6 +488,21 @@
     return outcome;
   }
 
+  function logPressure(): void {
+    if (refusedAsFull > 0) {
+      log.write("info", "gate.pressed", {
+        refused: refusedAsFull,
+        running: running.size,
+        waiting: room.size,
+        limit: limit(),
+        mean: Math.round(mean),
+        pace: pace.toFixed(2),
+        failurePart: failures.current(clock.now()).toFixed(2),
+      });
+      refusedAsFull = 0;
+    }
+  }
+
   function dropIdle(): void {
     for (const connection of idle.splice(0)) {
       connection.dispose();
