--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -8,8 +8,6 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
-  configurationDocument,
-  type RouteOptions,
   sendTo,
   startStoreStandIn,
 } from "../platform/stand_in/mesh_fixture.ts";
@@ -32,11 +30,8 @@
   type Violation,
 } from "./observations.ts";
 import { checkPromises } from "./promise_check.ts";
-import {
-  type Callers,
-  SLOW_ROUTE_TIMEOUT_MS,
-  startCallers,
-} from "./soak_callers.ts";
+import { type Callers, startCallers } from "./soak_callers.ts";
+import { describeConfiguration } from "./soak_configuration.ts";
 import { createSoakHost, type SoakHost } from "./soak_host.ts";
 
 const PLANNED_KINDS: readonly FaultKind[] = [
@@ -373,28 +368,6 @@
   };
 }
 
-/** Each configuration adds a route and keeps that of the one before. */
-function describeConfiguration(number: number): unknown {
-  const numbered = (each: number): RouteOptions => ({
-    prefix: `/epoch-${each}/`,
-    service: each % 2 === 0 ? "booking" : "dispatch",
-  });
-  return configurationDocument(number, [
-    { prefix: "/lookup/", service: "booking" },
-    { prefix: "/reserve/", service: "booking", kind: "unsafe", rank: 0 },
-    { prefix: "/photo/", service: "dispatch", kind: "upload", rank: 0 },
-    {
-      prefix: "/slow/",
-      service: "booking",
-      kind: "unsafe",
-      timeoutSeconds: SLOW_ROUTE_TIMEOUT_MS / 1_000,
-    },
-    { prefix: "/peek/", service: "dispatch" },
-    numbered(number),
-    ...(number > 1 ? [numbered(number - 1)] : []),
-  ]);
-}
-
 async function waitUntilReady(host: SoakHost): Promise<void> {
   const until = performance.now() + READY_LIMIT_MS;
   while (performance.now() < until) {
--- /dev/null
+++ b/soak/soak_configuration.ts
@@ -0,0 +1,33 @@
+/**
+ * The configurations that the operator of a soak sends.
+ *
+ * @module
+ */
+
+import {
+  configurationDocument,
+  type RouteOptions,
+} from "../platform/stand_in/mesh_fixture.ts";
+import { SLOW_ROUTE_TIMEOUT_MS } from "./soak_callers.ts";
+
+/** Each configuration adds a route and keeps that of the one before. */
+export function describeConfiguration(number: number): unknown {
+  const numbered = (each: number): RouteOptions => ({
+    prefix: `/epoch-${each}/`,
+    service: each % 2 === 0 ? "booking" : "dispatch",
+  });
+  return configurationDocument(number, [
+    { prefix: "/lookup/", service: "booking" },
+    { prefix: "/reserve/", service: "booking", kind: "unsafe", rank: 0 },
+    { prefix: "/photo/", service: "dispatch", kind: "upload", rank: 0 },
+    {
+      prefix: "/slow/",
+      service: "booking",
+      kind: "unsafe",
+      timeoutSeconds: SLOW_ROUTE_TIMEOUT_MS / 1_000,
+    },
+    { prefix: "/peek/", service: "dispatch" },
+    numbered(number),
+    ...(number > 1 ? [numbered(number - 1)] : []),
+  ]);
+}
