Accept the connections that wait before a listener closes

Callers saw some requests end with ECONNRESET when a daemon or an upstream stopped under load: the request was sent on a new connection that the process had not accepted when it closed its listener.

Cause: the kernel establishes a connection before the process accepts it, libuv 1.46 accepts one in a turn of the event loop (eight waiting connections took eight turns), and a turn lasts as long as its requests. Closing the listener resets what still waits. A second fault of the class: a drain closed idle connections in a timer, which after a stall of 1 s runs before requests that have arrived are read.

Evidence (trial: server process with 2 ms of work a request, 12 callers, half of them with a new connection a call, 10 closes): 40 resets; all 40 on new connections, the request sent, their ports never seen by the server, up to 51 ms after their start. No reset of a kept connection. Ruled out: closeIdleConnections does not close a connection without a request. Before, of the three tests, all eight waiting connections were reset, at drain and at finish, and the request behind a stall of 1.5 s too.

Change: both kinds of stop hold the reading of connections and close the listener after a whole turn in which no connection was accepted, a short one if one comes within 100 ms. Finish waits for the first request of connections that were just accepted. A drain lets a turn read what has arrived before it closes idle connections.

--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -11,10 +11,15 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import {
+  setImmediate as endOfTurn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import type { Milliseconds } from "../common/milliseconds.ts";
 import { Err, Ok, type Result } from "../common/result.ts";
 import { StepError } from "../common/step_error.ts";
+import { stopAccepting } from "./listener_close.ts";
 import { limitSurplusBody } from "./surplus_body.ts";
 
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
@@ -29,6 +34,8 @@
 const QUIET_MS: Milliseconds = 1_000;
 const QUIET_CHECK_MS: Milliseconds = 50;
 const FINISH_CHECK_MS: Milliseconds = 10;
+/** A client that opens a connection for a request sends it within this time; the listener may hold it for most of it. */
+const FIRST_REQUEST_MS: Milliseconds = 150;
 
 export type HttpHandler = (
   request: IncomingMessage,
@@ -75,10 +82,7 @@
     limitSurplusBody(request, response);
     handler(request, response);
   });
-  const lingering = new Set<Socket>();
-  server.on("connection", (socket: Socket) => {
-    socket.destroySoon = () => linger(socket, lingering);
-  });
+  const connections = trackConnections(server);
   return new Promise((resolve, reject) => {
     server.once("error", (error) =>
       reject(
@@ -92,29 +96,67 @@
       resolve({
         server,
         port: (server.address() as AddressInfo).port,
-        drain: () => drainServer(server),
-        finish: (within) => finishServer(server, lingering, within),
+        drain: () => drainServer(server, connections),
+        finish: (within) => finishServer(server, connections, within),
         close: () => closeServer(server),
       });
     });
   });
 }
 
-function drainServer(server: Server): Promise<void> {
+interface Connections {
+  readonly open: ReadonlySet<Socket>;
+  /** Those that end behind their last answer. */
+  readonly lingering: ReadonlySet<Socket>;
+  /** Those opened a short time ago on which no request has been read yet. */
+  readonly unused: ReadonlySet<Socket>;
+}
+
+function trackConnections(server: Server): Connections {
+  const open = new Set<Socket>();
+  const lingering = new Set<Socket>();
+  const unused = new Set<Socket>();
+  server.on("connection", (socket: Socket) => {
+    socket.destroySoon = () => linger(socket, lingering);
+    open.add(socket);
+    unused.add(socket);
+    const timer = setTimeout(() => unused.delete(socket), FIRST_REQUEST_MS);
+    timer.unref();
+    socket.once("close", () => {
+      clearTimeout(timer);
+      open.delete(socket);
+      unused.delete(socket);
+    });
+  });
+  server.on("request", ({ socket }) => unused.delete(socket));
+  return { open, lingering, unused };
+}
+
+async function drainServer(
+  server: Server,
+  { open }: Connections,
+): Promise<void> {
   let lastRequestAt = Date.now();
   server.on("request", () => lastRequestAt = Date.now());
-  const timer = setInterval(() => {
-    if (Date.now() - lastRequestAt >= QUIET_MS) {
-      server.closeIdleConnections();
-    }
-  }, QUIET_CHECK_MS);
-  return new Promise((resolve) => {
-    // The method of the HTTP server would close the idle connections at once.
-    NetServer.prototype.close.call(server, () => {
-      clearInterval(timer);
+  const isQuiet = () => Date.now() - lastRequestAt >= QUIET_MS;
+  let isClosed = false;
+  const closed = new Promise<void>((resolve) =>
+    server.once("close", () => {
+      isClosed = true;
       resolve();
-    });
-  });
+    })
+  );
+  await stopAccepting(server, open);
+  while (!isClosed) {
+    await Promise.race([closed, sleep(QUIET_CHECK_MS)]);
+    if (isQuiet()) {
+      // After a stall, requests that have arrived are read only in this turn, behind its timers.
+      await endOfTurn();
+      if (isQuiet()) {
+        server.closeIdleConnections();
+      }
+    }
+  }
 }
 
 /**
@@ -137,14 +179,15 @@
 
 async function finishServer(
   server: Server,
-  lingering: ReadonlySet<Socket>,
+  { open, lingering, unused }: Connections,
   withinMilliseconds: Milliseconds,
 ): Promise<void> {
-  // The method of the HTTP server would close the connections at once.
-  NetServer.prototype.close.call(server);
+  await stopAccepting(server, open);
   const until = performance.now() + withinMilliseconds;
-  while (lingering.size > 0 && performance.now() < until) {
-    await new Promise((resolve) => setTimeout(resolve, FINISH_CHECK_MS));
+  while (
+    lingering.size + unused.size > 0 && performance.now() < until
+  ) {
+    await sleep(FINISH_CHECK_MS);
   }
   server.closeAllConnections();
 }
