Start no work late in a stop that could not end before the process does

Cause: the stop bounded when the header of a call may be read, not when work on it may begin. The body of a slow upload could be complete up to the end of the stop, and the call then ran; and a call that an instance had rejected or failed, or a second send, began at another instance with the time limit of the client, which the daemon did not have any more. The same class: a drain that bounds how long it waits but not until when it begins work.

Change: whether a call is taken is asked again when its body is complete; a call not taken is refused as not run. The time that is left for work on a call ends with the calls of the stop, for repeats, second sends, the wait for a lost link and the deadline that gates and instances are told. So gates refuse what they cannot end.

--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -123,6 +123,13 @@
   ticket: GateTicket | undefined;
 }
 
+/** Why the ingress itself refuses a call. */
+interface RefusalFacts {
+  readonly reason: "stopping" | "not-ready" | "stale";
+  readonly retryAfter: Milliseconds;
+  readonly delay?: Milliseconds;
+}
+
 interface Call {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
@@ -246,23 +253,28 @@
     });
   }
 
-  /** Refuses a call whose body is not needed. */
-  function refuseUnread(
-    request: IncomingMessage,
-    response: ServerResponse,
-    { reason, message, retryAfter = UNKNOWN_RETRY_MS, delay }: {
-      readonly reason: "stopping" | "not-ready" | "stale";
-      readonly message: string;
-      readonly retryAfter?: Milliseconds;
-      readonly delay?: Milliseconds;
-    },
+  function logRefusal(
+    identity: string,
+    { reason, retryAfter, delay }: RefusalFacts,
   ): void {
     log.write("info", "call.refused", {
-      request: String(request.headers[headers.requestIdentity]),
+      request: identity,
       reason,
       delay,
       retryAfter: Math.round(retryAfter),
     });
+  }
+
+  /** Refuses a call whose body is not needed. */
+  function refuseUnread(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { reason, message, retryAfter = UNKNOWN_RETRY_MS, delay }:
+      & Omit<RefusalFacts, "retryAfter">
+      & { readonly message: string; readonly retryAfter?: Milliseconds },
+  ): void {
+    const identity = String(request.headers[headers.requestIdentity]);
+    logRefusal(identity, { reason, retryAfter, delay });
     request.resume();
     answer(request, response, refuseNotRun(message, retryAfter));
   }
@@ -337,13 +349,30 @@
       onBody(body) {
         if (!call.isEnded) {
           call.body = body;
-          budgetOf(call.service).recordFirst(clock.now());
-          askNext(call);
+          start(call);
         }
       },
     });
   }
 
+  /** Offers a call whose body is complete; a stop may have gone on while the body was read. */
+  function start(call: Call): void {
+    const isNested = call.parent !== undefined;
+    if (!admitsCall(options.stopPhase(), { isNested })) {
+      const retryAfter = options.untilStopped();
+      logRefusal(call.identity, { reason: "stopping", retryAfter });
+      end(call, refuseNotRun("The daemon stops", retryAfter));
+      return;
+    }
+    budgetOf(call.service).recordFirst(clock.now());
+    askNext(call);
+  }
+
+  /** The time that is left for work on a call: until its end, or the end of the calls at a stop. */
+  function timeLeftFor(call: Call, now: Milliseconds): Milliseconds {
+    return Math.min(call.finalAt - now, options.untilStopped());
+  }
+
   /**
    * A refused nested call wastes the work of its parent, so those may ask any gate; the own gate takes
    * no message.
@@ -406,7 +435,7 @@
   ): void {
     const { host, version } = candidate;
     const now = clock.now();
-    const timeLeft = call.finalAt - now;
+    const timeLeft = timeLeftFor(call, now);
     const usualMilliseconds = usualTime(call);
     const open: OpenOffer = {
       host,
@@ -491,7 +520,7 @@
     if (
       call.isEnded || call.open.size !== 1 ||
       call.instancesReached + 1 >= call.route.maximumInstances ||
-      call.finalAt - now < usualMilliseconds
+      timeLeftFor(call, now) < usualMilliseconds
     ) {
       return;
     }
@@ -542,7 +571,7 @@
       maximumInstances: call.route.maximumInstances,
       mayHaveRun: call.mayHaveRun,
       hasCandidate: () => listCandidates(call).length > 0,
-      timeLeft: call.finalAt - now,
+      timeLeft: timeLeftFor(call, now),
       usualMilliseconds: usualTime(call),
     }, () => takeRepeat(call, now));
     if (next.type !== "deliver" || !isSuccess(outcome)) {
