Keep the times of a stop when the process is stalled

Callers of a daemon whose event loop is stalled around its SIGTERM could see calls cut or broken off.

Cause: the end of a stop was counted from the moment at which the signal was read, so behind a stall of 1.2 s the process went on for 6.7 s after it, and the platform ends it by force after 6 s, with the calls under way. The phases were timers one after the other, so a stall in one of them moved those that follow, but not the end: calls were taken for up to 0.9 s longer in a stall of 0.9 s, and had that much less time to end.

Change: the plan of a stop leaves out the time for which the signal may have waited, half of the granted time at most (who was stalled for longer has most likely got the signal in the stall). Its phases end at fixed times.

--- a/src/features/ingress/common/stop_course.ts
+++ b/src/features/ingress/common/stop_course.ts
@@ -18,7 +18,7 @@
  */
 export type StopPhase = "serving" | "leaving" | "finishing";
 
-/** How long after the request to stop each part of a stop lasts. */
+/** How long each part of a stop lasts, from the moment at which the request to stop is read. */
 export interface StopPlan {
   /** The gate takes calls of other daemons. */
   readonly takesOffersFor: Milliseconds;
@@ -37,11 +37,21 @@
  * a quarter of a service away; two thirds are left for the longest calls.
  */
 const OFFERS_PART = 1 / 3;
+/** The greatest part of the time to stop that a stall may have taken. */
+const STALLED_PART = 1 / 2;
 /** Time left for the end of the process. */
 const EXIT_RESERVE_MS: Milliseconds = 500;
 
-/** `allowed` is the time after which the platform ends the process by force. */
-export function planStop(allowed: Milliseconds): StopPlan {
+/**
+ * `granted` is the time from the request to stop after which the platform ends the process by force, and
+ * `readAfter` for how long the request may have waited in a process that was stalled.
+ */
+export function planStop(
+  granted: Milliseconds,
+  readAfter: Milliseconds,
+): StopPlan {
+  // A process that was stalled for longer has most likely got the request in the stall.
+  const allowed = granted - Math.min(readAfter, STALLED_PART * granted);
   const takesCallsFor = Math.min(
     TAKES_CALLS_MS,
     (1 - FINISHING_PART) * allowed,
--- a/src/features/ingress/common/stop_course_test.ts
+++ b/src/features/ingress/common/stop_course_test.ts
@@ -7,7 +7,7 @@
 const MOVED_AFTER_MS = 2_300;
 
 describe("calls that go on arriving while a daemon stops", () => {
-  const plan = planStop(ALLOWED_MS);
+  const plan = planStop(ALLOWED_MS, 0);
 
   test("none that is taken needs more time than the stop leaves, and callers have time to leave", () => {
     assert.ok(plan.takesCallsFor > MOVED_AFTER_MS);
@@ -16,6 +16,16 @@
     assert.ok(plan.takesOffersFor <= plan.takesCallsFor);
   });
 
+  for (const readAfter of [300, 1_000, 2_500, 60_000]) {
+    test(`a request to stop that is read ${readAfter} ms late leaves time to end calls before the process is killed`, () => {
+      const late = planStop(ALLOWED_MS, readAfter);
+      const killedAfter = ALLOWED_MS - Math.min(readAfter, ALLOWED_MS / 2);
+      assert.ok(late.endsAfter < killedAfter);
+      assert.ok(late.endsAfter - late.takesCallsFor >= killedAfter / 3);
+      assert.ok(late.takesOffersFor <= late.takesCallsFor);
+    });
+  }
+
   // Restarts in turn that overlap: a call each 100 ms until the end, each of which takes 1.2 s at most.
   test("a replay of calls until the end of the process cuts none; serving them all cuts the last ones", () => {
     const LONGEST_MS = 1_200;
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -340,23 +340,28 @@
     }
   }
 
+  function sleepUntil(time: Milliseconds): Promise<void> {
+    return clock.sleep(Math.max(0, time - clock.now()));
+  }
+
   return {
     reload(next) {
       settings = next;
       log.write("info", "settings.reloaded", { service: next.service });
     },
     async stop() {
-      const plan = planStop(settings.stopSeconds * 1_000);
-      endsAt = clock.now() + plan.endsAfter;
+      const plan = planStop(settings.stopSeconds * 1_000, loopDelay.current);
+      const startedAt = clock.now();
+      endsAt = startedAt + plan.endsAfter;
       stopPhase = "leaving";
       log.write("info", "process.stopping", {
         activeCalls: ingress.activeCalls,
         ...plan,
       });
-      await clock.sleep(plan.takesOffersFor);
+      await sleepUntil(startedAt + plan.takesOffersFor);
       isLeaving = true;
       fleet.notify();
-      await clock.sleep(plan.takesCallsFor - plan.takesOffersFor);
+      await sleepUntil(startedAt + plan.takesCallsFor);
       stopPhase = "finishing";
       log.write("info", "process.finishing", {
         activeCalls: ingress.activeCalls,
