Send answers whole at a stop when their clients read slowly

Clients that read slowly got a part of an answer and a closed connection when their daemon stopped.

Cause: a stop waited for calls, and a call counts as ended when its answer is handed to Node. What did not fit into the buffers of the system, and answers behind it on the connection, were dropped with the connection, 2.8 s after the request to stop at the earliest, though there was time until 5.5 s.

--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -16,6 +16,7 @@
 import { Err, Ok, type Result } from "../common/result.ts";
 import { StepError } from "../common/step_error.ts";
 import { limitSurplusBody } from "./surplus_body.ts";
+import { createUnsentAnswers } from "./unsent_answers.ts";
 
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
 const HEADERS_TIMEOUT_MS: Milliseconds = 5_000;
@@ -38,6 +39,8 @@
 export interface HttpListener {
   readonly server: Server;
   readonly port: number;
+  /** The number of answers that are complete and not yet written to their connections. */
+  readonly unsentAnswers: number;
   /**
    * Stops accepting and resolves when the last connection has ended. Open connections are
    * served on; idle ones are closed when no request has come for a while. Closed at once, a
@@ -65,6 +68,7 @@
   handler: HttpHandler,
   options: ListenOptions,
 ): Promise<HttpListener> {
+  const unsent = createUnsentAnswers();
   const server = createServer({
     maxHeaderSize: options.maximumHeaderBytes ?? MAXIMUM_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
@@ -73,6 +77,7 @@
     noDelay: true,
   }, (request, response) => {
     limitSurplusBody(request, response);
+    unsent.add(response, request.socket);
     handler(request, response);
   });
   const lingering = new Set<Socket>();
@@ -92,8 +97,16 @@
       resolve({
         server,
         port: (server.address() as AddressInfo).port,
+        get unsentAnswers() {
+          return unsent.count();
+        },
         drain: () => drainServer(server),
-        finish: (within) => finishServer(server, lingering, within),
+        finish: (within) =>
+          finishServer(
+            server,
+            () => lingering.size === 0 && unsent.count() === 0,
+            within,
+          ),
         close: () => closeServer(server),
       });
     });
@@ -137,13 +150,13 @@
 
 async function finishServer(
   server: Server,
-  lingering: ReadonlySet<Socket>,
+  isDone: () => boolean,
   withinMilliseconds: Milliseconds,
 ): Promise<void> {
   // The method of the HTTP server would close the connections at once.
   NetServer.prototype.close.call(server);
   const until = performance.now() + withinMilliseconds;
-  while (lingering.size > 0 && performance.now() < until) {
+  while (!isDone() && performance.now() < until) {
     await new Promise((resolve) => setTimeout(resolve, FINISH_CHECK_MS));
   }
   server.closeAllConnections();
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -340,9 +340,8 @@
     }
   }
 
-  function sleepUntil(time: Milliseconds): Promise<void> {
-    return clock.sleep(Math.max(0, time - clock.now()));
-  }
+  const sleepUntil = (time: Milliseconds) =>
+    clock.sleep(Math.max(0, time - clock.now()));
 
   return {
     reload(next) {
@@ -370,7 +369,8 @@
       });
       while (
         clock.now() < endsAt &&
-        (ingress.activeCalls > 0 || gate.load.running + gate.load.waiting > 0)
+        ingress.activeCalls + calls.unsentAnswers + gate.load.running +
+              gate.load.waiting > 0
       ) {
         await clock.sleep(STOP_CHECK_MS);
       }
