Refuse calls of other daemons late in a stop

Callers on other hosts could lose calls that a stopping daemon took for its instance late in its stop.

A daemon that has not heard of the stop (its link is slow, or it was paused) went on offering calls, and the gate passed them to the instance up to the end; calls taken before it kept deadlines behind that end, so they could wait at the gate and start when no time to end was left. They were broken off at the end and, if they may run once only, failed with 502.

Evidence: two tests of the gate service. Before: both offers were passed on, the second with a deadline of 800 ms where the stop had 500 ms left. Ruled out, by a test that passed before the change too: calls at the gate at the end of a stop get an outcome before the links are closed (waiting ones are refused as not run).

Change: once a stopping daemon takes no calls of its clients, its gate refuses those of other daemons as not run, so that they ask the next gate at once; before, their deadlines end with the calls of the stop.

--- a/src/features/gate/common/gate_service.ts
+++ b/src/features/gate/common/gate_service.ts
@@ -33,6 +33,13 @@
 /** Messages vary by some milliseconds without having been held up. */
 const LEAST_DELAY_MS: Milliseconds = 20;
 
+const LEAVING: GateOutcome = {
+  type: "refused",
+  reason: "leaving",
+  retryAfter: 0,
+  reachedInstance: false,
+};
+
 interface RemoteCall {
   readonly host: HostName;
   readonly keepUntil: Milliseconds;
@@ -50,6 +57,8 @@
   readonly loopDelay: () => Milliseconds;
   /** Whether messages may have waited in this process for longer than is usual. */
   readonly isStalled: () => boolean;
+  /** For how long a call that is passed on now may be worked on; none is late in a stop. */
+  readonly workTime: () => Milliseconds;
   /** Calls back when the messages that have already arrived are handled. */
   readonly afterPendingEvents: (callback: () => void) => void;
 }
@@ -119,7 +128,20 @@
   }
 
   function pass(request: GateRequest, call: RemoteCall): void {
-    call.ticket = gate.offer(request, (outcome) => {
+    const workTime = options.workTime();
+    if (workTime <= 0) {
+      call.outcome = LEAVING;
+      sendOutcome(request.identity, call);
+      return;
+    }
+    const limited = {
+      ...request,
+      deadlineInMilliseconds: Math.min(
+        request.deadlineInMilliseconds,
+        workTime,
+      ),
+    };
+    call.ticket = gate.offer(limited, (outcome) => {
       call.outcome = outcome;
       sendOutcome(request.identity, call);
       if (outcome.type === "answer") {
--- a/src/features/gate/common/gate_service_test.ts
+++ b/src/features/gate/common/gate_service_test.ts
@@ -34,6 +34,7 @@
 function start(
   isStalled: boolean,
   answer: () => GateOutcome | undefined = () => undefined,
+  workTime = Infinity,
 ) {
   const handlers = new Map<string, (message: LinkMessage) => void>();
   const pending: (() => void)[] = [];
@@ -70,6 +71,7 @@
     } as unknown as Gate,
     loopDelay: () => isStalled ? 600 : 0,
     isStalled: () => isStalled,
+    workTime: () => workTime,
     afterPendingEvents: (callback) => void pending.push(callback),
   });
   return {
@@ -157,3 +159,31 @@
   ]);
   assert.equal(service.offered.length, offers.length);
 });
+
+describe("offers of other daemons while a daemon stops", () => {
+  test("one whose caller has not heard of the stop late in it is refused as not run", async () => {
+    const gate = start(false, () => undefined, 0);
+    gate.receive(encodeOffer({ request: REQUEST, sentAt: 1_000 }));
+    await gate.endRead();
+    assert.deepEqual(gate.offered, []);
+    assert.deepEqual(
+      gate.sent.map((message) => decodeOutcome(message)?.outcome),
+      [{
+        type: "refused",
+        reason: "leaving",
+        retryAfter: 0,
+        reachedInstance: false,
+      }],
+    );
+  });
+
+  test("one whose deadline lies behind the end of the stop is not worked on for longer than that", async () => {
+    const gate = start(false, () => undefined, 500);
+    gate.receive(encodeOffer({ request: REQUEST, sentAt: 1_000 }));
+    await gate.endRead();
+    assert.deepEqual(
+      gate.offered.map(({ deadlineInMilliseconds }) => deadlineInMilliseconds),
+      [500],
+    );
+  });
+});
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -128,6 +128,7 @@
       isStalled: () =>
         loopDelay.current >= STALLED_MS ||
         clock.now() - startedAt < STARTING_MS,
+      workTime: () => stopPhase === "finishing" ? 0 : endsAt - clock.now(),
       afterPendingEvents,
     }),
   );
@@ -340,9 +341,6 @@
     }
   }
 
-  const sleepUntil = (time: Milliseconds) =>
-    clock.sleep(Math.max(0, time - clock.now()));
-
   return {
     reload(next) {
       settings = next;
@@ -357,10 +355,10 @@
         activeCalls: ingress.activeCalls,
         ...plan,
       });
-      await sleepUntil(startedAt + plan.takesOffersFor);
+      await clock.sleep(startedAt + plan.takesOffersFor - clock.now());
       isLeaving = true;
       fleet.notify();
-      await sleepUntil(startedAt + plan.takesCallsFor);
+      await clock.sleep(startedAt + plan.takesCallsFor - clock.now());
       stopPhase = "finishing";
       log.write("info", "process.finishing", {
         activeCalls: ingress.activeCalls,
