Answer requests that were read before bytes that are no request

A client whose connection carried malformed bytes, a header section that is too long, or a request behind one that ends the connection got 400 or 431 in place of the answer to the request before them, and the connection was destroyed while that request ran.

Cause: Node's own handling of such bytes writes a refusal at once, also when requests are at work, and destroys the connection. The same class as the calls behind a closing answer: a connection is ended with requests on it.

Change: the answer to the last request that was read whole ends the connection, and what follows is ignored, 256 KiB at most. Without such a request it is as before.

--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -15,6 +15,7 @@
 import type { Milliseconds } from "../common/milliseconds.ts";
 import { Err, Ok, type Result } from "../common/result.ts";
 import { StepError } from "../common/step_error.ts";
+import { endAfterClientError } from "./client_error.ts";
 import { limitSurplusBody } from "./surplus_body.ts";
 import { createUnsentAnswers } from "./unsent_answers.ts";
 
@@ -80,6 +81,10 @@
     unsent.add(response, request.socket);
     handler(request, response);
   });
+  server.on("clientError", ({ code }: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket;
+    endAfterClientError(socket, { code, pending: unsent.of(socket) });
+  });
   const lingering = new Set<Socket>();
   server.on("connection", (socket: Socket) => {
     socket.destroySoon = () => linger(socket, lingering);
--- a/src/base/node/unsent_answers.ts
+++ b/src/base/node/unsent_answers.ts
@@ -10,6 +10,8 @@
 export interface UnsentAnswers {
   /** Follows an answer from its request on. */
   add(response: ServerResponse, socket: Socket): void;
+  /** The answers to requests of a connection that are not written yet, in their order. */
+  of(socket: Socket): readonly ServerResponse[];
   /** The number of answers that are complete and not yet written to open connections. */
   count(): number;
 }
@@ -37,6 +39,7 @@
         response.once("finish", () => responses.delete(response));
       }
     },
+    of: (socket) => [...(open.get(socket) ?? [])],
     count: () =>
       [...open.values()].reduce(
         (sum, responses) =>
