--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -19,8 +19,10 @@
 import type { Milliseconds } from "../common/milliseconds.ts";
 import { Err, Ok, type Result } from "../common/result.ts";
 import { StepError } from "../common/step_error.ts";
+import { endAfterClientError } from "./client_error.ts";
 import { stopAccepting } from "./listener_close.ts";
 import { limitSurplusBody } from "./surplus_body.ts";
+import { createUnsentAnswers } from "./unsent_answers.ts";
 
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
 const HEADERS_TIMEOUT_MS: Milliseconds = 5_000;
@@ -45,6 +47,8 @@
 export interface HttpListener {
   readonly server: Server;
   readonly port: number;
+  /** The number of answers that are complete and not yet written to their connections. */
+  readonly unsentAnswers: number;
   /**
    * Stops accepting and resolves when the last connection has ended. Open connections are
    * served on; idle ones are closed when no request has come for a while. Closed at once, a
@@ -72,6 +76,7 @@
   handler: HttpHandler,
   options: ListenOptions,
 ): Promise<HttpListener> {
+  const unsent = createUnsentAnswers();
   const server = createServer({
     maxHeaderSize: options.maximumHeaderBytes ?? MAXIMUM_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
@@ -80,9 +85,14 @@
     noDelay: true,
   }, (request, response) => {
     limitSurplusBody(request, response);
+    unsent.add(response, request.socket);
     handler(request, response);
   });
   const connections = trackConnections(server);
+  server.on("clientError", ({ code }: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket;
+    endAfterClientError(socket, { code, pending: unsent.of(socket) });
+  });
   return new Promise((resolve, reject) => {
     server.once("error", (error) =>
       reject(
@@ -96,8 +106,18 @@
       resolve({
         server,
         port: (server.address() as AddressInfo).port,
+        get unsentAnswers() {
+          return unsent.count();
+        },
         drain: () => drainServer(server, connections),
-        finish: (within) => finishServer(server, connections, within),
+        finish: (within) =>
+          finishServer(server, {
+            connections,
+            isDone: () =>
+              connections.lingering.size + connections.unused.size +
+                  unsent.count() === 0,
+            withinMilliseconds: within,
+          }),
         close: () => closeServer(server),
       });
     });
@@ -179,14 +199,15 @@
 
 async function finishServer(
   server: Server,
-  { open, lingering, unused }: Connections,
-  withinMilliseconds: Milliseconds,
+  { connections, isDone, withinMilliseconds }: {
+    readonly connections: Connections;
+    readonly isDone: () => boolean;
+    readonly withinMilliseconds: Milliseconds;
+  },
 ): Promise<void> {
-  await stopAccepting(server, open);
+  await stopAccepting(server, connections.open);
   const until = performance.now() + withinMilliseconds;
-  while (
-    lingering.size + unused.size > 0 && performance.now() < until
-  ) {
+  while (!isDone() && performance.now() < until) {
     await sleep(FINISH_CHECK_MS);
   }
   server.closeAllConnections();
