--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -126,6 +126,7 @@
       isStalled: () =>
         loopDelay.current >= STALLED_MS ||
         clock.now() - startedAt < STARTING_MS,
+      workTime: () => stopPhase === "finishing" ? 0 : endsAt - clock.now(),
       afterPendingEvents,
     }),
   );
@@ -344,17 +345,18 @@
       log.write("info", "settings.reloaded", { service: next.service });
     },
     async stop() {
-      const plan = planStop(settings.stopSeconds * 1_000);
-      endsAt = clock.now() + plan.endsAfter;
+      const plan = planStop(settings.stopSeconds * 1_000, loopDelay.current);
+      const startedAt = clock.now();
+      endsAt = startedAt + plan.endsAfter;
       stopPhase = "leaving";
       log.write("info", "process.stopping", {
         activeCalls: ingress.activeCalls,
         ...plan,
       });
-      await clock.sleep(plan.takesOffersFor);
+      await clock.sleep(startedAt + plan.takesOffersFor - clock.now());
       isLeaving = true;
       fleet.notify();
-      await clock.sleep(plan.takesCallsFor - plan.takesOffersFor);
+      await clock.sleep(startedAt + plan.takesCallsFor - clock.now());
       stopPhase = "finishing";
       log.write("info", "process.finishing", {
         activeCalls: ingress.activeCalls,
@@ -363,7 +365,8 @@
       });
       while (
         clock.now() < endsAt &&
-        (ingress.activeCalls > 0 || gate.load.running + gate.load.waiting > 0)
+        ingress.activeCalls + calls.unsentAnswers + gate.load.running +
+              gate.load.waiting > 0
       ) {
         await clock.sleep(STOP_CHECK_MS);
       }
