Wait 2 s instead of 10 s for records that a silent store was asked for

Callers got 404 on new routes from all daemons until 6.7 s after the store was back.

Cause: a long poll that the store took while it was silent is waited for until its time is over, 12 s, and nothing else asks the store meanwhile. Ruled out: propagation between daemons (none had read the version).

Change: polls of 2 s, so that a dead one ends after 4 s; a daemon is held to its bounds 3 s after the store is back, and a configuration is then in force within 2 s. Four readers cost 2 calls a second instead of 0.4.

--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -40,8 +40,11 @@
   restoreRange,
 } from "./record_difference.ts";
 
-/** Shorter than the store allows, so that a connection that went silent is noticed. */
-const LONG_POLL_MS: Milliseconds = 10_000;
+/**
+ * Much shorter than the store allows: a poll on a connection that went silent, or one that the store took while
+ * it answered nothing, is waited for until its time is over, and newer configurations with it.
+ */
+const LONG_POLL_MS: Milliseconds = 2_000;
 /** Records that follow each other closely are read together. */
 const BATCH_MS: Milliseconds = 150;
 /** How long another failure domain may be ahead before its records are fetched. */
