--- a/src/features/gate/node/endless_answers_test.ts
+++ b/src/features/gate/node/endless_answers_test.ts
@@ -14,13 +14,18 @@
 import { MAXIMUM_MESSAGE_BYTES } from "../../link/node/link.ts";
 import { ANSWER_BUDGET_BYTES } from "../common/answer_budget.ts";
 import type { Gate } from "../common/gate.ts";
-import type { GateOutcome, GateRequest } from "../common/gate_call.ts";
+import type { GateOutcome } from "../common/gate_call.ts";
 import { encodeOutcome } from "../common/gate_messages.ts";
 import {
   MAXIMUM_RESPONSE_BODY_BYTES,
   MAXIMUM_RESPONSE_HEADER_BYTES,
 } from "../common/response_limits.ts";
 import { createGate } from "./gate.ts";
+import {
+  createFixtureReport,
+  createFixtureRequest,
+  FIXTURE_HEADERS,
+} from "./gate_fixture.ts";
 
 const DEADLINE_MS = 20_000;
 /** Enough to read all bodies on a slow machine. */
@@ -117,29 +122,9 @@
   },
 ];
 
-function createRequest(identity: string): GateRequest {
-  return {
-    identity,
-    requestIdentity: identity,
-    service: "booking",
-    version: undefined,
-    route: "lookup",
-    method: "GET",
-    target: "/",
-    headerLines: `Host: mesh.example\r\nX-Request: ${identity}\r\n`,
-    body: Buffer.alloc(0),
-    callerService: "booking",
-    isNested: false,
-    rank: 1,
-    objectiveInMilliseconds: DEADLINE_MS,
-    deadlineInMilliseconds: DEADLINE_MS,
-    usualMilliseconds: 20,
-  };
-}
-
 function outcomeOf(gate: Gate, identity: string): Promise<GateOutcome> {
   return new Promise((resolve) =>
-    void gate.offer(createRequest(identity), resolve)
+    void gate.offer(createFixtureRequest(identity, DEADLINE_MS), resolve)
   );
 }
 
@@ -191,28 +176,16 @@
     gate = createGate({
       clock: STEADY_CLOCK,
       log,
-      headers: {
-        requestIdentity: "x-request",
-        deadline: "x-deadline",
-        expectedInstance: "x-instance",
-        callerService: "x-caller",
-        notRun: "x-refused",
-      },
+      headers: FIXTURE_HEADERS,
       heartbeatMilliseconds: 60_000,
       afterStall: (callback) => callback(),
     });
-    gate.report({
-      identity: "i-1",
-      startedAt: 1,
-      service: "booking",
-      version: "v1",
-      address: `127.0.0.1:${(server.address() as { port: number }).port}`,
-      failureDomain: "east",
-      slots: SLOTS,
-      state: "ready",
-      coldForMilliseconds: 0,
-      sequence: 1,
-    });
+    gate.report(
+      createFixtureReport({
+        port: (server.address() as { port: number }).port,
+        slots: SLOTS,
+      }),
+    );
   });
 
   after(() => {
@@ -277,7 +250,7 @@
       { length: SLOTS },
       (_, index) =>
         gate.offer(
-          createRequest(`endless-all-${index}`),
+          createFixtureRequest(`endless-all-${index}`, DEADLINE_MS),
           (outcome) => outcomes.push(outcome),
         ),
     );
--- /dev/null
+++ b/src/features/gate/node/gate_fixture.ts
@@ -0,0 +1,60 @@
+/**
+ * What tests of a gate say to it and offer to it.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
+import type { GateRequest } from "../common/gate_call.ts";
+import type { MeshHeaders } from "../common/mesh_headers.ts";
+
+export const FIXTURE_HEADERS: MeshHeaders = {
+  requestIdentity: "x-request",
+  deadline: "x-deadline",
+  expectedInstance: "x-instance",
+  callerService: "x-caller",
+  notRun: "x-refused",
+};
+
+/** A read whose objective is its deadline. */
+export function createFixtureRequest(
+  identity: string,
+  deadline: Milliseconds,
+): GateRequest {
+  return {
+    identity,
+    requestIdentity: identity,
+    service: "booking",
+    version: undefined,
+    route: "lookup",
+    method: "GET",
+    target: "/",
+    headerLines: `Host: mesh.example\r\nX-Request: ${identity}\r\n`,
+    body: Buffer.alloc(0),
+    callerService: "booking",
+    isNested: false,
+    rank: 1,
+    objectiveInMilliseconds: deadline,
+    deadlineInMilliseconds: deadline,
+    usualMilliseconds: 20,
+  };
+}
+
+/** A report of a ready instance on a loopback port. */
+export function createFixtureReport(
+  { port, slots }: { readonly port: number; readonly slots: number },
+): InstanceReport {
+  return {
+    identity: "i-1",
+    startedAt: 1,
+    service: "booking",
+    version: "v1",
+    address: `127.0.0.1:${port}`,
+    failureDomain: "east",
+    slots,
+    state: "ready",
+    coldForMilliseconds: 0,
+    sequence: 1,
+  };
+}
--- a/src/features/gate/node/gate_pace_test.ts
+++ b/src/features/gate/node/gate_pace_test.ts
@@ -6,32 +6,16 @@
 import { SILENT_LOG } from "../../../base/common/event_log.ts";
 import { STEADY_CLOCK } from "../../../base/node/system_clock.ts";
 import type { Gate } from "../common/gate.ts";
-import type { GateRequest } from "../common/gate_call.ts";
 import { createGate } from "./gate.ts";
+import {
+  createFixtureReport,
+  createFixtureRequest,
+  FIXTURE_HEADERS,
+} from "./gate_fixture.ts";
 
 const USUAL_MS = 20;
 const SLOTS = 12;
 
-function createRequest(identity: string, deadline: number): GateRequest {
-  return {
-    identity,
-    requestIdentity: identity,
-    service: "booking",
-    version: undefined,
-    route: "lookup",
-    method: "GET",
-    target: "/",
-    headerLines: `Host: mesh.example\r\nX-Request: ${identity}\r\n`,
-    body: Buffer.alloc(0),
-    callerService: "booking",
-    isNested: false,
-    rank: 1,
-    objectiveInMilliseconds: deadline,
-    deadlineInMilliseconds: deadline,
-    usualMilliseconds: USUAL_MS,
-  };
-}
-
 /** A gate before an instance that works on each call for `workMilliseconds`. */
 async function startGate(
   context: TestContext,
@@ -48,13 +32,7 @@
   const gate = createGate({
     clock: STEADY_CLOCK,
     log: SILENT_LOG,
-    headers: {
-      requestIdentity: "x-request",
-      deadline: "x-deadline",
-      expectedInstance: "x-instance",
-      callerService: "x-caller",
-      notRun: "x-refused",
-    },
+    headers: FIXTURE_HEADERS,
     heartbeatMilliseconds: 5_000,
     afterStall: (callback) => callback(),
   });
@@ -63,18 +41,12 @@
     server.closeAllConnections();
     server.close();
   });
-  gate.report({
-    identity: "i-1",
-    startedAt: 1,
-    service: "booking",
-    version: "v1",
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    failureDomain: "east",
-    slots: SLOTS,
-    state: "ready",
-    coldForMilliseconds: 0,
-    sequence: 1,
-  });
+  gate.report(
+    createFixtureReport({
+      port: (server.address() as AddressInfo).port,
+      slots: SLOTS,
+    }),
+  );
   return gate;
 }
 
@@ -102,7 +74,7 @@
           { length: SLOTS },
           (_, index) =>
             gate.offer(
-              createRequest(`${round}-${index}`, deadline),
+              createFixtureRequest(`${round}-${index}`, deadline),
               () => void (settled += 1),
             ),
         );
@@ -125,7 +97,10 @@
     const gate = await startGate(context, USUAL_MS);
     let settled = 0;
     for (let index = 0; index < SLOTS; index += 1) {
-      gate.offer(createRequest(String(index), 2_000), () => void (settled += 1))
+      gate.offer(
+        createFixtureRequest(String(index), 2_000),
+        () => void (settled += 1),
+      )
         .cancel();
     }
     while (settled < SLOTS) {
--- a/src/features/gate/node/gate_time_test.ts
+++ b/src/features/gate/node/gate_time_test.ts
@@ -7,6 +7,11 @@
 import { STEADY_CLOCK } from "../../../base/node/system_clock.ts";
 import { type GateOutcome, TIME_OVER_REASON } from "../common/gate_call.ts";
 import { createGate } from "./gate.ts";
+import {
+  createFixtureReport,
+  createFixtureRequest,
+  FIXTURE_HEADERS,
+} from "./gate_fixture.ts";
 
 const EARLY_MS = 3;
 const DEADLINE_MS = 100;
@@ -36,13 +41,7 @@
     const gate = createGate({
       clock: new EarlyClock(),
       log: SILENT_LOG,
-      headers: {
-        requestIdentity: "x-request",
-        deadline: "x-deadline",
-        expectedInstance: "x-instance",
-        callerService: "x-caller",
-        notRun: "x-refused",
-      },
+      headers: FIXTURE_HEADERS,
       heartbeatMilliseconds: 5_000,
       afterStall: (callback) => callback(),
     });
@@ -51,36 +50,9 @@
       server.closeAllConnections();
       server.close();
     });
-    gate.report({
-      identity: "i-1",
-      startedAt: 1,
-      service: "booking",
-      version: "v1",
-      address: `127.0.0.1:${port}`,
-      failureDomain: "east",
-      slots: 1,
-      state: "ready",
-      coldForMilliseconds: 0,
-      sequence: 1,
-    });
+    gate.report(createFixtureReport({ port, slots: 1 }));
     const outcome = await new Promise<GateOutcome>((resolve) => {
-      gate.offer({
-        identity: "late",
-        requestIdentity: "late",
-        service: "booking",
-        version: undefined,
-        route: "lookup",
-        method: "GET",
-        target: "/",
-        headerLines: "Host: mesh.example\r\nX-Request: late\r\n",
-        body: Buffer.alloc(0),
-        callerService: "booking",
-        isNested: false,
-        rank: 1,
-        objectiveInMilliseconds: DEADLINE_MS,
-        deadlineInMilliseconds: DEADLINE_MS,
-        usualMilliseconds: 20,
-      }, resolve);
+      gate.offer(createFixtureRequest("late", DEADLINE_MS), resolve);
     });
     assert.deepEqual(outcome, { type: "failed", reason: TIME_OVER_REASON });
   },
