--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -6,43 +6,28 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Clock } from "../../../base/common/clock.ts";
-import type { Disposable } from "../../../base/common/disposable.ts";
-import { createEmitter, type Event } from "../../../base/common/emitter.ts";
-import type { EventLog } from "../../../base/common/event_log.ts";
+import { createEmitter } from "../../../base/common/emitter.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
-import type { RandomSource } from "../../../base/common/random_source.ts";
-import type { StopPhase } from "../../../base/common/stop_phase.ts";
 import { createConnectionEnds } from "../../../base/node/connection_ends.ts";
 import {
   afterPendingEvents,
   afterStall,
   STALLED_MS,
 } from "../../../base/node/loop_delay.ts";
-import type {
-  CallerLimits,
-  MeshRoute,
-  RouteKind,
-} from "../../../world/common/mesh_configuration.ts";
+import type { MeshRoute } from "../../../world/common/mesh_configuration.ts";
 import type { HostName, ServiceName } from "../../../world/common/names.ts";
 import {
   copyEndToEndHeaders,
   formatHeaderLines,
 } from "../../attempt/common/call_headers.ts";
-import type { GateTicket, ParentCall } from "../../gate/common/gate.ts";
-import type { GateClient } from "../../gate/common/gate_client.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
-import type { MeshHeaders } from "../../gate/common/mesh_headers.ts";
 import { createRunningMeans } from "../../gate/common/running_means.ts";
 import {
   chooseGate,
   type PlacedCall,
 } from "../../placement/common/gate_choice.ts";
-import type { HostDelays } from "../../placement/common/host_delays.ts";
 import { sampleCandidates } from "../../placement/common/candidate_sample.ts";
 import type { VersionedCandidate } from "../../placement/common/candidates.ts";
-import type { HostRoutes } from "../../table/common/host_routes.ts";
-import type { VersionChoice } from "../../rollout/common/rollout_book.ts";
 import { decideNextStep, isFull } from "../common/call_course.ts";
 import { type OwnAnswer, refuseNotRun } from "../common/call_refusal.ts";
 import { hasArrived, isSuccess, workOf } from "../common/outcome_facts.ts";
@@ -57,73 +42,19 @@
 import { admitsCall } from "../common/stop_course.ts";
 import { relayAnswer, writeOwnAnswer } from "./answer_writer.ts";
 import { readBody } from "./body_reader.ts";
+import type { Call, OpenOffer } from "./ingress_call.ts";
+import type {
+  CallResult,
+  EndedCall,
+  Ingress,
+  IngressOptions,
+} from "./ingress_options.ts";
 
 /** A call that may be repeated elsewhere does not wait longer for a lost link. */
 const RESUME_REPEATABLE_MS: Milliseconds = 300;
 /** When nothing is known about when a call could be served. */
 const UNKNOWN_RETRY_MS: Milliseconds = 100;
 
-export interface IngressOptions {
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly random: RandomSource;
-  readonly headers: MeshHeaders;
-  readonly host: HostName;
-  readonly failureDomain: string;
-  readonly gates: GateClient;
-  /** Unique among all processes that this and other daemons ever were. */
-  readonly processIdentity: string;
-  /** The service of the instance on this host. */
-  readonly callerService: () => ServiceName;
-  /** Undefined until a configuration is known to be the newest. */
-  readonly routes: () => HostRoutes | undefined;
-  readonly limits: () => CallerLimits | undefined;
-  readonly candidates: (service: ServiceName) => readonly VersionedCandidate[];
-  readonly hostDelays: Pick<HostDelays, "record">;
-  /** The call for which the instance on this host makes a call, if it makes it. */
-  readonly findParent: (
-    requestIdentity: string,
-  ) => ParentCall | undefined;
-  /** For how long a request that is read now may have waited in this process. */
-  readonly loopDelay: () => Milliseconds;
-  readonly stopPhase: () => StopPhase;
-  /** Until this process has ended at the latest, while it stops. */
-  readonly untilStopped: () => Milliseconds;
-  readonly chooseVersion: (
-    service: ServiceName,
-    callIdentity: string,
-  ) => VersionChoice;
-}
-
-/** A call that has got its final answer, or whose client has left. */
-export interface EndedCall {
-  readonly kind: RouteKind;
-  readonly result: CallResult;
-  readonly duration: Milliseconds;
-}
-
-export type CallResult =
-  | "answered"
-  | "failed"
-  | "refused"
-  | "expired"
-  | "abandoned";
-
-export interface Ingress {
-  readonly activeCalls: number;
-  readonly onEnded: Event<EndedCall>;
-  /** Answers the calls that are still under way at the end of a stop. */
-  endCalls(): void;
-  handle(request: IncomingMessage, response: ServerResponse): void;
-}
-
-interface OpenOffer {
-  readonly host: HostName;
-  /** When the repeat was taken from the budget; undefined for an offer that needs none. */
-  readonly repeatTakenAt: Milliseconds | undefined;
-  ticket: GateTicket | undefined;
-}
-
 /** Why the ingress itself refuses a call. */
 interface RefusalFacts {
   readonly reason: "stopping" | "not-ready" | "stale";
@@ -131,32 +62,6 @@
   readonly delay?: Milliseconds;
 }
 
-interface Call {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly identity: string;
-  readonly route: MeshRoute;
-  readonly service: ServiceName;
-  readonly versions: VersionChoice;
-  readonly arrivedAt: Milliseconds;
-  readonly finalAt: Milliseconds;
-  readonly parent: ParentCall | undefined;
-  /** A nested call is not more urgent than the call for which it is made. */
-  readonly rank: number;
-  readonly asked: Set<HostName>;
-  body: Buffer;
-  /** Offers without an outcome yet. */
-  readonly open: Set<OpenOffer>;
-  /** When repeats were taken from the budget that no instance has received yet. */
-  readonly unusedRepeats: Milliseconds[];
-  secondSend: Disposable | undefined;
-  instancesReached: number;
-  fullGates: number;
-  mayHaveRun: boolean;
-  isEnded: boolean;
-  release: () => void;
-}
-
 export function createIngress(options: IngressOptions): Ingress {
   const { clock, log, headers } = options;
   const times = createRunningMeans();
--- /dev/null
+++ b/src/features/ingress/node/ingress_options.ts
@@ -0,0 +1,79 @@
+/**
+ * What the ingress needs, offers and tells.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Event } from "../../../base/common/emitter.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { StopPhase } from "../../../base/common/stop_phase.ts";
+import type {
+  CallerLimits,
+  RouteKind,
+} from "../../../world/common/mesh_configuration.ts";
+import type { HostName, ServiceName } from "../../../world/common/names.ts";
+import type { ParentCall } from "../../gate/common/gate.ts";
+import type { GateClient } from "../../gate/common/gate_client.ts";
+import type { MeshHeaders } from "../../gate/common/mesh_headers.ts";
+import type { HostDelays } from "../../placement/common/host_delays.ts";
+import type { VersionedCandidate } from "../../placement/common/candidates.ts";
+import type { HostRoutes } from "../../table/common/host_routes.ts";
+import type { VersionChoice } from "../../rollout/common/rollout_book.ts";
+
+export interface IngressOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly random: RandomSource;
+  readonly headers: MeshHeaders;
+  readonly host: HostName;
+  readonly failureDomain: string;
+  readonly gates: GateClient;
+  /** Unique among all processes that this and other daemons ever were. */
+  readonly processIdentity: string;
+  /** The service of the instance on this host. */
+  readonly callerService: () => ServiceName;
+  /** Undefined until a configuration is known to be the newest. */
+  readonly routes: () => HostRoutes | undefined;
+  readonly limits: () => CallerLimits | undefined;
+  readonly candidates: (service: ServiceName) => readonly VersionedCandidate[];
+  readonly hostDelays: Pick<HostDelays, "record">;
+  /** The call for which the instance on this host makes a call, if it makes it. */
+  readonly findParent: (
+    requestIdentity: string,
+  ) => ParentCall | undefined;
+  /** For how long a request that is read now may have waited in this process. */
+  readonly loopDelay: () => Milliseconds;
+  readonly stopPhase: () => StopPhase;
+  /** Until this process has ended at the latest, while it stops. */
+  readonly untilStopped: () => Milliseconds;
+  readonly chooseVersion: (
+    service: ServiceName,
+    callIdentity: string,
+  ) => VersionChoice;
+}
+
+/** A call that has got its final answer, or whose client has left. */
+export interface EndedCall {
+  readonly kind: RouteKind;
+  readonly result: CallResult;
+  readonly duration: Milliseconds;
+}
+
+export type CallResult =
+  | "answered"
+  | "failed"
+  | "refused"
+  | "expired"
+  | "abandoned";
+
+export interface Ingress {
+  readonly activeCalls: number;
+  readonly onEnded: Event<EndedCall>;
+  /** Answers the calls that are still under way at the end of a stop. */
+  endCalls(): void;
+  handle(request: IncomingMessage, response: ServerResponse): void;
+}
--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -15,7 +15,7 @@
 import type {
   CallResult,
   Ingress,
-} from "../../features/ingress/node/ingress.ts";
+} from "../../features/ingress/node/ingress_options.ts";
 import type { PeerNetwork } from "../../features/link/common/peer_network.ts";
 import type { RecordSync } from "../../features/operator/common/record_sync.ts";
 import type { RouteKind } from "../../world/common/mesh_configuration.ts";
