Do not start calls of clients that left while their connection waited to be accepted

Cause: libuv accepts one connection in a turn of the event loop. Clients give up after a third of their time and open another connection, so once the queue is long, each connection is accepted after its client has left, and its call is offered, started and cancelled, which makes the turns longer. No turn is long, so the process does not count as stalled and begins each call at once. Ruled out: the store (records were applied), a stall (no call.stale line).

Change: the first call of a connection begins two turns after it was read, when the end of the connection behind it has been read too.

--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -80,6 +80,7 @@
     "expect",
   ]);
   const connectionEnds = createConnectionEnds(options.stopPhase);
+  const usedConnections = new WeakSet<IncomingMessage["socket"]>();
   let nextNumber = 0;
 
   options.gates.onSilent((host) => {
@@ -142,11 +143,14 @@
       return;
     }
     const delay = options.loopDelay();
-    if (delay < STALLED_MS) {
+    const isStalled = delay >= STALLED_MS;
+    const hasWaited = isStalled || isOnNewConnection(request);
+    if (!hasWaited) {
       begin(request, response, { identity, route, delay: 0 });
       return;
     }
-    // The caller may have left: the end of its connection is then right behind the request.
+    // The caller may have left: the end of its connection is then right behind the request. One connection is
+    // accepted in a turn of the event loop, so new ones may wait for long though no turn is long.
     afterPendingEvents(() => {
       if (request.destroyed || request.socket.destroyed) {
         log.write("info", "call.stale", {
@@ -154,11 +158,21 @@
           delay: Math.round(delay),
         });
       } else {
-        begin(request, response, { identity, route, delay });
+        begin(request, response, {
+          identity,
+          route,
+          delay: isStalled ? delay : 0,
+        });
       }
     });
   }
 
+  function isOnNewConnection({ socket }: IncomingMessage): boolean {
+    const isNew = !usedConnections.has(socket);
+    usedConnections.add(socket);
+    return isNew;
+  }
+
   function logRefusal(
     identity: string,
     { reason, retryAfter, delay }: RefusalFacts,
@@ -593,7 +607,7 @@
   /** The client has left. */
   function abandon(call: Call): void {
     if (!call.isEnded) {
-      log.write("info", "call.abandoned", {
+      log.write("debug", "call.abandoned", {
         request: call.identity,
         route: call.route.name,
         gates: [...call.asked].join(","),
