Show with tests that a configuration is late when the readers of the store stop

Callers of two hosts were served by the version before 2.6 s after the next one was acknowledged.

The list of a daemon's candidates for readers moves from the daemon to the fleet feature, unchanged, so that the tests use it.

--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -25,6 +25,7 @@
 import { MONOTONIC_CLOCK } from "../../base/node/system_clock.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import { createFleet } from "../../features/fleet/common/fleet.ts";
+import { listCoordinators } from "../../features/fleet/common/coordinators.ts";
 import { createGateClient } from "../../features/gate/common/gate_client.ts";
 import { createGateService } from "../../features/gate/common/gate_service.ts";
 import { createGate } from "../../features/gate/node/gate.ts";
@@ -161,14 +162,11 @@
       network,
       store: platform.store,
       compression: { compress, decompress },
-      candidates: () => [
-        { ...location, reachesStore: sync.reachesStore && !isLeaving },
-        ...fleet.members.map(({ host, failureDomain, status }) => ({
-          host,
-          failureDomain,
-          reachesStore: status.reachesStore && !status.isStopping,
-        })),
-      ],
+      candidates: () =>
+        listCoordinators({
+          self: { ...location, reachesStore: sync.reachesStore && !isLeaving },
+          members: fleet.members,
+        }),
     }),
   );
   const state = createMeshState({ log, platform });
--- /dev/null
+++ b/src/programs/node/spread_fixture.ts
@@ -0,0 +1,444 @@
+/**
+ * Test fixture: the daemons of a fleet as far as they distribute the operator's records, on a virtual clock,
+ * with hosts that are slow, paused, restarted, or cut off from each other or from the store.
+ *
+ * @module
+ */
+
+import { Clock, VirtualClock } from "../../base/common/clock.ts";
+import type { Disposable } from "../../base/common/disposable.ts";
+import { createEmitter } from "../../base/common/emitter.ts";
+import { SILENT_LOG } from "../../base/common/event_log.ts";
+import { registerHandler } from "../../base/common/handler_map.ts";
+import type { Milliseconds } from "../../base/common/milliseconds.ts";
+import { createRandomSource } from "../../base/common/random_source.ts";
+import { Err, Ok, type Result } from "../../base/common/result.ts";
+import { StepError } from "../../base/common/step_error.ts";
+import { createLoopDelay, type LoopDelay } from "../../base/node/loop_delay.ts";
+import { listCoordinators } from "../../features/fleet/common/coordinators.ts";
+import { createFleet, type Fleet } from "../../features/fleet/common/fleet.ts";
+import { computeHeartbeatInterval } from "../../features/link/common/link_rules.ts";
+import type {
+  LinkMessage,
+  Peer,
+  PeerNetwork,
+} from "../../features/link/common/peer_network.ts";
+import type {
+  MeshStore,
+  ReadOptions,
+  ReadOutcome,
+} from "../../features/operator/common/mesh_store.ts";
+import {
+  createRecordSync,
+  type RecordSync,
+} from "../../features/operator/common/record_sync.ts";
+import type { HostName } from "../../world/common/names.ts";
+
+const HEARTBEAT_MS: Milliseconds = 500;
+const MISSED_HEARTBEATS = 3;
+const TRANSIT_MS: Milliseconds = 1;
+const STORE_MS: Milliseconds = 4;
+/** How long a call of the store waits for a response. */
+const STORE_TIMEOUT_MS: Milliseconds = 2_000;
+/** The processor time that a daemon of usual speed needs for a message. */
+const EVENT_MS: Milliseconds = 0.2;
+/** The processor time that a daemon of usual speed needs for a version with hundreds of routes. */
+const TABLE_MS: Milliseconds = 25;
+const STEP_MS: Milliseconds = 5;
+
+/** A fault of one host. */
+export interface HostFault {
+  /** How many times longer than usual everything takes. */
+  readonly slowdown?: number;
+  /** No event is handled. */
+  readonly isPaused?: boolean;
+  /** No message passes between the host and the other ones. */
+  readonly isCutOff?: boolean;
+  /** The store does not respond to the host. */
+  readonly isStoreSilent?: boolean;
+}
+
+interface Host {
+  readonly peer: Peer;
+  readonly clock: HostClock;
+  fault: HostFault;
+  sync: RecordSync;
+  fleet: Fleet;
+  loopDelay: LoopDelay;
+  /** When each position took effect. */
+  readonly appliedAt: Map<number, Milliseconds>;
+  lastStoreReadAt: Milliseconds;
+  readonly handlers: Map<string, (peer: Peer, message: LinkMessage) => void>;
+  readonly links: Map<HostName, { lastReceivedAt: Milliseconds }>;
+  readonly closed: ReturnType<typeof createEmitter<Peer>>;
+}
+
+/** The event loop of a host, which handles events in order and takes its time for each. */
+class HostClock extends Clock {
+  readonly #base: VirtualClock;
+  readonly #fault: () => HostFault;
+  readonly #queue: (() => void)[] = [];
+  #busyUntil: Milliseconds = 0;
+
+  constructor(base: VirtualClock, fault: () => HostFault) {
+    super();
+    this.#base = base;
+    this.#fault = fault;
+  }
+
+  override now(): Milliseconds {
+    return this.#base.now();
+  }
+
+  override schedule(delay: Milliseconds, callback: () => void): Disposable {
+    let isDisposed = false;
+    const timer = this.#base.schedule(
+      delay,
+      () =>
+        this.handle(() => {
+          if (!isDisposed) {
+            callback();
+          }
+        }),
+    );
+    return {
+      dispose() {
+        isDisposed = true;
+        timer.dispose();
+      },
+    };
+  }
+
+  handle(event: () => void): void {
+    this.#queue.push(event);
+    this.resume();
+  }
+
+  /** Spends processor time in the event that is handled; returns when this time is over. */
+  spend(duration: Milliseconds): Milliseconds {
+    this.#busyUntil = Math.max(this.now(), this.#busyUntil) +
+      duration * (this.#fault().slowdown ?? 1);
+    this.#base.schedule(this.busyFor, () => this.resume());
+    return this.#busyUntil;
+  }
+
+  /** How long the event that is handled still takes. */
+  get busyFor(): Milliseconds {
+    return Math.max(0, this.#busyUntil - this.now());
+  }
+
+  /** Handles the events that wait, unless the host is paused. */
+  resume(): void {
+    while (
+      this.busyFor === 0 && !this.#fault().isPaused && this.#queue.length > 0
+    ) {
+      const event = this.#queue.shift()!;
+      if ((this.#fault().slowdown ?? 1) > 1) {
+        this.spend(EVENT_MS);
+      }
+      event();
+    }
+  }
+}
+
+export interface SpreadFleet {
+  /** The daemons that wait for a response of the store. */
+  listReaders(): readonly HostName[];
+  setFault(host: HostName, fault: HostFault): void;
+  /** Writes a version of the configuration; returns its position. */
+  publish(): number;
+  advance(duration: Milliseconds): Promise<void>;
+  /** When a position took effect on a host; undefined before. */
+  appliedAt(host: HostName, position: number): Milliseconds | undefined;
+  readonly hosts: readonly HostName[];
+  readonly now: Milliseconds;
+  /** The number of calls that the store has received. */
+  readonly storeCalls: number;
+  dispose(): void;
+}
+
+export function createSpreadFleet(
+  { hosts: hostCount, failureDomains }: {
+    readonly hosts: number;
+    readonly failureDomains: number;
+  },
+): SpreadFleet {
+  const clock = new VirtualClock();
+  const hosts = new Map<HostName, Host>();
+  const interval = computeHeartbeatInterval(HEARTBEAT_MS, hostCount - 1);
+  const versions: string[] = [];
+  const waiting = new Set<() => void>();
+  let storeCalls = 0;
+
+  function isConnected(from: Host, to: Host): boolean {
+    return !from.fault.isCutOff && !to.fault.isCutOff;
+  }
+
+  function transmit(from: Host, to: Host, receive: () => void): void {
+    clock.schedule(from.clock.busyFor + TRANSIT_MS, () => {
+      if (isConnected(from, to)) {
+        to.clock.handle(() => {
+          const link = to.links.get(from.peer.process.host);
+          if (link !== undefined) {
+            link.lastReceivedAt = clock.now();
+            receive();
+          }
+        });
+      }
+    });
+  }
+
+  function closeLink(host: Host, other: Host): void {
+    host.links.delete(other.peer.process.host);
+    host.closed.fire(other.peer);
+  }
+
+  function createNetwork(host: Host): PeerNetwork {
+    const linkOf = (name: HostName) => host.links.get(name);
+    const ignore = () => ({ dispose() {} });
+    return {
+      get peers() {
+        return [...host.links.keys()].map((name) => hosts.get(name)!.peer);
+      },
+      traffic: {
+        sentBytes: 0,
+        receivedBytes: 0,
+        sentMessages: 0,
+        receivedMessages: 0,
+      },
+      findPeer: (name) =>
+        linkOf(name) === undefined ? undefined : hosts.get(name)!.peer,
+      getOverdueTime(name) {
+        const link = linkOf(name);
+        return link === undefined
+          ? 0
+          : Math.max(0, clock.now() - link.lastReceivedAt - interval);
+      },
+      getIdleTime(name) {
+        const link = linkOf(name);
+        return link === undefined ? 0 : clock.now() - link.lastReceivedAt;
+      },
+      onLinkOpened: ignore,
+      onLinkClosed: host.closed.event,
+      onTargetReplaced: ignore,
+      setTargets() {},
+      setAddressResolver() {},
+      send(name, message) {
+        const to = hosts.get(name)!;
+        if (linkOf(name) === undefined) {
+          return false;
+        }
+        transmit(
+          host,
+          to,
+          () => to.handlers.get(message.kind)?.(host.peer, message),
+        );
+        return true;
+      },
+      request: () => Promise.reject(new Error("Requests are not used")),
+      onMessage: (kind, handler) =>
+        registerHandler(host.handlers, kind, handler),
+      onRequest: ignore,
+      dispose() {},
+    };
+  }
+
+  function createStore(host: Host): MeshStore {
+    /** Resolves with the response of the store, or with an error when it does not respond in time. */
+    function call<T>(
+      wait: Milliseconds,
+      isReady: () => boolean,
+      respond: () => T,
+      signal?: AbortSignal,
+    ): Promise<Result<T, StepError>> {
+      storeCalls += 1;
+      return new Promise((resolve) => {
+        const finish = (result: Result<T, StepError>) => {
+          timeout.dispose();
+          host.clock.handle(() => resolve(result));
+        };
+        const fail = (reason: string) =>
+          finish(Err(new StepError("store", reason, { outcome: "not-run" })));
+        const timeout = clock.schedule(
+          wait + STORE_TIMEOUT_MS,
+          () => fail("the request timed out"),
+        );
+        signal?.addEventListener("abort", () => fail("aborted"));
+        const answer = () => {
+          if (!waiting.delete(wake) || host.fault.isStoreSilent) {
+            return;
+          }
+          clock.schedule(STORE_MS, () => finish(Ok(respond())));
+        };
+        const wake = () => {
+          if (isReady()) {
+            answer();
+          }
+        };
+        waiting.add(wake);
+        clock.schedule(STORE_MS, wake);
+        clock.schedule(STORE_MS + wait, answer);
+      });
+    }
+    const recordsFrom = (position: number) => ({
+      records: versions.length <= position ? [] : [{
+        key: "config",
+        offset: versions.length - 1,
+        value: Buffer.from(versions.at(-1)!),
+      }],
+      position: versions.length,
+    });
+    return {
+      readNewestRecords: () => call(0, () => true, () => recordsFrom(0)),
+      readRecords(
+        position: number,
+        { waitMilliseconds, signal }: ReadOptions,
+      ): Promise<Result<ReadOutcome, StepError>> {
+        host.lastStoreReadAt = clock.now();
+        return call(
+          waitMilliseconds,
+          () => versions.length > position,
+          () => recordsFrom(position),
+          signal,
+        );
+      },
+    } as unknown as MeshStore;
+  }
+
+  function start(host: Host): void {
+    const { peer } = host;
+    const location = {
+      host: peer.process.host,
+      failureDomain: peer.failureDomain,
+    };
+    const network = createNetwork(host);
+    host.loopDelay = createLoopDelay(host.clock);
+    host.sync = createRecordSync({
+      self: location,
+      clock: host.clock,
+      random: createRandomSource(hosts.size + 1),
+      log: SILENT_LOG,
+      network,
+      store: createStore(host),
+      compression: {
+        compress: (value) => value,
+        decompress: (value) => Ok(value),
+      },
+      candidates: () =>
+        listCoordinators({
+          self: { ...location, reachesStore: host.sync.reachesStore },
+          members: host.fleet.members,
+        }),
+    });
+    host.fleet = createFleet({
+      self: { host: location.host, address: location.host, port: 1 },
+      clock: host.clock,
+      log: SILENT_LOG,
+      network,
+      describeSelf: () => ({
+        instance: undefined,
+        load: {
+          running: 0,
+          waiting: 0,
+          limit: 1,
+          relativeServiceTime: 1,
+          failureRate: 0,
+        },
+        departed: [],
+        position: host.sync.position,
+        reachesStore: host.sync.reachesStore,
+        isStopping: false,
+        rollouts: [],
+        evidence: [],
+      }),
+    });
+    host.fleet.onStatusReceived(({ peer, status }) =>
+      host.sync.updatePeerPosition(peer.process.host, status.position)
+    );
+    host.sync.onChanged(() => host.fleet.broadcastStatus());
+    host.sync.onRecords(({ records }) => {
+      host.appliedAt.set(records[0].offset + 1, host.clock.spend(TABLE_MS));
+    });
+    host.clock.repeat(0.75 * interval, () => {
+      for (const name of host.links.keys()) {
+        transmit(host, hosts.get(name)!, () => {});
+      }
+    });
+    host.clock.repeat(HEARTBEAT_MS / 2, () => {
+      for (const [name, { lastReceivedAt }] of [...host.links]) {
+        if (clock.now() - lastReceivedAt >= MISSED_HEARTBEATS * interval) {
+          closeLink(host, hosts.get(name)!);
+        }
+      }
+    });
+    host.sync.start();
+  }
+
+  for (let index = 0; index < hostCount; index += 1) {
+    const name = `host-${index}`;
+    const host = {
+      peer: {
+        process: { host: name, startedAt: 0 },
+        failureDomain: `domain-${index % failureDomains}`,
+      },
+      clock: new HostClock(clock, () => host.fault),
+      fault: {},
+      appliedAt: new Map(),
+      lastStoreReadAt: -Infinity,
+      handlers: new Map(),
+      links: new Map(),
+      closed: createEmitter<Peer>(),
+    } as unknown as Host;
+    hosts.set(name, host);
+  }
+  for (const host of hosts.values()) {
+    for (const other of hosts.values()) {
+      if (other !== host) {
+        host.links.set(other.peer.process.host, { lastReceivedAt: 0 });
+      }
+    }
+  }
+  for (const host of hosts.values()) {
+    start(host);
+  }
+
+  return {
+    hosts: [...hosts.keys()],
+    listReaders: () =>
+      [...hosts.values()].filter(({ lastStoreReadAt }) =>
+        clock.now() - lastStoreReadAt < STORE_TIMEOUT_MS + STORE_MS * 4
+      ).map(({ peer }) => peer.process.host),
+    setFault(name, fault) {
+      const host = hosts.get(name)!;
+      host.fault = fault;
+      host.clock.resume();
+    },
+    publish() {
+      versions.push(JSON.stringify({ version: versions.length }));
+      for (const wake of [...waiting]) {
+        wake();
+      }
+      return versions.length;
+    },
+    async advance(duration) {
+      for (let elapsed = 0; elapsed < duration; elapsed += STEP_MS) {
+        clock.advance(STEP_MS);
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    },
+    appliedAt: (name, position) => hosts.get(name)!.appliedAt.get(position),
+    get now() {
+      return clock.now();
+    },
+    get storeCalls() {
+      return storeCalls;
+    },
+    dispose() {
+      for (const { sync, fleet, loopDelay } of hosts.values()) {
+        sync.dispose();
+        fleet.dispose();
+        loopDelay.dispose();
+      }
+    },
+  };
+}
