Replace readers of the store that are slow or silent as soon as this shows

Callers of two hosts were served by the version before 2.6 s after the next one was acknowledged; 2.5 s are allowed.

Cause: a daemon stayed the reader of its failure domain for as long as its last call to the store had succeeded and its link was open. Links of a fleet of 68 count as lost after three heartbeats of 1.05 s. Class of fault: a task for others that is kept until its holder counts as lost, which takes longer than the others may wait. The same held for a host that is cut off from the others but reaches the store: it waited for its reader for as long.

Change: two daemons of each failure domain read, the first of them passes records on, before it builds its own table. A daemon whose next heartbeat is overdue is not chosen, nor is one that reports that it does not keep up: the average delay of its event loop is above 100 ms. The status carries this in the field that said whether the daemon reaches the store, so the format of the message stays. Log lines tell when a daemon begins or ends to read (operator.reading-changed).

It works because a heartbeat is overdue 1.2 s after the last frame (0.65 s in small fleets), and the next reader starts to read within 0.2 s.

The unit tests of the choice of readers are replaced by ones for two readers that check the same: all daemons agree, an unavailable daemon is not chosen, none is chosen if none is available.

--- a/src/base/node/loop_delay.ts
+++ b/src/base/node/loop_delay.ts
@@ -11,23 +11,41 @@
 /** Much shorter delays are not detected. Each check wakes the process, so checks are not more frequent. */
 const CHECK_INTERVAL_MS: Milliseconds = 100;
 
+/** The weight of a delay in the average falls to about a third within this time. */
+const AVERAGING_TIME_MS: Milliseconds = 1_000;
+/** A process is overloaded above the first average delay, until the average falls below the second. */
+const OVERLOADED_ABOVE_MS: Milliseconds = 100;
+const RECOVERED_BELOW_MS: Milliseconds = 30;
+
 export interface LoopDelay extends Disposable {
   /** The longest time that the events handled now may have waited in this process. */
   readonly current: Milliseconds;
+  /** Whether events have waited long on average, so that this process should do nothing for others. */
+  readonly isOverloaded: boolean;
 }
 
 export function createLoopDelay(clock: Clock): LoopDelay {
   let dueAt = clock.now() + CHECK_INTERVAL_MS;
   let lastDelay: Milliseconds = 0;
+  let averageDelay: Milliseconds = 0;
+  let isOverloaded = false;
   const timer = clock.repeat(CHECK_INTERVAL_MS, () => {
     const now = clock.now();
     lastDelay = Math.max(0, now - dueAt);
+    const weight = 1 -
+      Math.exp(-(CHECK_INTERVAL_MS + lastDelay) / AVERAGING_TIME_MS);
+    averageDelay += weight * (lastDelay - averageDelay);
+    isOverloaded = averageDelay >
+      (isOverloaded ? RECOVERED_BELOW_MS : OVERLOADED_ABOVE_MS);
     dueAt = now + CHECK_INTERVAL_MS;
   });
   return {
     get current() {
       return Math.max(lastDelay, clock.now() - dueAt);
     },
+    get isOverloaded() {
+      return isOverloaded;
+    },
     dispose: () => timer.dispose(),
   };
 }
--- a/src/base/node/loop_delay_test.ts
+++ b/src/base/node/loop_delay_test.ts
@@ -41,3 +41,24 @@
   assert.equal(delay.current, 0);
   delay.dispose();
 });
+
+// Guards against a slow process that keeps a task which others wait for.
+test("a process whose events wait long is overloaded until they have been on time for seconds", () => {
+  const clock = new BusyClock();
+  const delay = createLoopDelay(clock);
+  for (let iteration = 0; iteration < 10; iteration += 1) {
+    clock.blockFor(40);
+    clock.advance(100);
+  }
+  assert.equal(delay.isOverloaded, false);
+  for (let iteration = 0; iteration < 10; iteration += 1) {
+    clock.blockFor(200);
+    clock.advance(100);
+  }
+  assert.equal(delay.isOverloaded, true);
+  clock.advance(1_000);
+  assert.equal(delay.isOverloaded, true);
+  clock.advance(4_000);
+  assert.equal(delay.isOverloaded, false);
+  delay.dispose();
+});
--- a/src/features/fleet/common/coordinators.ts
+++ b/src/features/fleet/common/coordinators.ts
@@ -2,27 +2,41 @@
  * Lists the daemons that can do a task for others: read the store for their failure domain, or lead a
  * rollout.
  *
+ * Load pattern: a large fleet whose heartbeats are a second apart, and whose links count as lost only after
+ * three missed ones. A daemon that is paused, cut off or very slow would keep its task for all that time,
+ * longer than a configuration may take. So a daemon counts as unavailable as soon as its next heartbeat is
+ * overdue, and declares itself unavailable while its event loop does not keep up.
+ *
  * @module
  */
 
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { PeerNetwork } from "../../link/common/peer_network.ts";
 import type { ReaderCandidate } from "../../operator/common/reader_choice.ts";
 import type { FleetMember } from "./fleet.ts";
 
+/** A healthy daemon may send a heartbeat this much after it is due. */
+export const HEARTBEAT_TOLERANCE_MS: Milliseconds = 150;
+
 export interface CoordinatorSources {
   readonly self: ReaderCandidate;
   readonly members: readonly FleetMember[];
+  readonly network: Pick<PeerNetwork, "getOverdueTime">;
+  /** How long received frames may have waited for the event loop of this process. */
+  readonly loopDelay: Milliseconds;
 }
 
 /** Lists this daemon and the daemons that are linked to it. */
 export function listCoordinators(
-  { self, members }: CoordinatorSources,
+  { self, members, network, loopDelay }: CoordinatorSources,
 ): readonly ReaderCandidate[] {
   return [
     self,
     ...members.map(({ host, failureDomain, status }) => ({
       host,
       failureDomain,
-      reachesStore: status.reachesStore && !status.isStopping,
+      isAvailable: status.isAvailable && !status.isStopping &&
+        network.getOverdueTime(host) <= HEARTBEAT_TOLERANCE_MS + loopDelay,
     })),
   ];
 }
--- a/src/features/fleet/common/fleet_messages.ts
+++ b/src/features/fleet/common/fleet_messages.ts
@@ -46,7 +46,8 @@
   readonly departed: readonly DepartedInstance[];
   /** Position up to which the operator's records have been read. */
   readonly position: number;
-  readonly reachesStore: boolean;
+  /** Whether the daemon reaches the store and keeps up, so that it can do a task for others. */
+  readonly isAvailable: boolean;
   readonly isStopping: boolean;
   readonly rollouts: readonly RolloutProgress[];
   /** Evidence of the own instance while a rollout of its service is running. */
@@ -76,7 +77,7 @@
     ],
     encodeLoad(load),
     status.position,
-    status.reachesStore,
+    status.isAvailable,
     status.isStopping,
     status.departed,
     status.rollouts,
@@ -99,7 +100,7 @@
   ) {
     return undefined;
   }
-  const [instance, loadRow, position, reachesStore, isStopping, ...lists] = row;
+  const [instance, loadRow, position, isAvailable, isStopping, ...lists] = row;
   const load = decodeLoad(loadRow);
   if (load === undefined) {
     return undefined;
@@ -109,7 +110,7 @@
     instance: Array.isArray(instance) ? decodeInstance(instance) : undefined,
     load,
     position,
-    reachesStore,
+    isAvailable,
     isStopping,
     departed,
     rollouts,
--- a/src/features/fleet/common/fleet_messages_test.ts
+++ b/src/features/fleet/common/fleet_messages_test.ts
@@ -23,7 +23,7 @@
   },
   departed: [],
   position: -1,
-  reachesStore: true,
+  isAvailable: true,
   isStopping: false,
   rollouts: [],
   evidence: [],
@@ -45,7 +45,7 @@
   },
   departed: [{ identity: "i-1", startedAt: 5 }],
   position: 40,
-  reachesStore: false,
+  isAvailable: false,
   isStopping: true,
   rollouts: [{
     service: "booking",
--- a/src/features/operator/common/operator_test.ts
+++ b/src/features/operator/common/operator_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { createOperatorRecords, NO_POSITION } from "./operator_records.ts";
-import { chooseReader } from "./reader_choice.ts";
+import { chooseReaders } from "./reader_choice.ts";
 
 const record = (key: string, offset: number) => ({
   key,
@@ -56,35 +56,36 @@
   }
 });
 
-describe("the reader of a failure domain", () => {
-  const candidate = (host: string, reachesStore = true) => ({
+describe("the readers of a failure domain", () => {
+  const candidate = (host: string, isAvailable = true) => ({
     host,
     failureDomain: "east",
-    reachesStore,
+    isAvailable,
   });
   const all = ["a", "b", "c", "d"].map((host) => candidate(host));
 
-  test("all daemons choose the same one", () => {
-    assert.equal(
-      chooseReader("east", all),
-      chooseReader("east", [...all].reverse()),
-    );
+  test("all daemons choose the same two", () => {
+    const chosen = chooseReaders("east", all);
+    assert.equal(new Set(chosen).size, 2);
+    assert.deepEqual(chosen, chooseReaders("east", [...all].reverse()));
   });
 
-  test("a daemon that does not reach the store is not chosen", () => {
-    const chosen = chooseReader("east", all)!;
+  test("a daemon that is not available is not chosen, and the other reader stays", () => {
+    const [first, second] = chooseReaders("east", all);
     const without = all.map((each) =>
-      each.host === chosen ? candidate(chosen, false) : each
+      each.host === first ? candidate(first, false) : each
     );
-    const next = chooseReader("east", without);
-    assert.ok(next !== undefined && next !== chosen);
+    const next = chooseReaders("east", without);
+    assert.equal(next[0], second);
+    assert.equal(next.length, 2);
+    assert.ok(!next.includes(first));
   });
 
-  test("no reader is chosen if no daemon reaches the store", () => {
-    assert.equal(
-      chooseReader("east", all.map(({ host }) => candidate(host, false))),
-      undefined,
+  test("no reader is chosen if no daemon is available", () => {
+    assert.deepEqual(
+      chooseReaders("east", all.map(({ host }) => candidate(host, false))),
+      [],
     );
-    assert.equal(chooseReader("west", all), undefined);
+    assert.deepEqual(chooseReaders("west", all), []);
   });
 });
--- a/src/features/operator/common/reader_choice.ts
+++ b/src/features/operator/common/reader_choice.ts
@@ -2,8 +2,8 @@
  * Chooses the daemons that read the operator's log.
  *
  * The store limits the calls of all daemons together, so their number must not grow with the number of
- * hosts: one daemon of each failure domain reads records and sends them to the others. If it fails or
- * cannot reach the store, the next daemon in the rendezvous order replaces it.
+ * hosts: two daemons of each failure domain read records, and the first of them sends them to the others. If
+ * one cannot reach the store or falls behind, the next daemon in the rendezvous order replaces it.
  *
  * @module
  */
@@ -17,21 +17,26 @@
 export interface ReaderCandidate {
   readonly host: HostName;
   readonly failureDomain: FailureDomainName;
-  /** Whether its last call to the store succeeded. */
-  readonly reachesStore: boolean;
+  /** Whether it reaches the store, keeps up with its events, and is heard from in time. */
+  readonly isAvailable: boolean;
 }
 
-/** Chooses the reader of a failure domain; undefined if none of its daemons reaches the store. */
-export function chooseReader(
+/**
+ * A daemon that has just become slow or unreachable is replaced only after its next heartbeat is overdue.
+ * Until then the other reader gets new records.
+ */
+const READERS_PER_DOMAIN = 2;
+
+/** Chooses the readers of a failure domain, at most two; none if none of its daemons is available. */
+export function chooseReaders(
   failureDomain: FailureDomainName,
   candidates: readonly ReaderCandidate[],
-): HostName | undefined {
+): readonly HostName[] {
   const eligible = candidates.filter((candidate) =>
-    candidate.failureDomain === failureDomain && candidate.reachesStore
+    candidate.failureDomain === failureDomain && candidate.isAvailable
   );
   return rankByRendezvous(
     `reader|${failureDomain}`,
     eligible.map(({ host }) => host),
-  )
-    .at(0);
+  ).slice(0, READERS_PER_DOMAIN);
 }
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps a daemon's copy of the operator's records up to date: from the store if this daemon is the reader
- * of its failure domain, otherwise from peers.
+ * Keeps a daemon's copy of the operator's records up to date: from the store if this daemon is a reader of
+ * its failure domain, otherwise from peers.
  *
  * @module
  */
@@ -28,7 +28,7 @@
   type RecordRange,
 } from "./operator_records.ts";
 import { chooseFetchSource, computeFetchRetryDelay } from "./fetch_choice.ts";
-import { chooseReader, type ReaderCandidate } from "./reader_choice.ts";
+import { chooseReaders, type ReaderCandidate } from "./reader_choice.ts";
 import {
   type Compression,
   createRecordPacker,
@@ -47,7 +47,7 @@
 const FETCH_DELAY_MS: Milliseconds = 250;
 /** The backoff of retries while the store is unreachable. */
 const STORE_BACKOFF = { baseMilliseconds: 200, capMilliseconds: 1_500 };
-/** How often a daemon checks whether it has become the reader of its failure domain. */
+/** How often a daemon checks whether it has become a reader of its failure domain. */
 const READER_CHECK_INTERVAL_MS: Milliseconds = 200;
 
 const STORE_SOURCE = "store";
@@ -102,6 +102,7 @@
   const received = createEmitter<ReceivedRecords>();
   const changed = createEmitter<void>();
   let reachesStore = true;
+  let isReading = false;
   let failures = 0;
   let disposed = false;
   let polling: AbortController | undefined;
@@ -174,9 +175,22 @@
     }
   }
 
-  function isReader(): boolean {
-    const reader = chooseReader(self.failureDomain, options.candidates());
-    return reader === self.host;
+  /** The readers of the own failure domain, the one that sends its records to the others first. */
+  function listReaders(): readonly HostName[] {
+    const candidates = options.candidates();
+    const available = chooseReaders(self.failureDomain, candidates);
+    // If all are overloaded, as after a restart of the whole fleet, two of them read nevertheless.
+    return available.length > 0 ? available : chooseReaders(
+      self.failureDomain,
+      candidates.map((candidate) => ({ ...candidate, isAvailable: true })),
+    );
+  }
+
+  function updateReading(isNowReading: boolean): void {
+    if (isReading !== isNowReading) {
+      isReading = isNowReading;
+      log.write("info", "operator.reading-changed", { isReading });
+    }
   }
 
   function sendToFailureDomain(range: DeltaRange): void {
@@ -190,9 +204,10 @@
 
   async function run(): Promise<void> {
     while (!disposed) {
+      updateReading(listReaders().includes(self.host));
       if (records.position === NO_POSITION) {
         await readNewest();
-      } else if (isReader()) {
+      } else if (reachesStore && isReading) {
         await poll();
       } else if (!reachesStore) {
         await clock.sleep(
@@ -250,10 +265,12 @@
       return;
     }
     const range = { ...read.val, from: position };
-    const deltaRange = encodeDeltas(range, records.find);
+    if (range.records.length > 0 && listReaders()[0] === self.host) {
+      // Before the records are applied, which takes long on a slow host.
+      sendToFailureDomain(encodeDeltas(range, records.find));
+    }
     apply(range, STORE_SOURCE);
     if (range.records.length > 0) {
-      sendToFailureDomain(deltaRange);
       await clock.sleep(BATCH_DELAY_MS);
     }
   }
--- a/src/features/placement/common/candidates.ts
+++ b/src/features/placement/common/candidates.ts
@@ -12,6 +12,7 @@
   ServiceName,
   ServiceVersion,
 } from "../../../world/common/names.ts";
+import { HEARTBEAT_TOLERANCE_MS } from "../../fleet/common/coordinators.ts";
 import type { Fleet } from "../../fleet/common/fleet.ts";
 import type { Gate } from "../../gate/common/gate.ts";
 import type { GateClient } from "../../gate/common/gate_client.ts";
@@ -38,9 +39,6 @@
   readonly loopDelay: Milliseconds;
 }
 
-/** A healthy daemon may send a heartbeat this much after it is due. */
-const HEARTBEAT_TOLERANCE_MS: Milliseconds = 150;
-
 export function listCandidates(
   service: ServiceName,
   { self, clock, gate, gates, fleet, network, hostDelays, loopDelay }:
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -164,11 +164,17 @@
       compression: { compress, decompress },
       candidates: () =>
         listCoordinators({
-          self: { ...location, reachesStore: sync.reachesStore && !isLeaving },
+          self: { ...location, isAvailable: isAvailable() && !isLeaving },
           members: fleet.members,
+          network,
+          loopDelay: loopDelay.current,
         }),
     }),
   );
+  /** Whether this daemon can do a task for others. */
+  function isAvailable(): boolean {
+    return sync.reachesStore && !loopDelay.isOverloaded;
+  }
   const state = createMeshState({ log, platform });
   const rollouts = disposables.add(
     createRolloutControl({
@@ -200,7 +206,7 @@
         load: gate.load,
         departed: gate.departed,
         position: sync.position,
-        reachesStore: sync.reachesStore,
+        isAvailable: isAvailable(),
         isStopping: isLeaving,
         rollouts: rollouts.registry.progress,
         evidence: rollouts.localEvidence,
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -146,7 +146,7 @@
       return false;
     }
     const eligibleHosts = options.members()
-      .filter(({ status }) => status.reachesStore && !status.isStopping)
+      .filter(({ status }) => status.isAvailable && !status.isStopping)
       .map(({ host }) => host);
     return rankByRendezvous("rollout-leader", [
       options.self.host,
--- a/src/programs/node/spread_fixture.ts
+++ b/src/programs/node/spread_fixture.ts
@@ -305,6 +305,10 @@
     } as unknown as MeshStore;
   }
 
+  function isAvailable({ sync, loopDelay }: Host): boolean {
+    return sync.reachesStore && !loopDelay.isOverloaded;
+  }
+
   function start(host: Host): void {
     const { peer } = host;
     const location = {
@@ -326,8 +330,10 @@
       },
       candidates: () =>
         listCoordinators({
-          self: { ...location, reachesStore: host.sync.reachesStore },
+          self: { ...location, isAvailable: isAvailable(host) },
           members: host.fleet.members,
+          network,
+          loopDelay: host.loopDelay.current,
         }),
     });
     host.fleet = createFleet({
@@ -346,7 +352,7 @@
         },
         departed: [],
         position: host.sync.position,
-        reachesStore: host.sync.reachesStore,
+        isAvailable: isAvailable(host),
         isStopping: false,
         rollouts: [],
         evidence: [],
