Ask the next source at once when records cannot be fetched from the first

A daemon that lacked a version asked sources that could not answer: each closed link cost a retry delay of 250 ms to 1 s, a source nearby was preferred although its heartbeat was overdue, and the delay that the fetch of one version had reached held back the fetch of the next one. Found while looking for the cause of a late configuration elsewhere on its way: the same class of fault, waiting for a peer that counts as present for too long.

Change: the next source is asked when the link to one is closed; sources that are heard from in time are preferred; the retry timer ends when the daemon has caught up.

record_sync_test, three tests, red before (no fetch within 251 ms, the overdue source asked, the fetch not sent) and green now.

--- a/src/features/operator/common/fetch_choice.ts
+++ b/src/features/operator/common/fetch_choice.ts
@@ -3,8 +3,9 @@
  *
  * Load pattern: one daemon of a large fleet has read a new version, and the store answers the others late.
  * If all others fetch from that daemon, and retry while its answers are in flight, its link carries
- * nothing else for minutes. Instead, each fetches from any daemon that has the version, preferably in its
- * own failure domain, with growing retry delays, so that the version spreads in a few rounds.
+ * nothing else for minutes. Instead, each fetches from any daemon that has the version, preferably one that
+ * is heard from in time and in its own failure domain, with growing retry delays, so that the version spreads
+ * in a few rounds.
  *
  * @module
  */
@@ -20,6 +21,8 @@
 export interface FetchSource {
   readonly host: HostName;
   readonly failureDomain: FailureDomainName | undefined;
+  /** Whether its next heartbeat is overdue, so that it may not answer. */
+  readonly isOverdue: boolean;
 }
 
 /** An answer takes a round trip and the transmission time of some 10 kB on a link. */
@@ -36,7 +39,9 @@
   random: RandomSource,
 ): T | undefined {
   const others = sources.filter(({ host }) => host !== lastSource);
-  const eligible = others.length > 0 ? others : sources;
+  const untried = others.length > 0 ? others : sources;
+  const responsive = untried.filter(({ isOverdue }) => !isOverdue);
+  const eligible = responsive.length > 0 ? responsive : untried;
   const inOwnDomain = eligible.filter(({ failureDomain }) =>
     failureDomain === ownFailureDomain
   );
--- a/src/features/operator/common/fetch_choice_replay_test.ts
+++ b/src/features/operator/common/fetch_choice_replay_test.ts
@@ -43,7 +43,11 @@
     const sources = hasVersion
       .map((has, host) => ({ has, host: String(host) }))
       .filter(({ has }) => has)
-      .map(({ host }) => ({ host, failureDomain: domainOf(Number(host)) }));
+      .map(({ host }) => ({
+        host,
+        failureDomain: domainOf(Number(host)),
+        isOverdue: false,
+      }));
     const source = rule === "spread"
       ? chooseFetchSource(sources, {
         ownFailureDomain: domainOf(requester),
@@ -79,9 +83,10 @@
 });
 
 describe("the daemon from which missing records are fetched", () => {
-  const source = (host: string, failureDomain: string) => ({
+  const source = (host: string, failureDomain: string, isOverdue = false) => ({
     host,
     failureDomain,
+    isOverdue,
   });
   const cases = [
     { name: "no source is known", sources: [], expected: undefined },
@@ -96,6 +101,16 @@
       lastSource: "b",
       expected: "a",
     },
+    {
+      name: "one of another failure domain rather than an overdue one",
+      sources: [source("a", "east"), source("b", "west", true)],
+      expected: "a",
+    },
+    {
+      name: "an overdue one if there is no other",
+      sources: [source("b", "west", true)],
+      expected: "b",
+    },
     {
       name: "the last source again if it is the only one",
       sources: [source("b", "west")],
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -27,7 +27,11 @@
   type OperatorRecord,
   type RecordRange,
 } from "./operator_records.ts";
-import { chooseFetchSource, computeFetchRetryDelay } from "./fetch_choice.ts";
+import {
+  chooseFetchSource,
+  computeFetchRetryDelay,
+  type FetchSource,
+} from "./fetch_choice.ts";
 import { chooseReaders, type ReaderCandidate } from "./reader_choice.ts";
 import {
   type Compression,
@@ -45,6 +49,8 @@
 const BATCH_DELAY_MS: Milliseconds = 150;
 /** How long another daemon may have newer records before they are fetched from it. */
 const FETCH_DELAY_MS: Milliseconds = 250;
+/** A peer whose heartbeat is overdue by more than this may not answer. */
+const OVERDUE_SOURCE_MS: Milliseconds = 150;
 /** The backoff of retries while the store is unreachable. */
 const STORE_BACKOFF = { baseMilliseconds: 200, capMilliseconds: 1_500 };
 /** How often a daemon checks whether it has become a reader of its failure domain. */
@@ -157,6 +163,8 @@
     if (peersAhead.size === 0) {
       fetchAttempts = 0;
       lastSource = undefined;
+      fetchTimer?.dispose();
+      fetchTimer = undefined;
     }
   }
 
@@ -282,17 +290,31 @@
     });
   }
 
-  /** Fetches records from another daemon when this failure domain's reader has not sent them. */
-  function fetchMissingRecords(): void {
-    removeCaughtUpPeers();
-    const source = chooseFetchSource(
+  function chooseSource(): FetchSource | undefined {
+    return chooseFetchSource(
       [...peersAhead.keys()].map((host) => ({
         host,
         failureDomain: network.findPeer(host)?.failureDomain,
+        isOverdue: network.getOverdueTime(host) > OVERDUE_SOURCE_MS,
       })),
       { ownFailureDomain: self.failureDomain, lastSource },
       options.random,
     );
+  }
+
+  /** Fetches records from another daemon when this failure domain's reader has not sent them. */
+  function fetchMissingRecords(): void {
+    removeCaughtUpPeers();
+    const message: FetchMessage = {
+      kind: FETCH_KIND,
+      after: records.position,
+      held: records.offsets,
+    };
+    let source = chooseSource();
+    while (source !== undefined && !network.send(source.host, message)) {
+      peersAhead.delete(source.host);
+      source = chooseSource();
+    }
     if (source === undefined) {
       return;
     }
@@ -302,14 +324,6 @@
       theirs: peersAhead.get(source.host),
       behind: Math.round(clock.now() - behindSince),
     });
-    const message: FetchMessage = {
-      kind: FETCH_KIND,
-      after: records.position,
-      held: records.offsets,
-    };
-    if (!network.send(source.host, message)) {
-      peersAhead.delete(source.host);
-    }
     // A poll that has not returned records that another daemon has read may be on a dead connection.
     polling?.abort();
     lastSource = source.host;
--- /dev/null
+++ b/src/features/operator/common/record_sync_test.ts
@@ -0,0 +1,150 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { Ok } from "../../../base/common/result.ts";
+import type {
+  LinkMessage,
+  Peer,
+  PeerNetwork,
+} from "../../link/common/peer_network.ts";
+import type { MeshStore } from "./mesh_store.ts";
+import type { OperatorRecord } from "./operator_records.ts";
+import { createRecordSync } from "./record_sync.ts";
+
+interface PeerOptions {
+  readonly failureDomain: string;
+  readonly isLinked?: boolean;
+  readonly overdue?: number;
+}
+
+const FETCH_DELAY_MS = 250;
+
+/** Starts the synchronization of a daemon of the failure domain "east" with these peers and this store. */
+async function startSync(
+  peers: Readonly<Record<string, PeerOptions>>,
+  store: Partial<MeshStore> = {},
+) {
+  const clock = new VirtualClock();
+  const sent: { to: string; message: LinkMessage; at: number }[] = [];
+  const handlers = new Map<
+    string,
+    (peer: Peer, message: LinkMessage) => void
+  >();
+  const describePeer = (host: string): Peer => ({
+    process: { host, startedAt: 0 },
+    failureDomain: peers[host].failureDomain,
+  });
+  const isLinked = (host: string) => peers[host]?.isLinked ?? true;
+  const network = {
+    peers: Object.keys(peers).filter(isLinked).map(describePeer),
+    findPeer: (host: string) => isLinked(host) ? describePeer(host) : undefined,
+    getOverdueTime: (host: string) => peers[host].overdue ?? 0,
+    send(to: string, message: LinkMessage) {
+      if (isLinked(to)) {
+        sent.push({ to, message, at: clock.now() });
+      }
+      return isLinked(to);
+    },
+    onMessage(
+      kind: string,
+      handler: (peer: Peer, message: LinkMessage) => void,
+    ) {
+      handlers.set(kind, handler);
+      return { dispose() {} };
+    },
+  } as unknown as PeerNetwork;
+  const sync = createRecordSync({
+    self: { host: "self", failureDomain: "east" },
+    clock,
+    random: createRandomSource(3),
+    log: SILENT_LOG,
+    network,
+    store: {
+      readNewestRecords: () =>
+        Promise.resolve(Ok({ records: [], position: 0 })),
+      readRecords: () => new Promise(() => {}),
+      ...store,
+    } as unknown as MeshStore,
+    compression: {
+      compress: (value) => value.subarray(0, value.length / 10),
+      decompress: (value) => Ok(value),
+    },
+    candidates: () => [
+      { host: "self", failureDomain: "east", isAvailable: true },
+    ],
+  });
+  sync.start();
+  const settle = () => new Promise((resolve) => setImmediate(resolve));
+  await settle();
+  return {
+    clock,
+    sync,
+    settle,
+    sent,
+    fetches: () =>
+      sent.filter(({ message }) => message.kind === "operator.fetch"),
+    receive(
+      from: string,
+      records: readonly OperatorRecord[],
+      position: number,
+    ) {
+      handlers.get("operator.update")!(describePeer(from), {
+        kind: "operator.update",
+        records,
+        from: 0,
+        position,
+      } as LinkMessage);
+    },
+  };
+}
+
+describe("a daemon that lacks records fetches them", () => {
+  test("without delay from the next peer when the links to others are closed", async () => {
+    const closed = Array.from({ length: 12 }, (_, index) => `closed-${index}`);
+    const { clock, sync, fetches } = await startSync({
+      ...Object.fromEntries(
+        closed.map((
+          host,
+        ) => [host, { failureDomain: "east", isLinked: false }]),
+      ),
+      open: { failureDomain: "west" },
+    });
+    for (const host of [...closed, "open"]) {
+      sync.updatePeerPosition(host, 1);
+    }
+    clock.advance(FETCH_DELAY_MS + 1);
+    assert.deepEqual(fetches().map(({ to }) => to), ["open"]);
+    sync.dispose();
+  });
+
+  test("from a peer that is heard from in time rather than from an overdue one nearby", async () => {
+    const { clock, sync, fetches } = await startSync({
+      a: { failureDomain: "east", overdue: 400 },
+      b: { failureDomain: "west" },
+    });
+    sync.updatePeerPosition("a", 1);
+    sync.updatePeerPosition("b", 1);
+    clock.advance(FETCH_DELAY_MS + 1);
+    assert.deepEqual(fetches().map(({ to }) => to), ["b"]);
+    sync.dispose();
+  });
+
+  test("without the retry delay that an earlier version has reached", async () => {
+    const { clock, sync, fetches, receive } = await startSync({
+      a: { failureDomain: "east" },
+      b: { failureDomain: "east" },
+    });
+    sync.updatePeerPosition("a", 1);
+    clock.advance(2_100);
+    receive("b", [{ key: "config", offset: 0, value: Buffer.from("1") }], 1);
+    const fetchesBefore = fetches().length;
+    const behindSince = clock.now();
+    sync.updatePeerPosition("a", 2);
+    clock.advance(FETCH_DELAY_MS + 1);
+    assert.equal(fetches().length, fetchesBefore + 1);
+    assert.ok(fetches().at(-1)!.at - behindSince <= FETCH_DELAY_MS + 1);
+    sync.dispose();
+  });
+});
