End a raised share of a rollout without its leader

A bad version could get too many calls (EXPOSURE): the step at which all calls go to the new version for half a second ended only when the leader of the rollout announced the next one. While the leader is slow, paused, cut off or killed, all daemons stayed at that share until its link counted as lost, 1.5 s to 3.5 s, and a leader that was restarted at that step stayed there for the time that the plan had taken so far, because it counted from its own start.

Change: each daemon goes back to the lowest share of the plan when a step with a raised share has lasted 0.3 s longer than planned. Progress messages carry the time since the order, so that a restarted leader continues on time; daemons without this field ignore it.

Two tests in rollout_test, red with these two lines disabled (2,000 of 2,000 calls 1 s after the step; share 1 after a restart), green with them.

--- a/src/features/ingress/common/candidate_selection_test.ts
+++ b/src/features/ingress/common/candidate_selection_test.ts
@@ -41,7 +41,7 @@
     state,
     isStored: false,
   }, 0);
-  return book.chooseVersion("booking", "any");
+  return book.chooseVersion("booking", "any", 0);
 }
 
 interface Case {
--- a/src/features/rollout/common/rollout_plan.ts
+++ b/src/features/rollout/common/rollout_plan.ts
@@ -85,6 +85,36 @@
   };
 }
 
+/** A later step arrives this much after its time at most, unless its leader is late or unreachable. */
+const STEP_TOLERANCE_MS: Milliseconds = 300;
+
+export interface RolloutShare {
+  readonly share: number;
+  readonly instances?: number;
+}
+
+/**
+ * Limits how long a raised share is in force on a daemon that does not learn of the next step. The leader
+ * that ends the step may be slow, paused, cut off or restarted, and a bad version would go on to get calls.
+ */
+export function limitShare(
+  { step, share, instances }: RolloutShare & { readonly step: number },
+  { timeAtStep, duration }: {
+    readonly timeAtStep: Milliseconds;
+    readonly duration: Milliseconds;
+  },
+): RolloutShare {
+  const [lowest] = PLAN_STEPS;
+  if (step < 0 || step >= LAST_STEP || share <= lowest.share) {
+    return { share, instances };
+  }
+  const plannedTime = duration *
+    (PLAN_STEPS[step + 1].startFraction - PLAN_STEPS[step].startFraction);
+  return timeAtStep <= plannedTime + STEP_TOLERANCE_MS
+    ? { share, instances }
+    : { share: lowest.share, instances: undefined };
+}
+
 /** Whether the rollout can complete after `timeAtFullShare` at the final full share. */
 export function canComplete(
   position: Omit<PlanPosition, "targetInstances">,
--- a/src/features/rollout/common/rollout_progress.ts
+++ b/src/features/rollout/common/rollout_progress.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { RolloutState } from "../../../world/common/mesh_configuration.ts";
 import type {
   ServiceName,
@@ -24,6 +25,8 @@
   readonly state: RolloutState;
   /** Whether the state is written in the platform's store. */
   readonly isStored: boolean;
+  /** Only in messages: the time since the first daemon read the order, as far as the sender knows. */
+  readonly elapsed?: Milliseconds;
 }
 
 const STATES_BY_PRECEDENCE: readonly RolloutState[] = [
--- a/src/features/rollout/common/rollout_registry.ts
+++ b/src/features/rollout/common/rollout_registry.ts
@@ -14,7 +14,13 @@
   ServiceName,
   ServiceVersion,
 } from "../../../world/common/names.ts";
-import { canComplete, LAST_STEP, NO_STEP, planStep } from "./rollout_plan.ts";
+import {
+  canComplete,
+  LAST_STEP,
+  limitShare,
+  NO_STEP,
+  planStep,
+} from "./rollout_plan.ts";
 import {
   isFinal,
   isSameProgress,
@@ -65,19 +71,28 @@
 interface Rollout {
   progress: RolloutProgress;
   duration: Milliseconds;
+  /** When the first daemon that is known to have read the order did so. */
   orderedAt: Milliseconds;
+  /** When this daemon took the current step. */
+  stepSince: Milliseconds;
   fullShareSince: Milliseconds | undefined;
 }
 
 export interface RolloutRegistry {
   readonly progress: readonly RolloutProgress[];
+  /** The progress as it is sent to other daemons. */
+  listProgress(now: Milliseconds): readonly RolloutProgress[];
   /** Adds an order; returns false if it or a later one is already known. */
   addOrder(order: RolloutOrder, offset: number, now: Milliseconds): boolean;
   /** Merges the progress from another daemon or the store; returns whether anything changed. */
   mergeProgress(progress: RolloutProgress, now: Milliseconds): boolean;
   /** Evaluates the evidence and advances or reverts the running rollouts. */
   advance(input: RolloutAdvanceInput): readonly RolloutEvent[];
-  chooseVersion(service: ServiceName, callIdentity: string): VersionPreference;
+  chooseVersion(
+    service: ServiceName,
+    callIdentity: string,
+    now: Milliseconds,
+  ): VersionPreference;
   find(service: ServiceName): RolloutProgress | undefined;
 }
 
@@ -117,21 +132,24 @@
       },
       duration: durationMilliseconds,
       orderedAt: now,
+      stepSince: now,
       fullShareSince: undefined,
     });
     return true;
   }
 
   function mergeRemoteProgress(
-    received: RolloutProgress,
+    { elapsed = 0, ...received }: RolloutProgress,
     now: Milliseconds,
   ): boolean {
     const known = rollouts.get(received.service);
+    const orderedAt = now - elapsed;
     if (known === undefined) {
       rollouts.set(received.service, {
         progress: received,
         duration: DEFAULT_DURATION_MS,
-        orderedAt: now,
+        orderedAt,
+        stepSince: now,
         fullShareSince: received.step === LAST_STEP ? now : undefined,
       });
       return true;
@@ -139,8 +157,10 @@
     const merged = mergeProgress(known.progress, received);
     const isChanged = !isSameProgress(merged, known.progress);
     if (merged.orderOffset !== known.progress.orderOffset) {
-      known.orderedAt = now;
+      known.orderedAt = orderedAt;
       known.fullShareSince = undefined;
+    } else if (merged.orderOffset === received.orderOffset) {
+      known.orderedAt = Math.min(known.orderedAt, orderedAt);
     }
     setProgress(known, merged, now);
     return isChanged;
@@ -151,6 +171,12 @@
     progress: RolloutProgress,
     now: Milliseconds,
   ): void {
+    if (
+      progress.step !== rollout.progress.step ||
+      progress.orderOffset !== rollout.progress.orderOffset
+    ) {
+      rollout.stepSince = now;
+    }
     rollout.progress = progress;
     if (progress.step === LAST_STEP) {
       rollout.fullShareSince ??= now;
@@ -211,16 +237,25 @@
     get progress() {
       return [...rollouts.values()].map(({ progress }) => progress);
     },
+    listProgress: (now) =>
+      [...rollouts.values()].map(({ progress, orderedAt }) => ({
+        ...progress,
+        elapsed: Math.round(now - orderedAt),
+      })),
     addOrder,
     mergeProgress: mergeRemoteProgress,
     advance: (input) =>
       [...rollouts.values()].map((rollout) => advanceRollout(rollout, input))
         .filter((event) => event !== undefined),
-    chooseVersion(service, callIdentity) {
-      const progress = rollouts.get(service)?.progress;
-      return progress === undefined
-        ? NO_PREFERENCE
-        : createVersionPreference(progress, callIdentity);
+    chooseVersion(service, callIdentity, now) {
+      const rollout = rollouts.get(service);
+      return rollout === undefined ? NO_PREFERENCE : createVersionPreference({
+        ...rollout.progress,
+        ...limitShare(rollout.progress, {
+          timeAtStep: now - rollout.stepSince,
+          duration: rollout.duration,
+        }),
+      }, callIdentity);
     },
     find: (service) => rollouts.get(service)?.progress,
   };
--- a/src/features/rollout/common/rollout_test.ts
+++ b/src/features/rollout/common/rollout_test.ts
@@ -206,7 +206,7 @@
     ];
     const { book, events } = simulateRollout(bad, 1_000);
     assert.match(events.at(-1) ?? "", /^reverted/);
-    const choice = book.chooseVersion("booking", "any");
+    const choice = book.chooseVersion("booking", "any", 0);
     assert.equal(choice.isAllowed("v2"), false);
     assert.equal(choice.isPreferred("v1"), true);
   });
@@ -215,7 +215,7 @@
     const { book } = simulateRollout(REFERENCE_ROWS, 16_000 * 0.39);
     const calls = Array.from({ length: 2_000 }, (_, index) => `call-${index}`);
     const reached = calls.filter((identity) =>
-      book.chooseVersion("booking", identity).isPreferred("v2")
+      book.chooseVersion("booking", identity, 0).isPreferred("v2")
     );
     assert.ok(reached.length > 0 && reached.length < 0.1 * calls.length);
   });
@@ -268,15 +268,62 @@
 
   test("a retry prefers the version that is not the target", () => {
     const { book } = simulateRollout(REFERENCE_ROWS, 16_000 * 0.48);
-    const choice = book.chooseVersion("booking", "any");
+    const choice = book.chooseVersion("booking", "any", 0);
     assert.equal(choice.isPreferred("v2"), true);
     assert.equal(choice.isPreferredForRetry("v2"), false);
     assert.equal(choice.isPreferredForRetry("v1"), true);
   });
 
+  // Guards against a leader that is paused, cut off or killed during the short full share.
+  test("a daemon that learns of no later step ends a raised share by itself", () => {
+    const book = createRolloutRegistry();
+    book.addOrder(ORDER, 5, 0);
+    const fullShareAt = 16_000 * 0.47;
+    book.mergeProgress({
+      service: "booking",
+      targetVersion: "v2",
+      orderOffset: 5,
+      step: 2,
+      share: 1,
+      state: "running",
+      isStored: false,
+    }, fullShareAt);
+    const countPreferred = (now: number) =>
+      Array.from({ length: 2_000 }, (_, index) => `call-${index}`)
+        .filter((identity) =>
+          book.chooseVersion("booking", identity, now).isPreferred("v2")
+        ).length;
+    assert.equal(countPreferred(fullShareAt), 2_000);
+    // The step is planned for 560 ms; a tenth of the calls of 16 s is 1.6 s at the full share.
+    assert.ok(countPreferred(fullShareAt + 1_000) < 0.1 * 2_000);
+  });
+
+  // Guards against a restarted leader that takes the time of its start for that of the order.
+  test("a daemon that learns of a rollout from another one continues it on time", () => {
+    const before = createRolloutRegistry();
+    before.addOrder(ORDER, 5, 0);
+    const advance = (book: typeof before, now: number) =>
+      book.advance({
+        evidence: REFERENCE_ROWS,
+        isLeader: true,
+        countTargetInstances: () => 7,
+        now,
+      });
+    const stoppedAt = 16_000 * 0.48;
+    advance(before, stoppedAt);
+    assert.equal(before.find("booking")?.share, 1);
+    const after = createRolloutRegistry();
+    for (const progress of before.listProgress(stoppedAt)) {
+      after.mergeProgress(progress, stoppedAt);
+    }
+    after.addOrder(ORDER, 5, stoppedAt);
+    advance(after, 16_000 * 0.51);
+    assert.ok(after.find("booking")!.share < 0.1);
+  });
+
   test("before the first step no call goes to the target version", () => {
     const book = createRolloutRegistry();
     book.addOrder(ORDER, 5, 0);
-    assert.equal(book.chooseVersion("booking", "x").isAllowed("v2"), false);
+    assert.equal(book.chooseVersion("booking", "x", 0).isAllowed("v2"), false);
   });
 });
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -208,7 +208,7 @@
         position: sync.position,
         isAvailable: isAvailable(),
         isStopping: isLeaving,
-        rollouts: rollouts.registry.progress,
+        rollouts: rollouts.registry.listProgress(clock.now()),
         evidence: rollouts.localEvidence,
       }),
     }),
@@ -256,7 +256,8 @@
     loopDelay: () => loopDelay.current,
     stopPhase: () => stopPhase,
     timeUntilStopped: () => stopDeadline - clock.now(),
-    chooseVersion: rollouts.registry.chooseVersion,
+    chooseVersion: (service, identity) =>
+      rollouts.registry.chooseVersion(service, identity, clock.now()),
   });
 
   function isReady(): boolean {
