Let the next daemon lead a rollout while the leader is not heard from

The leader of a rollout is the first daemon that reaches the store, by the last status that arrived. A leader that is slow, paused or cut off kept the rollout standing until its link counted as lost: 1.5 s to 3.5 s of a rollout of 12 s to 16 s. The same cause as for readers of the store, and the same change: a daemon whose heartbeat is overdue, or that reports that it does not keep up, does not lead; if none is available, the first one leads, as before.

Test: rollout_control_test, a daemon leads while the first one is not available, and does not while it is. With the filter disabled the second case is red (no status is written).

--- a/src/features/fleet/common/coordinators.ts
+++ b/src/features/fleet/common/coordinators.ts
@@ -12,14 +12,25 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
-import type { ReaderCandidate } from "../../operator/common/reader_choice.ts";
+import type {
+  FailureDomainName,
+  HostName,
+} from "../../../world/common/names.ts";
 import type { FleetMember } from "./fleet.ts";
 
 /** A healthy daemon may send a heartbeat this much after it is due. */
 export const HEARTBEAT_TOLERANCE_MS: Milliseconds = 150;
 
+/** A daemon that may do a task for others. */
+export interface Coordinator {
+  readonly host: HostName;
+  readonly failureDomain: FailureDomainName;
+  /** Whether it reaches the store, keeps up with its events, and is heard from in time. */
+  readonly isAvailable: boolean;
+}
+
 export interface CoordinatorSources {
-  readonly self: ReaderCandidate;
+  readonly self: Coordinator;
   readonly members: readonly FleetMember[];
   readonly network: Pick<PeerNetwork, "getOverdueTime">;
   /** How long received frames may have waited for the event loop of this process. */
@@ -29,7 +40,7 @@
 /** Lists this daemon and the daemons that are linked to it. */
 export function listCoordinators(
   { self, members, network, loopDelay }: CoordinatorSources,
-): readonly ReaderCandidate[] {
+): readonly Coordinator[] {
   return [
     self,
     ...members.map(({ host, failureDomain, status }) => ({
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -25,7 +25,10 @@
 import { MONOTONIC_CLOCK } from "../../base/node/system_clock.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import { createFleet } from "../../features/fleet/common/fleet.ts";
-import { listCoordinators } from "../../features/fleet/common/coordinators.ts";
+import {
+  type Coordinator,
+  listCoordinators,
+} from "../../features/fleet/common/coordinators.ts";
 import { createGateClient } from "../../features/gate/common/gate_client.ts";
 import { createGateService } from "../../features/gate/common/gate_service.ts";
 import { createGate } from "../../features/gate/node/gate.ts";
@@ -162,19 +165,24 @@
       network,
       store: platform.store,
       compression: { compress, decompress },
-      candidates: () =>
-        listCoordinators({
-          self: { ...location, isAvailable: isAvailable() && !isLeaving },
-          members: fleet.members,
-          network,
-          loopDelay: loopDelay.current,
-        }),
+      candidates: listAllCoordinators,
     }),
   );
+
   /** Whether this daemon can do a task for others. */
   function isAvailable(): boolean {
     return sync.reachesStore && !loopDelay.isOverloaded;
   }
+
+  function listAllCoordinators(): readonly Coordinator[] {
+    return listCoordinators({
+      self: { ...location, isAvailable: isAvailable() && !isLeaving },
+      members: fleet.members,
+      network,
+      loopDelay: loopDelay.current,
+    });
+  }
+
   const state = createMeshState({ log, platform });
   const rollouts = disposables.add(
     createRolloutControl({
@@ -185,6 +193,7 @@
       gate,
       sync,
       members: () => fleet.members,
+      coordinators: listAllCoordinators,
       isStopping: () => isLeaving,
       onProgress: () => fleet.broadcastStatus(),
     }),
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -16,6 +16,7 @@
   RouteName,
   ServiceName,
 } from "../../world/common/names.ts";
+import type { Coordinator } from "../../features/fleet/common/coordinators.ts";
 import type { FleetMember } from "../../features/fleet/common/fleet.ts";
 import type { CallRecord, Gate } from "../../features/gate/common/gate.ts";
 import type { MeshStore } from "../../features/operator/common/mesh_store.ts";
@@ -46,6 +47,8 @@
   readonly gate: Gate;
   readonly sync: Pick<RecordSync, "reachesStore">;
   readonly members: () => readonly FleetMember[];
+  /** This daemon and the others, of which one leads. */
+  readonly coordinators: () => readonly Coordinator[];
   readonly isStopping: () => boolean;
   readonly onProgress: () => void;
 }
@@ -145,14 +148,14 @@
     if (options.isStopping() || !options.sync.reachesStore) {
       return false;
     }
-    const eligibleHosts = options.members()
-      .filter(({ status }) => status.isAvailable && !status.isStopping)
-      .map(({ host }) => host);
-    return rankByRendezvous("rollout-leader", [
-      options.self.host,
-      ...eligibleHosts,
-    ])[0] ===
-      options.self.host;
+    const coordinators = options.coordinators();
+    const available = coordinators.filter(({ isAvailable }) => isAvailable);
+    // If all are overloaded, one of them leads nevertheless.
+    const eligible = available.length > 0 ? available : coordinators;
+    return rankByRendezvous(
+      "rollout-leader",
+      eligible.map(({ host }) => host),
+    )[0] === options.self.host;
   }
 
   function countTargetInstances(progress: RolloutProgress): number {
--- a/src/programs/node/rollout_control_test.ts
+++ b/src/programs/node/rollout_control_test.ts
@@ -4,6 +4,8 @@
 import { createEmitter } from "../../base/common/emitter.ts";
 import { SILENT_LOG } from "../../base/common/event_log.ts";
 import { Ok } from "../../base/common/result.ts";
+import { rankByRendezvous } from "../../base/common/hashing.ts";
+import type { Coordinator } from "../../features/fleet/common/coordinators.ts";
 import type { CallRecord, Gate } from "../../features/gate/common/gate.ts";
 import type {
   MeshStore,
@@ -28,8 +30,17 @@
   isStored: false,
 };
 
+const SELF: Coordinator = {
+  host: "a",
+  failureDomain: "east",
+  isAvailable: true,
+};
+
 /** Starts the rollout control of a leader that reads and writes these statuses. */
-function startLeader(stored: RolloutStatus[]) {
+function startLeader(
+  stored: RolloutStatus[],
+  coordinators: readonly Coordinator[] = [SELF],
+) {
   const clock = new VirtualClock();
   const control = createRolloutControl({
     self: { host: "a" },
@@ -50,6 +61,7 @@
     } as unknown as Gate,
     sync: { reachesStore: true },
     members: () => [],
+    coordinators: () => coordinators,
     isStopping: () => false,
     onProgress() {},
   });
@@ -102,3 +114,33 @@
     control.dispose();
   });
 });
+
+// Guards against a rollout that stands still while its leader is slow or cut off but not yet lost.
+describe("the leader of a rollout", () => {
+  const [before] = rankByRendezvous(
+    "rollout-leader",
+    ["a", ...Array.from({ length: 8 }, (_, index) => `other-${index}`)],
+  );
+  const cases = [
+    { name: "is the first daemon that is available", isAvailable: true },
+    {
+      name: "is the next one while the first is not available",
+      isAvailable: false,
+    },
+  ];
+  for (const { name, isAvailable } of cases) {
+    test(name, async () => {
+      assert.notEqual(before, "a");
+      const stored: RolloutStatus[] = [];
+      const { control, run } = startLeader(stored, [SELF, {
+        host: before,
+        failureDomain: "west",
+        isAvailable,
+      }]);
+      control.addOrder(ORDER, { offset: OFFSET, mayPredateStart: false });
+      await run();
+      assert.equal(stored.length, isAvailable ? 0 : 1);
+      control.dispose();
+    });
+  }
+});
