Give up a poll of the store that gets no response in time

When the store accepts polls and does not respond, or open connections to it fall silent, the readers waited for up to 4 s before they counted as not reaching it; a configuration written meanwhile was as late.

Change: polls of 1 s instead of 2 s, and one that has no response 0.5 s after that is given up on and counts as a failure, so that the next daemon reads; a call without a wait, which finds out whether the store is back, keeps 2 s. Each reader makes one call a second instead of half of one.

--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -42,9 +42,11 @@
 
 /**
  * Much shorter than the store allows: a poll on a dead connection, or one that the store accepted while it was
- * not answering, delays newer configurations until it times out.
+ * not answering, delays newer configurations until it is overdue.
  */
-const LONG_POLL_MS: Milliseconds = 2_000;
+const LONG_POLL_MS: Milliseconds = 1_000;
+/** A slow store responds up to a few hundred milliseconds late. */
+const OVERDUE_POLL_MS: Milliseconds = 500;
 /** The pause after a read, so that records written in quick succession are read as one batch. */
 const BATCH_DELAY_MS: Milliseconds = 150;
 /** How long another daemon may have newer records before they are fetched from it. */
@@ -250,19 +252,32 @@
     const position = records.position;
     const controller = new AbortController();
     polling = controller;
+    let isOverdue = false;
+    // A call without a wait finds out whether the store is back, which may be slow, so it has more time.
+    const overdueTimer = waitMilliseconds === 0 ? undefined : clock.schedule(
+      waitMilliseconds + OVERDUE_POLL_MS,
+      () => {
+        isOverdue = true;
+        controller.abort();
+      },
+    );
     const read = await store.readRecords(position, {
       waitMilliseconds,
       signal: controller.signal,
     });
+    overdueTimer?.dispose();
     polling = undefined;
     if (disposed) {
       return;
     }
     if (read.err) {
-      if (controller.signal.aborted) {
+      if (controller.signal.aborted && !isOverdue) {
         log.write("info", "operator.poll-abandoned", { position });
       } else {
-        setReachesStore(false, read.val.message);
+        setReachesStore(
+          false,
+          isOverdue ? "the store did not respond in time" : read.val.message,
+        );
       }
       await clock.sleep(
         computeBackoff(failures, options.random, STORE_BACKOFF),
