--- a/src/base/common/endpoint.ts
+++ b/src/base/common/endpoint.ts
@@ -16,3 +16,25 @@
     port: Number(endpoint.slice(colon + 1)),
   };
 }
+
+const HIGHEST_PORT = 65_535;
+
+/** Whether a connection can be made to this port. */
+export function isPort(value: number): boolean {
+  return Number.isInteger(value) && value >= 1 && value <= HIGHEST_PORT;
+}
+
+const IP_VERSION_4 = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/;
+
+/** Whether a value is an IPv4 address; other addresses would have to be looked up. */
+export function isAddress(value: string): boolean {
+  const match = IP_VERSION_4.exec(value);
+  return match !== null && match.slice(1).every((part) => Number(part) <= 255);
+}
+
+/** Whether a value has the form `ADDRESS:PORT`. */
+export function isEndpoint(value: string): boolean {
+  const { address, port } = parseEndpoint(value);
+  return isAddress(address) && isPort(port) &&
+    value === `${address}:${port}`;
+}
--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -24,6 +24,7 @@
 import {
   decodeRateLimit,
   decodeStatus,
+  decodeTargets,
   encodeStatus,
   type HostStatus,
   RATE_LIMIT_KIND,
@@ -175,7 +176,8 @@
     }),
     network.onTargetReplaced(retireTarget),
     network.onMessage(WELCOME_KIND, (peer, message) => {
-      const { hosts, departed, rateLimit } = message as WelcomeMessage;
+      const { departed, rateLimit, ...welcome } = message as WelcomeMessage;
+      const hosts = decodeTargets(welcome.hosts);
       const own = hosts.find(({ host }) => host === peer.process.host);
       if (own !== undefined) {
         retireOthersAt(own);
--- a/src/features/fleet/common/fleet_messages.ts
+++ b/src/features/fleet/common/fleet_messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { isAddress, isPort } from "../../../base/common/endpoint.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type {
   ServiceName,
@@ -148,3 +149,14 @@
     perSecond: typeof perSecond === "number" ? perSecond : undefined,
   };
 }
+
+/** Leaves out hosts without a valid address, which another writer may have put into the store. */
+export function decodeTargets(targets: unknown): readonly LinkTarget[] {
+  return Array.isArray(targets) ? targets.filter(isTarget) : [];
+}
+
+function isTarget(target: Partial<LinkTarget> | null): target is LinkTarget {
+  return typeof target?.host === "string" &&
+    typeof target.address === "string" && isAddress(target.address) &&
+    typeof target.port === "number" && isPort(target.port);
+}
