Keep time-outs that are longer than the runtime's timers from firing at once

Found while trying every number at its limits: a route, a client or the limits of the operator may name a time-out of more than 2^31 ms. The runtime fires such a timer after 1 ms: a call with a time-out of months expired at once (504), and idle connections were closed at once.

--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -22,7 +22,10 @@
   runAfterPendingEvents,
   STALL_THRESHOLD_MS,
 } from "../../base/node/loop_delay.ts";
-import { MONOTONIC_CLOCK } from "../../base/node/system_clock.ts";
+import {
+  MAXIMUM_TIMER_MS,
+  MONOTONIC_CLOCK,
+} from "../../base/node/system_clock.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import { createFleet } from "../../features/fleet/common/fleet.ts";
 import {
@@ -344,12 +347,15 @@
     (socket: Socket) => socket.setMaxListeners(0),
   );
   disposables.add(state.onConfiguration(({ limits }) => {
-    callListener.server.keepAliveTimeout = Math.max(
-      callListener.server.keepAliveTimeout,
+    const extend = (current: Milliseconds, configured: Milliseconds) =>
+      Math.min(MAXIMUM_TIMER_MS, Math.max(current, configured));
+    const { server } = callListener;
+    server.keepAliveTimeout = extend(
+      server.keepAliveTimeout,
       limits.idleTimeoutMilliseconds,
     );
-    callListener.server.headersTimeout = Math.max(
-      callListener.server.headersTimeout,
+    server.headersTimeout = extend(
+      server.headersTimeout,
       limits.headerTimeoutMilliseconds,
     );
   }));
