Let instances of the soak name rate limits and announce in responses that they leave

Instances name a limit of 5 requests per second for 4 s to 9 s, drawn from a source of its own, so that the other faults of a seed stay as they were; the check allows one and a half times that in 4 s and five more, from 3 s after the first response with it, and no fault excuses it.

--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -30,6 +30,7 @@
   | "instance-crash"
   | "instance-drain"
   | "instance-bytes"
+  | "instance-limit"
   | "release"
   | "configuration";
 
@@ -86,6 +87,15 @@
   "instance-bytes": { weight: 1, minimumDuration: 500, maximumDuration: 3_000 },
 };
 
+/** Drawn from a separate random source for every seed. */
+const LIMIT_FAULTS: FaultDistributions = {
+  "instance-limit": {
+    weight: 1,
+    minimumDuration: 4_000,
+    maximumDuration: 9_000,
+  },
+};
+
 /** Faults that are drawn in addition to the rolling stops. */
 const PLANNED_WORK_FAULTS: FaultDistributions = {
   "reload": { weight: 2, minimumDuration: 0, maximumDuration: 0 },
@@ -103,6 +113,7 @@
 /** The mean time between the starts of two faults. */
 const MEAN_FAULT_GAP_MS: Milliseconds = 900;
 const MEAN_INSTANCE_FAULT_GAP_MS: Milliseconds = 5_000;
+const MEAN_LIMIT_GAP_MS: Milliseconds = 6_000;
 const MEAN_PLANNED_WORK_GAP_MS: Milliseconds = 1_500;
 /** Share of the faults that repeat the kind and the hosts of the previous one. */
 const REPEATED_FAULT_SHARE = 0.25;
@@ -152,7 +163,12 @@
         random: secondRandom,
       }),
     ];
-  return faults.sort((left, right) => left.at - right.at);
+  const limits = drawFaults(options, {
+    distributions: LIMIT_FAULTS,
+    meanGap: MEAN_LIMIT_GAP_MS,
+    random: createRandomSource(options.seed + 0.25),
+  });
+  return [...faults, ...limits].sort((left, right) => left.at - right.at);
 }
 
 /** Plans series of stops, each of several daemons, one after the other or at the same time. */
--- a/soak/guarantee_check.ts
+++ b/soak/guarantee_check.ts
@@ -28,6 +28,7 @@
     ...checkResponseTimes(observations, bounds),
     ...checkConfigurations(observations, bounds),
     ...checkDrains(observations, bounds),
+    ...checkRateLimits(observations, bounds),
     ...checkStops(observations, bounds),
     ...checkUnexplainedCuts(observations, bounds),
     ...checkProcesses(observations, bounds),
@@ -190,6 +191,29 @@
   );
 }
 
+function checkRateLimits(
+  { runs, namedLimits }: Observations,
+  { stableFor, limitWindow, limitFactor, limitExtra }: GuaranteeBounds,
+): Violation[] {
+  return namedLimits.flatMap(({ instance, perSecond, from, until }) => {
+    const times = runs.filter((run) =>
+      run.instance === instance && run.at >= from + stableFor && run.at <= until
+    ).map(({ at }) => at);
+    const most = Math.max(
+      0,
+      ...times.map((start) =>
+        times.filter((at) => at >= start && at < start + limitWindow).length
+      ),
+    );
+    const allowed = limitFactor * perSecond * limitWindow / 1_000 + limitExtra;
+    return most <= allowed ? [] : [{
+      promise: "rate-limited" as const,
+      detail:
+        `${most} runs at ${instance} in ${limitWindow} ms, ${allowed} allowed since ${from} ms`,
+    }];
+  });
+}
+
 function checkProcesses(
   { unexpectedExits, peakMemoryMegabytes }: Observations,
   { maximumMemoryMegabytes }: GuaranteeBounds,
--- a/soak/guarantee_check_test.ts
+++ b/soak/guarantee_check_test.ts
@@ -49,10 +49,26 @@
   callerService: "booking",
 };
 
+const NAMED_LIMIT = {
+  instance: "i1",
+  perSecond: 2,
+  from: 5_000,
+  until: 20_000,
+};
+
+function limitedCall(index: number): ObservedCall {
+  return call({ identity: `limited-${index}`, kind: "safe" });
+}
+
+function limitedRun(index: number): ObservedRun {
+  return { ...run, identity: `limited-${index}` };
+}
+
 function observe(fields: Partial<Observations>): Observations {
   return {
     runs: [],
     drainAcknowledgements: [],
+    namedLimits: [],
     configurations: [],
     stops: [],
     reloads: [],
@@ -173,6 +189,31 @@
     },
     violated: "drained",
   },
+  {
+    name: "more runs in 4 s than the limit that the instance has named allows",
+    observations: {
+      calls: Array.from({ length: 18 }, (_, index) => limitedCall(index)),
+      runs: Array.from({ length: 18 }, (_, index) => limitedRun(index)),
+      namedLimits: [NAMED_LIMIT],
+    },
+    violated: "rate-limited",
+  },
+  {
+    name: "as many runs as the limit allows",
+    observations: {
+      calls: Array.from({ length: 17 }, (_, index) => limitedCall(index)),
+      runs: Array.from({ length: 17 }, (_, index) => limitedRun(index)),
+      namedLimits: [NAMED_LIMIT],
+    },
+  },
+  {
+    name: "more runs within 3 s of the first response with the limit",
+    observations: {
+      calls: Array.from({ length: 18 }, (_, index) => limitedCall(index)),
+      runs: Array.from({ length: 18 }, (_, index) => limitedRun(index)),
+      namedLimits: [{ ...NAMED_LIMIT, from: 9_000 }],
+    },
+  },
   {
     name:
       "a call that the daemon has read, without a run, cut by a planned stop",
--- a/soak/observations.ts
+++ b/soak/observations.ts
@@ -66,6 +66,14 @@
   readonly acknowledgedAt: Milliseconds;
 }
 
+/** A time in which an instance names a rate limit in all its responses. */
+export interface NamedLimit {
+  readonly instance: string;
+  readonly perSecond: number;
+  readonly from: Milliseconds;
+  readonly until: Milliseconds;
+}
+
 export interface AcceptedConfiguration {
   readonly number: number;
   readonly acceptedAt: Milliseconds;
@@ -86,6 +94,7 @@
   readonly calls: readonly ObservedCall[];
   readonly runs: readonly ObservedRun[];
   readonly drainAcknowledgements: readonly DrainAcknowledgement[];
+  readonly namedLimits: readonly NamedLimit[];
   readonly configurations: readonly AcceptedConfiguration[];
   readonly disruptions: readonly Disruption[];
   /** SIGTERM signals. */
@@ -108,6 +117,7 @@
     | "newest-configuration"
     | "no-older-configuration"
     | "drained"
+    | "rate-limited"
     | "stopped-without-cut"
     | "stopped-without-breaking-off"
     | "calm-without-cut"
@@ -126,6 +136,10 @@
   /** Time after a disruption until the guarantees hold again. */
   readonly stableFor: Milliseconds;
   readonly drainWithin: Milliseconds;
+  /** An instance gets at most `limitFactor` times what its limit allows in this time, and `limitExtra` more. */
+  readonly limitWindow: Milliseconds;
+  readonly limitFactor: number;
+  readonly limitExtra: number;
   readonly lossSlack: Milliseconds;
   /** Time from SIGTERM to SIGKILL. */
   readonly grace: Milliseconds;
@@ -149,6 +163,9 @@
   revertSlack: 250,
   stableFor: 3_000,
   drainWithin: 2_000,
+  limitWindow: 4_000,
+  limitFactor: 1.5,
+  limitExtra: 5,
   lossSlack: 200,
   grace: 6_000,
   stopSlack: 1_000,
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -23,6 +23,7 @@
   DEPLOYED_BOUNDS,
   type Disruption,
   type DrainAcknowledgement,
+  type NamedLimit,
   type ObservedCall,
   type ObservedRun,
   type ObservedSignal,
@@ -49,6 +50,7 @@
 };
 const SCHEDULING_SAMPLE_INTERVAL_MS: Milliseconds = 50;
 const MEMORY_SAMPLE_INTERVAL_MS: Milliseconds = 500;
+const NAMED_LIMIT_PER_SECOND = 5;
 /** A daemon that waits this long for a processor within one interval may miss its bounds. */
 const STARVATION_THRESHOLD_MS: Milliseconds = 40;
 const READY_TIMEOUT_MS: Milliseconds = 20_000;
@@ -85,6 +87,9 @@
   const runs: ObservedRun[] = [];
   const drainAcknowledgements: DrainAcknowledgement[] = [];
   const configurations: AcceptedConfiguration[] = [];
+  const namedLimits: NamedLimit[] = [];
+  const openLimits = new Set<Promise<void>>();
+  const limitedHosts = new Set<string>();
   const disruptions: Disruption[] = [];
   const stops: ObservedSignal[] = [];
   const reloads: ObservedSignal[] = [];
@@ -247,6 +252,29 @@
     host.setBrokenResponses(false);
   }
 
+  /** The instance names a rate limit, which is no disruption; nothing else is excused by it. */
+  async function nameRateLimit(
+    host: SoakHost,
+    duration: Milliseconds,
+  ): Promise<void> {
+    const instance = host.instanceName;
+    const from = now();
+    if (limitedHosts.has(host.name)) {
+      return;
+    }
+    limitedHosts.add(host.name);
+    host.setRateLimit(NAMED_LIMIT_PER_SECOND);
+    await sleep(duration);
+    host.setRateLimit(undefined);
+    limitedHosts.delete(host.name);
+    namedLimits.push({
+      instance,
+      perSecond: NAMED_LIMIT_PER_SECOND,
+      from,
+      until: now(),
+    });
+  }
+
   async function injectStoreFault(
     fault: StoreFault,
     duration: Milliseconds,
@@ -314,6 +342,11 @@
       case "configuration":
         publish();
         break;
+      case "instance-limit":
+        for (const index of affected) {
+          openLimits.add(nameRateLimit(hosts[index], duration));
+        }
+        break;
       default:
         for (const index of affected) {
           recordDisruption(
@@ -336,6 +369,7 @@
     injectFault(fault);
   }
   await Promise.all(openDisruptions);
+  await Promise.all(openLimits);
   await sleep(RECOVERY_WAIT_MS);
   await callers.stop();
   schedulingSampling.dispose();
@@ -347,6 +381,7 @@
     calls,
     runs,
     drainAcknowledgements,
+    namedLimits,
     configurations,
     disruptions,
     stops,
--- a/soak/soak_host.ts
+++ b/soak/soak_host.ts
@@ -81,6 +81,10 @@
   startInstance(): Promise<void>;
   /** While set, the instance sends bytes that are no HTTP response. */
   setBrokenResponses(isBroken: boolean): void;
+  /** Requests per second that the instance names in its responses; undefined for no limit. */
+  setRateLimit(perSecond: number | undefined): void;
+  /** The identity of the current instance. */
+  readonly instanceName: string;
   /** Stops the instance after it has drained. */
   drainInstance(): Promise<void>;
   close(): Promise<void>;
@@ -122,6 +126,9 @@
   let isStartingInstance = false;
   let instanceNumber = 0;
   let sendsBrokenResponses = false;
+  let rateLimit: number | undefined;
+  /** Identities of instances that have announced that they leave. */
+  const leavingInstances = new Set<string>();
   /** Identities of stopped instances; a stop breaks off the calls that the instance was running. */
   const stoppedInstances = new Set<string>();
   const expectedExits = new Set<ChildProcess>();
@@ -200,6 +207,8 @@
       "x-attempt-id": requestIdentity,
       "x-server-seal": identity,
       "content-length": body.length,
+      ...(rateLimit === undefined ? {} : { "server-limit": String(rateLimit) }),
+      ...(leavingInstances.has(identity) ? { "server-leaving": "1" } : {}),
     });
     response.end(body);
   }
@@ -266,13 +275,18 @@
     },
     crashInstance: stopInstance,
     startInstance,
+    setRateLimit: (perSecond) => void (rateLimit = perSecond),
+    get instanceName() {
+      return `${name}-i${instanceNumber}`;
+    },
     setBrokenResponses: (isBroken) => void (sendsBrokenResponses = isBroken),
     async drainInstance() {
       const leaving = instance;
       if (leaving === undefined) {
         return;
       }
-      const identity = `${name}-i${instanceNumber}`;
+      const identity = host.instanceName;
+      leavingInstances.add(identity);
       if (await leaving.sendHeartbeat("draining") === 200) {
         options.onDrainAcknowledged({
           instance: identity,
