Report to the other daemons at once when a daemon does not keep up

A daemon told that it was overloaded with its next status, which in a fleet of 68 comes after up to 4 s.

--- a/src/base/node/loop_delay.ts
+++ b/src/base/node/loop_delay.ts
@@ -6,6 +6,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { Disposable } from "../common/disposable.ts";
+import { createEmitter, type Event } from "../common/emitter.ts";
 import type { Milliseconds } from "../common/milliseconds.ts";
 
 /** Much shorter delays are not detected. Each check wakes the process, so checks are not more frequent. */
@@ -22,6 +23,7 @@
   readonly current: Milliseconds;
   /** Whether events have waited long on average, so that this process should do nothing for others. */
   readonly isOverloaded: boolean;
+  readonly onOverloadedChanged: Event<void>;
 }
 
 export function createLoopDelay(clock: Clock): LoopDelay {
@@ -29,15 +31,20 @@
   let lastDelay: Milliseconds = 0;
   let averageDelay: Milliseconds = 0;
   let isOverloaded = false;
+  const overloadedChanged = createEmitter<void>();
   const timer = clock.repeat(CHECK_INTERVAL_MS, () => {
     const now = clock.now();
     lastDelay = Math.max(0, now - dueAt);
     const weight = 1 -
       Math.exp(-(CHECK_INTERVAL_MS + lastDelay) / AVERAGING_TIME_MS);
     averageDelay += weight * (lastDelay - averageDelay);
+    dueAt = now + CHECK_INTERVAL_MS;
+    const wasOverloaded = isOverloaded;
     isOverloaded = averageDelay >
       (isOverloaded ? RECOVERED_BELOW_MS : OVERLOADED_ABOVE_MS);
-    dueAt = now + CHECK_INTERVAL_MS;
+    if (isOverloaded !== wasOverloaded) {
+      overloadedChanged.fire();
+    }
   });
   return {
     get current() {
@@ -46,7 +53,11 @@
     get isOverloaded() {
       return isOverloaded;
     },
-    dispose: () => timer.dispose(),
+    onOverloadedChanged: overloadedChanged.event,
+    dispose() {
+      timer.dispose();
+      overloadedChanged.dispose();
+    },
   };
 }
 
--- a/src/base/node/loop_delay_test.ts
+++ b/src/base/node/loop_delay_test.ts
@@ -46,6 +46,8 @@
 test("a process whose events wait long is overloaded until they have been on time for seconds", () => {
   const clock = new BusyClock();
   const delay = createLoopDelay(clock);
+  const changes: boolean[] = [];
+  delay.onOverloadedChanged(() => changes.push(delay.isOverloaded));
   for (let iteration = 0; iteration < 10; iteration += 1) {
     clock.blockFor(40);
     clock.advance(100);
@@ -60,5 +62,6 @@
   assert.equal(delay.isOverloaded, true);
   clock.advance(4_000);
   assert.equal(delay.isOverloaded, false);
+  assert.deepEqual(changes, [true, false]);
   delay.dispose();
 });
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -233,6 +233,9 @@
   }));
   disposables.add(sync.onChanged(() => fleet.broadcastStatus()));
   disposables.add(gate.onChanged(() => fleet.broadcastStatus()));
+  disposables.add(
+    loopDelay.onOverloadedChanged(() => fleet.broadcastStatus()),
+  );
   disposables.add(
     fleet.onDepartedReported((departed) => gate.restoreDepartures(departed)),
   );
--- a/src/programs/node/spread_fixture.ts
+++ b/src/programs/node/spread_fixture.ts
@@ -375,6 +375,7 @@
       host.sync.updatePeerPosition(peer.process.host, status.position)
     );
     host.sync.onChanged(() => host.fleet.broadcastStatus());
+    host.loopDelay.onOverloadedChanged(() => host.fleet.broadcastStatus());
     host.sync.onRecords(({ records }) => {
       host.appliedAt.set(records[0].offset + 1, host.clock.spend(TABLE_MS));
     });
