--- a/src/features/fleet/common/coordinators.ts
+++ b/src/features/fleet/common/coordinators.ts
@@ -11,6 +11,7 @@
  */
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import { HEARTBEAT_TOLERANCE_MS } from "../../link/common/link_rules.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
 import type {
   FailureDomainName,
@@ -18,9 +19,6 @@
 } from "../../../world/common/names.ts";
 import type { FleetMember } from "./fleet.ts";
 
-/** A healthy daemon may send a heartbeat this much after it is due. */
-export const HEARTBEAT_TOLERANCE_MS: Milliseconds = 150;
-
 /** A daemon that may do a task for others. */
 export interface Coordinator {
   readonly host: HostName;
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -31,11 +31,7 @@
 import { createFailureRate } from "../common/failure_rate.ts";
 import type { InstanceNotices } from "../common/instance_notices.ts";
 import type { MeshHeaders } from "../common/mesh_headers.ts";
-import {
-  createRateLimitAnnouncements,
-  type NamedRateLimit,
-} from "../common/named_rate_limit.ts";
-import { createRequestRate } from "../common/request_rate.ts";
+import { createInstanceRateLimit } from "../common/instance_rate_limit.ts";
 import { formatRequestHead } from "../common/request_head.ts";
 import { createMovingAverages } from "../common/moving_averages.ts";
 import { createPriorityLoad } from "../common/priority_load.ts";
@@ -100,11 +96,8 @@
   const priorityLoad = createPriorityLoad();
   const changed = createEmitter<void>();
   const callCompleted = createEmitter<CallRecord>();
-  const rateLimitChanged = createEmitter<NamedRateLimit>();
-  const requestRate = createRequestRate();
-  const rateLimitAnnouncements = createRateLimitAnnouncements();
-  /** The limit that a peer has reported of an instance that is not known yet. */
-  let restoredRateLimit: NamedRateLimit | undefined;
+  const rateLimitOfInstance = createInstanceRateLimit();
+  const requestRate = rateLimitOfInstance.rate;
   let hasLoggedNoticeProblem = false;
   let rateTimer: Disposable | undefined;
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
@@ -177,6 +170,9 @@
     }
   }
 
+  rateLimitOfInstance.onChanged(({ instance, perSecond }) =>
+    log.write("info", "gate.rate-limit", { instance, perSecond })
+  );
   const servingTimer = clock.repeat(options.heartbeatMilliseconds / 4, () => {
     if (isServing() !== wasServing) {
       log.write("info", "gate.serving-changed", {
@@ -390,9 +386,7 @@
         problem,
       });
     }
-    if (rateLimit !== "unknown") {
-      setRateLimit(rateLimit === "none" ? undefined : rateLimit, now);
-    }
+    rateLimitOfInstance.applyNotice(rateLimit, instance, now);
     if (isLeaving && tracker.markLeaving().type === "changed") {
       log.write("info", "gate.instance-leaving", {
         instance: instance.identity,
@@ -402,46 +396,6 @@
     }
   }
 
-  function setRateLimit(
-    perSecond: number | undefined,
-    now: Milliseconds,
-  ): void {
-    const before = requestRate.limit;
-    requestRate.setLimit(perSecond, now);
-    const { instance } = tracker;
-    if (before === requestRate.limit || instance === undefined) {
-      return;
-    }
-    const named = {
-      instance: instance.identity,
-      startedAt: instance.startedAt,
-      perSecond,
-    };
-    if (rateLimitAnnouncements.isDue(named, now)) {
-      log.write("info", "gate.rate-limit", {
-        instance: instance.identity,
-        perSecond,
-      });
-      rateLimitChanged.fire(named);
-    }
-  }
-
-  /** Applies a restored limit once the instance that named it is known. */
-  function applyRestoredRateLimit(): void {
-    const { instance } = tracker;
-    if (
-      restoredRateLimit !== undefined && instance !== undefined &&
-      instance.identity === restoredRateLimit.instance &&
-      instance.startedAt === restoredRateLimit.startedAt
-    ) {
-      const { perSecond } = restoredRateLimit;
-      restoredRateLimit = undefined;
-      if (requestRate.limit === undefined) {
-        setRateLimit(perSecond, clock.now());
-      }
-    }
-  }
-
   function evaluateExchange(
     call: GateCall,
     outcome: ExchangeOutcome,
@@ -615,10 +569,9 @@
       unreachableUntil = -Infinity;
       relativeServiceTime = 1;
       failureRate = createFailureRate();
-      requestRate.setLimit(undefined, now);
+      rateLimitOfInstance.handleNewInstance(report, now);
       hasLoggedNoticeProblem = false;
       closeIdleConnections();
-      applyRestoredRateLimit();
     }
     if (report.state !== "ready") {
       refuseQueued("leaving");
@@ -693,7 +646,7 @@
     },
     onChanged: changed.event,
     onCallCompleted: callCompleted.event,
-    onRateLimitChanged: rateLimitChanged.event,
+    onRateLimitChanged: rateLimitOfInstance.onChanged,
     applyReport,
     applyDeparture(departure) {
       const outcome = tracker.applyDeparture(departure);
@@ -710,10 +663,8 @@
         fireChanged();
       }
     },
-    restoreRateLimit(restored) {
-      restoredRateLimit = restored;
-      applyRestoredRateLimit();
-    },
+    restoreRateLimit: (restored) =>
+      rateLimitOfInstance.restore(restored, tracker.instance, clock.now()),
     findParent(requestIdentity) {
       for (const call of running) {
         const { request } = call;
@@ -743,7 +694,7 @@
       closeIdleConnections();
       changed.dispose();
       callCompleted.dispose();
-      rateLimitChanged.dispose();
+      rateLimitOfInstance.dispose();
     },
   };
 }
--- a/src/features/link/common/link_rules.ts
+++ b/src/features/link/common/link_rules.ts
@@ -51,6 +51,9 @@
  * that an unresponsive peer is detected early, because calls in flight wait for it.
  */
 const MAXIMUM_LINKS_AT_BASE_INTERVAL = 32;
+/** A healthy daemon may send a heartbeat this much after it is due. */
+export const HEARTBEAT_TOLERANCE_MS: Milliseconds = 150;
+
 /** Bounds the interval, and so the three intervals after which an unresponsive peer is detected. */
 const MAXIMUM_INTERVAL_FACTOR = 8;
 
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -16,6 +16,7 @@
   FailureDomainName,
   HostName,
 } from "../../../world/common/names.ts";
+import { HEARTBEAT_TOLERANCE_MS } from "../../link/common/link_rules.ts";
 import type {
   LinkMessage,
   PeerNetwork,
@@ -51,8 +52,6 @@
 const BATCH_DELAY_MS: Milliseconds = 150;
 /** How long another daemon may have newer records before they are fetched from it. */
 const FETCH_DELAY_MS: Milliseconds = 250;
-/** A peer whose heartbeat is overdue by more than this may not answer. */
-const OVERDUE_SOURCE_MS: Milliseconds = 150;
 /** The backoff of retries while the store is unreachable. */
 const STORE_BACKOFF = { baseMilliseconds: 200, capMilliseconds: 1_500 };
 /** How often a daemon checks whether it has become a reader of its failure domain. */
@@ -313,7 +312,7 @@
       [...peersAhead.keys()].map((host) => ({
         host,
         failureDomain: network.findPeer(host)?.failureDomain,
-        isOverdue: network.getOverdueTime(host) > OVERDUE_SOURCE_MS,
+        isOverdue: network.getOverdueTime(host) > HEARTBEAT_TOLERANCE_MS,
       })),
       { ownFailureDomain: self.failureDomain, lastSource },
       options.random,
--- a/src/features/placement/common/candidates.ts
+++ b/src/features/placement/common/candidates.ts
@@ -12,10 +12,10 @@
   ServiceName,
   ServiceVersion,
 } from "../../../world/common/names.ts";
-import { HEARTBEAT_TOLERANCE_MS } from "../../fleet/common/coordinators.ts";
 import type { Fleet } from "../../fleet/common/fleet.ts";
 import type { Gate } from "../../gate/common/gate.ts";
 import type { GateClient } from "../../gate/common/gate_client.ts";
+import { HEARTBEAT_TOLERANCE_MS } from "../../link/common/link_rules.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
 import type { GateCandidate } from "./gate_choice.ts";
 import type { HostDelays } from "./host_delays.ts";
