--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -93,6 +93,8 @@
 export interface RecordSync extends Disposable {
   readonly position: number;
   readonly reachesStore: boolean;
+  /** Whether this daemon reads the store for its failure domain. */
+  readonly isReading: boolean;
   /** Fires with records that are newer than the stored ones. */
   readonly onRecords: Event<ReceivedRecords>;
   /** Fires when the position or the reachability of the store has changed. */
@@ -398,6 +400,9 @@
     get reachesStore() {
       return reachesStore;
     },
+    get isReading() {
+      return isReading;
+    },
     onRecords: received.event,
     onChanged: changed.event,
     updatePeerPosition,
--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -35,8 +35,11 @@
     "load" | "rateLimit" | "onCallCompleted" | "isServing"
   >;
   readonly network: Pick<PeerNetwork, "peers">;
-  readonly sync: Pick<RecordSync, "position" | "reachesStore">;
-  readonly loopDelay: Pick<LoopDelay, "current">;
+  readonly sync: Pick<
+    RecordSync,
+    "position" | "reachesStore" | "isReading"
+  >;
+  readonly loopDelay: Pick<LoopDelay, "current" | "isOverloaded">;
   readonly state: Pick<MeshState, "configuration">;
 }
 
@@ -95,6 +98,11 @@
       "For how long events wait in this process",
       () => Math.round(loopDelay.current),
     ],
+    [
+      "overloaded",
+      "1 while events wait so long that this daemon does nothing for others",
+      () => Number(loopDelay.isOverloaded),
+    ],
     ["active_calls", "Calls under way", () => ingress.activeCalls],
     ["gate_running", "Calls at the instance", () => gate.load.running],
     ["gate_waiting", "Calls that wait", () => gate.load.waiting],
@@ -120,6 +128,11 @@
       "1 when the last call to the store succeeded",
       () => Number(sync.reachesStore),
     ],
+    [
+      "store_reader",
+      "1 when this daemon reads the store for its failure domain",
+      () => Number(sync.isReading),
+    ],
     [
       "records_position",
       "Offset up to which the operator's records are known; -1 for none",
