Announce a rate limit that changed right after the last announcement

Found in the last reading: a change within half a second of an announcement was not sent, and not later either, so a restarted daemon was given back an older limit, which held until the first response of its instance.

--- a/src/features/gate/common/instance_rate_limit.ts
+++ b/src/features/gate/common/instance_rate_limit.ts
@@ -49,10 +49,9 @@
     { identity, startedAt }: Instance,
     now: Milliseconds,
   ): void {
-    const before = rate.limit;
     rate.setLimit(perSecond, now);
     const named = { instance: identity, startedAt, perSecond };
-    if (rate.limit !== before && announcements.isDue(named, now)) {
+    if (announcements.isDue(named, now)) {
       changed.fire(named);
     }
   }
--- a/src/features/gate/common/named_rate_limit.ts
+++ b/src/features/gate/common/named_rate_limit.ts
@@ -1,5 +1,5 @@
 /**
- * The rate limit of an instance as daemons tell it each other, and when a change is worth telling.
+ * The rate limit of an instance as daemons announce it to each other, and which changes are announced.
  *
  * Load pattern: an instance names another limit in each of hundreds of responses per second. Other daemons
  * need it only to give it back to a restarted daemon, so small and frequent changes are not sent.
@@ -20,32 +20,35 @@
 const MINIMUM_INTERVAL_MS: Milliseconds = 500;
 
 export interface RateLimitAnnouncements {
-  /** Returns whether to tell other daemons of this limit now; if so, it counts as told. */
+  /** Returns whether to announce this limit to other daemons now; if so, it counts as announced. */
   isDue(limit: NamedRateLimit, now: Milliseconds): boolean;
 }
 
 export function createRateLimitAnnouncements(): RateLimitAnnouncements {
-  let told: NamedRateLimit | undefined;
-  let toldAt: Milliseconds = -Infinity;
+  let announced: NamedRateLimit | undefined;
+  let announcedAt: Milliseconds = -Infinity;
   return {
     isDue(limit, now) {
-      if (now - toldAt < MINIMUM_INTERVAL_MS || !isSignificant(told, limit)) {
+      if (
+        now - announcedAt < MINIMUM_INTERVAL_MS ||
+        !isSignificant(announced, limit)
+      ) {
         return false;
       }
-      told = limit;
-      toldAt = now;
+      announced = limit;
+      announcedAt = now;
       return true;
     },
   };
 }
 
 function isSignificant(
-  told: NamedRateLimit | undefined,
+  announced: NamedRateLimit | undefined,
   limit: NamedRateLimit,
 ): boolean {
-  const isSameInstance = told?.instance === limit.instance &&
-    told.startedAt === limit.startedAt;
-  const before = isSameInstance ? told.perSecond : undefined;
+  const isSameInstance = announced?.instance === limit.instance &&
+    announced.startedAt === limit.startedAt;
+  const before = isSameInstance ? announced.perSecond : undefined;
   if (before === undefined || limit.perSecond === undefined) {
     return before !== limit.perSecond;
   }
--- a/src/features/gate/common/request_rate.ts
+++ b/src/features/gate/common/request_rate.ts
@@ -11,7 +11,7 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 
-/** The requests of this time may start at once after a time without any. */
+/** After an idle period, the requests of this time may start together. */
 const BURST_MS: Milliseconds = 250;
 /**
  * An instance that names less gets this many requests nevertheless, since only its responses tell when the
--- a/src/features/gate/node/cut_response_test.ts
+++ b/src/features/gate/node/cut_response_test.ts
@@ -120,7 +120,7 @@
 // Guards against a refusal of an earlier request that is taken for the response to a later one.
 describe("a refusal that is sent once more on a kept connection", () => {
   const refuse = (identity: string | undefined, extra = "") =>
-    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: full\r\n" +
+    "HTTP/1.1 503 Service Unavailable\r\nRefused: full\r\n" +
     (identity === undefined ? "" : `Request-Identity: ${identity}\r\n`) +
     `${extra}Content-Length: 0\r\n\r\n`;
   const ran = createResponse("length", "later").whole;
