--- a/src/base/common/endpoint.ts
+++ b/src/base/common/endpoint.ts
@@ -24,12 +24,13 @@
   return Number.isInteger(value) && value >= 1 && value <= HIGHEST_PORT;
 }
 
-const IP_VERSION_4 = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/;
+const DECIMAL_BYTE = /^(0|[1-9]\d{0,2})$/;
 
 /** Whether a value is an IPv4 address; other addresses would have to be looked up. */
 export function isAddress(value: string): boolean {
-  const match = IP_VERSION_4.exec(value);
-  return match !== null && match.slice(1).every((part) => Number(part) <= 255);
+  const parts = value.split(".");
+  return parts.length === 4 &&
+    parts.every((part) => DECIMAL_BYTE.test(part) && Number(part) <= 255);
 }
 
 /** Whether a value has the form `ADDRESS:PORT`. */
