--- a/src/programs/node/configuration_late_test.ts
+++ b/src/programs/node/configuration_late_test.ts
@@ -34,7 +34,7 @@
   "not answered by the store",
   "restarted",
 ];
-/** A fault that a host without a path to others is excused for; these have to have the version all the same. */
+/** Hosts with these faults still reach the store, so they must have the version in time as well. */
 const BINDING_FAULTS: readonly FaultName[] = [
   "cut off from the others",
 ];
--- a/src/programs/node/spread_fixture.ts
+++ b/src/programs/node/spread_fixture.ts
@@ -40,7 +40,7 @@
 const STORE_MS: Milliseconds = 4;
 /** How long a call of the store waits for a response. */
 const STORE_TIMEOUT_MS: Milliseconds = 2_000;
-/** The processor time that a daemon of usual speed needs for a message. */
+/** The processor time that a daemon of usual speed needs for a message; charged on slow hosts only. */
 const EVENT_MS: Milliseconds = 0.2;
 /** The processor time that a daemon of usual speed needs for a version with hundreds of routes. */
 const TABLE_MS: Milliseconds = 25;
@@ -159,8 +159,6 @@
   appliedAt(host: HostName, position: number): Milliseconds | undefined;
   readonly hosts: readonly HostName[];
   readonly now: Milliseconds;
-  /** The number of calls that the store has received. */
-  readonly storeCalls: number;
   dispose(): void;
 }
 
@@ -175,7 +173,6 @@
   const interval = computeHeartbeatInterval(HEARTBEAT_MS, hostCount - 1);
   const versions: string[] = [];
   const waiting = new Set<() => void>();
-  let storeCalls = 0;
 
   function isConnected(from: Host, to: Host): boolean {
     return !from.fault.isCutOff && !to.fault.isCutOff;
@@ -264,7 +261,6 @@
       respond: () => T,
       signal?: AbortSignal,
     ): Promise<Result<T, StepError>> {
-      storeCalls += 1;
       return new Promise((resolve) => {
         const finish = (result: Result<T, StepError>) => {
           timeout.dispose();
@@ -474,9 +470,6 @@
     get now() {
       return clock.now();
     },
-    get storeCalls() {
-      return storeCalls;
-    },
     dispose() {
       for (const host of hosts.values()) {
         host.dispose();
