--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -19,7 +19,7 @@
 
 const DRAIN_MS = 2_000;
 /** The instance serves for this long after the confirmation, and then exits. */
-const STAY_MS = 10_000;
+const STAY_MS = 6_000;
 const KILL_AFTER_MS = 300;
 const RESTART_MS = 500;
 /** When the delayed heartbeat arrives, after the restart of the daemons. */
@@ -65,6 +65,9 @@
       let confirmedAt = Infinity;
       let restartedAt = 0;
       const late = [];
+      /** Requests that the leaving instance began and whose clients got no answer of it. */
+      const lost = [];
+      const startedAtLeaving = new Set();
       const instances = [];
       for (const [index, daemon] of daemons.entries()) {
         await daemon.waitUntilReady();
@@ -78,6 +81,9 @@
             work: () => 80 + Math.random() * 80,
             onRun({ id }) {
               record.write(`run ${id} at ${identity}`);
+              if (index === 0 && sentAt.get(id) > confirmedAt + DRAIN_MS) {
+                startedAtLeaving.add(id);
+              }
             },
             onArrive({ id }) {
               const at = sentAt.get(id);
@@ -120,6 +126,9 @@
             timeout: 3_000,
           });
           record.write(`answer ${id} ${result.status} ${result.why ?? ""}`);
+          if (result.status !== 200 && startedAtLeaving.has(id)) {
+            lost.push(id);
+          }
           if (result.status !== 200) {
             agent.destroy();
             agent = createAgent();
@@ -166,11 +175,14 @@
         );
       }
       await sleep(Math.max(0, confirmedAt + STAY_MS - Date.now()));
+      record.write(`${leaving.identity} exits`);
+      await leaving.close();
+      await sleep(1_500);
       isOver = true;
       await clients;
       const summary =
         `${count} requests, ${late.length} reached the leaving instance more than ${DRAIN_MS} ms ` +
-        `after the confirmation, sent at least ${STABLE_MS} ms after the restart`;
+        `after the confirmation, sent at least ${STABLE_MS} ms after the restart; ${lost.length} requests that it had begun failed as it exited`;
       record.write(summary);
       console.log(summary);
       return late.length > 0;
