--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -19,11 +19,11 @@
 
 const DRAIN_MS = 2_000;
 /** The instance serves for this long after the confirmation, and then exits. */
-const STAY_MS = 6_000;
+const STAY_MS = 5_000;
 const KILL_AFTER_MS = 300;
 const RESTART_MS = 500;
 /** When the delayed heartbeat arrives, after the restart of the daemons. */
-const LATE_BEAT_MS = 2_500;
+const LATE_BEAT_MS = 1_400;
 
 main(
   dirname(fileURLToPath(import.meta.url)),
