--- a/review/lib/mesh.mjs
+++ b/review/lib/mesh.mjs
@@ -5,6 +5,7 @@
 
 import { spawn } from "node:child_process";
 import {
+  closeSync,
   mkdtempSync,
   openSync,
   readFileSync,
@@ -105,7 +106,7 @@
 }
 
 /** Starts the mesh; `run` gets it, and all that it started has ended when this resolves. */
-export async function withMesh(run, { store: createStore } = {}) {
+export async function withMesh(run) {
   const folder = mkdtempSync(join(tmpdir(), "review-"));
   const closers = [];
   const daemons = [];
@@ -113,7 +114,7 @@
     const { startStoreStandIn } = await import(
       join(ROOT, "target", "review", "store_stand_in.mjs")
     );
-    const store = await (createStore ?? startStoreStandIn)();
+    const store = await startStoreStandIn();
     closers.push(() => store.close());
     return await run({
       store,
@@ -124,6 +125,7 @@
     });
   } finally {
     for (const daemon of daemons) {
+      daemon.isOver = true;
       daemon.kill("SIGKILL");
     }
     await Promise.all(daemons.map((daemon) => daemon.ended));
@@ -134,11 +136,8 @@
   }
 }
 
-async function startDaemon(
-  { host, zone, service, storeAddress, folder, store, daemons, ports, link },
-) {
-  const [outbound, control, ready, metrics, internal] = ports ??
-    await findFreePorts(5);
+async function startDaemon({ host, zone, service, folder, store, daemons }) {
+  const [outbound, control, ready, metrics, internal] = await findFreePorts(5);
   const file = join(folder, `${host}.jsonc`);
   const values = {
     node: host,
@@ -152,7 +151,7 @@
       ready: `${ADDRESS}:${ready}`,
     },
     internal_ports: [internal, internal],
-    platform: { addr: storeAddress ?? store.address },
+    platform: { addr: store.address },
     beat_s: BEAT_S,
     bounds: { grace_s: GRACE_S },
   };
@@ -163,28 +162,23 @@
     for (const [from, to] of Object.entries(changes)) {
       next = next.replaceAll(from, to);
     }
-    writeFileSync(
-      file,
-      link === undefined ? next : next.replace(
-        /\}\s*$/,
-        `,\n  "announcedLink": "${link(internal)}"\n}\n`,
-      ),
-    );
+    writeFileSync(file, next);
   };
   writeSettings();
   const daemon = {
     host,
-    zone,
-    service,
-    ports: [outbound, control, ready, metrics, internal],
     outbound: `${ADDRESS}:${outbound}`,
     control: `${ADDRESS}:${control}`,
     ready: `${ADDRESS}:${ready}`,
-    internal,
     logFile: join(folder, `${host}.log`),
     exits: [],
+    /** Set at the end of the case; nothing is started after that. */
+    isOver: false,
     writeSettings,
     start() {
+      if (daemon.isOver) {
+        return;
+      }
       const [program, ...words] = readRunCommand();
       const log = openSync(daemon.logFile, "a");
       const child = spawn(program, words, {
@@ -197,6 +191,7 @@
           GUAVARUN_NODE_FILE: file,
         },
       });
+      closeSync(log);
       daemon.process = child;
       daemon.ended = new Promise((resolve) =>
         child.once("exit", (code, signal) => {
@@ -212,7 +207,6 @@
         daemon.process.kill(signal);
       }
     },
-    readLog: () => readFileSync(daemon.logFile, "utf8"),
     async waitUntilReady() {
       await waitFor(
         async () =>
@@ -332,15 +326,10 @@
       });
   };
   const beat = (state) => prepare(state)();
-  let state = "ready";
-  const timer = setInterval(() => void beat(state), BEAT_S * 1_000);
+  const timer = setInterval(() => void beat("ready"), BEAT_S * 1_000);
   return {
     beat,
     prepare,
-    setState(next) {
-      state = next;
-      return beat(next);
-    },
     stop: () => clearInterval(timer),
     born,
   };
