--- a/review/lib/mesh.mjs
+++ b/review/lib/mesh.mjs
@@ -49,8 +49,10 @@
 
 /** Below the ports that the system gives to outgoing connections. */
 const FIRST_PORT = 12_000;
-const LAST_PORT = 31_999;
-const takenPorts = new Set();
+/** Each process begins in a block of its own, so that scripts can run side by side. */
+const PORTS_PER_BLOCK = 100;
+const BLOCKS = 200;
+let nextPort = FIRST_PORT + (process.pid % BLOCKS) * PORTS_PER_BLOCK;
 
 function isFree(port) {
   return new Promise((resolve) => {
@@ -63,12 +65,10 @@
 export async function findFreePorts(count) {
   const ports = [];
   while (ports.length < count) {
-    const port = FIRST_PORT +
-      Math.floor(Math.random() * (LAST_PORT - FIRST_PORT + 1));
-    if (!takenPorts.has(port) && await isFree(port)) {
-      takenPorts.add(port);
-      ports.push(port);
+    if (await isFree(nextPort)) {
+      ports.push(nextPort);
     }
+    nextPort += 1;
   }
   return ports;
 }
