--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -51,7 +51,7 @@
           },
         ]),
       );
-      const services = ["bib", "results", "results"];
+      const services = ["bib", "bib", "bib", "results", "results"];
       const daemons = [];
       for (const [index, service] of services.entries()) {
         daemons.push(
