Refuse responses whose header the daemon cannot write

What callers saw: an instance sent a NUL byte in the Date header of some responses. The daemon beside it exited with code 1 at the first one for a client of the same host, and the calls of all clients on that host ended without a response, also those that ran at sound instances.

Cause: parseResponseHead accepted any byte but CR and LF in a value; ServerResponse.writeHead throws ERR_INVALID_CHAR on control characters, and nothing handles an exception between the event of the instance's socket and the process.

Ruled out: an exception in the decoder or the gate (not in the stack), and an exit without an exception, such as memory (process.failed comes before each exit).

Change: header and trailer lines are parsed in field_line.ts, which accepts the characters of RFC 9110; control characters in the reason phrase, chunk extensions and trailers and statuses below 100 are malformed too. The service name of the settings, which becomes a header of each call, is checked with them.

Why it works: what is accepted is now a subset of what writeHead accepts, for each byte at each place.

--- a/src/features/gate/common/chunked_body.ts
+++ b/src/features/gate/common/chunked_body.ts
@@ -6,6 +6,7 @@
 
 import { createByteCollector } from "./byte_collector.ts";
 import { type ByteCursor, createDelimitedReader } from "./delimited_reader.ts";
+import { isFieldText, parseFieldLine } from "./field_line.ts";
 import {
   MAXIMUM_RESPONSE_BODY_BYTES,
   MAXIMUM_RESPONSE_HEADER_BYTES,
@@ -21,7 +22,7 @@
   read(cursor: ByteCursor): ChunkedReadResult;
 }
 
-const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;.*)?$/;
+const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;(.*))?$/s;
 const LINE_END = Buffer.from("\r\n");
 
 type ParserState =
@@ -47,7 +48,7 @@
       return malformed("a chunk line is too long");
     }
     const match = CHUNK_SIZE_LINE.exec(line.toString("latin1"));
-    if (match === null) {
+    if (match === null || !isFieldText(match[2] ?? "")) {
       return malformed("a chunk line is malformed");
     }
     const size = parseInt(match[1], 16);
@@ -95,6 +96,10 @@
     if (line.length === 0) {
       return { type: "body", body: body.join() };
     }
+    const field = parseFieldLine(line.toString("latin1"));
+    if (typeof field === "string") {
+      return malformed(field);
+    }
     trailerBytes += line.length + LINE_END.length;
     return trailerBytes > MAXIMUM_RESPONSE_HEADER_BYTES
       ? malformed("the trailer is too long")
--- a/src/features/gate/common/response_head.ts
+++ b/src/features/gate/common/response_head.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { isFieldText, parseFieldLine } from "./field_line.ts";
 import { MAXIMUM_RESPONSE_BODY_BYTES } from "./response_limits.ts";
 
 export type BodyFraming =
@@ -19,8 +20,7 @@
   readonly keepsConnection: boolean;
 }
 
-const STATUS_LINE = /^HTTP\/1\.([01]) (\d{3})(?: [^\r\n]*)?$/;
-const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+const STATUS_LINE = /^HTTP\/1\.([01]) ([1-9]\d{2})(?: (.*))?$/s;
 const CONTENT_LENGTH = /^\d{1,15}$/;
 
 /** Returns the reason as a string if the header section is invalid. */
@@ -30,7 +30,7 @@
 ): ResponseHead | string {
   const lines = text.split("\r\n");
   const statusLine = STATUS_LINE.exec(lines[0]);
-  if (statusLine === null) {
+  if (statusLine === null || !isFieldText(statusLine[3] ?? "")) {
     return "the status line is malformed";
   }
   const status = Number(statusLine[2]);
@@ -39,16 +39,11 @@
   const connectionHeaders: string[] = [];
   let contentLength: number | undefined;
   for (let index = 1; index < lines.length; index += 1) {
-    const line = lines[index];
-    const colon = line.indexOf(":");
-    const name = line.slice(0, Math.max(0, colon));
-    if (!HEADER_NAME.test(name)) {
-      return "a header line is malformed";
-    }
-    const value = trimBlanks(line.slice(colon + 1));
-    if (value.includes("\n") || value.includes("\r")) {
-      return "a header line is malformed";
+    const field = parseFieldLine(lines[index]);
+    if (typeof field === "string") {
+      return field;
     }
+    const { name, value } = field;
     rawHeaders.push(name, value);
     switch (name.toLowerCase()) {
       case "content-length": {
@@ -114,21 +109,3 @@
     value.split(",").some((option) => option.trim().toLowerCase() === "close")
   );
 }
-
-/** Trims without a regular expression, which takes quadratic time on values with many inner blanks. */
-function trimBlanks(text: string): string {
-  let start = 0;
-  let end = text.length;
-  while (start < end && isBlank(text, start)) {
-    start += 1;
-  }
-  while (end > start && isBlank(text, end - 1)) {
-    end -= 1;
-  }
-  return text.slice(start, end);
-}
-
-function isBlank(text: string, index: number): boolean {
-  const character = text[index];
-  return character === " " || character === "\t";
-}
--- a/src/programs/common/mesh_settings.ts
+++ b/src/programs/common/mesh_settings.ts
@@ -25,8 +25,11 @@
   host: valibot.pipe(valibot.string(), valibot.nonEmpty()),
   failureDomain: valibot.pipe(valibot.string(), valibot.nonEmpty()),
   address: valibot.pipe(valibot.string(), valibot.ip()),
-  /** The service of the instance on this host. */
-  service: valibot.optional(valibot.string(), ""),
+  /** The service of the instance on this host; a header of each call names it. */
+  service: valibot.optional(
+    valibot.pipe(valibot.string(), valibot.regex(/^[\x21-\x7e]*$/)),
+    "",
+  ),
   listen: valibot.object({
     /** Calls of the clients and of the instance on this host. */
     calls: endpointSchema,
