Store departures before they are acknowledged

Cause: the departure was kept in memory only, by the daemon and its peers. After a restart of all, the late heartbeat was that of an unknown instance. The daemon gave an acknowledgement that it could not keep.

Ruled out: peers that return it too late (with one daemon restarted nothing reached the instance), and a tracker that takes the late heartbeat (without the kill it is ignored).

Change: a DELETE or a heartbeat that says draining is acknowledged once the store has the departure, or refused with 503 within 0.85 s; the gate stops sending calls immediately in both cases. After a start, reports of ready instances wait until the departures from the host are read, or for 5 s.

Calls of the store: one append more for each instance that leaves.

Why it works: the acknowledgement follows a write that the store does not lose, and a daemon that does not know what the store has takes only reports that must have been sent after its start, which an instance that departed before does not send.

--- /dev/null
+++ b/src/features/gate/common/departure_records.ts
@@ -0,0 +1,114 @@
+/**
+ * Keeps the departures of instances from this host in the store, so that they outlast a restart of all daemons.
+ *
+ * A departure may be acknowledged to its instance only after it is stored: a daemon that forgets it would take a
+ * heartbeat that was sent before the departure, and arrives after a restart, for that of a ready instance.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { Result } from "../../../base/common/result.ts";
+import type { StepError } from "../../../base/common/step_error.ts";
+import { type DepartedInstance, isSameDeparture } from "./instance_tracker.ts";
+
+/** Instances wait one second for an acknowledgement. */
+const ACKNOWLEDGEMENT_TIMEOUT_MS: Milliseconds = 850;
+/** A write that starts later would not be done in time. */
+const MINIMUM_WRITE_MS: Milliseconds = 50;
+/** A store that has not responded for this long may have lost the response, so the call is repeated beside it. */
+const REPEAT_MS: Milliseconds = 250;
+/** The pause after the first attempt that failed; it doubles with each further one. */
+const RETRY_DELAY_MS: Milliseconds = 100;
+/**
+ * The number of departures that the store keeps for each host. Heartbeats are late by seconds, in which at most a few
+ * instances leave the same host.
+ */
+export const MAXIMUM_STORED_DEPARTURES = 4;
+
+/** A change of the stored departures of a host; repeating it has no further effect. */
+export interface DepartureUpdate {
+  readonly added: readonly DepartedInstance[];
+  /** Older departures that are no longer needed. */
+  readonly removed: readonly DepartedInstance[];
+}
+
+export interface DepartureRecordsOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly write: (update: DepartureUpdate) => Promise<Result<void, StepError>>;
+}
+
+export interface DepartureRecords {
+  /** Records the departures that the store had when it was read, the oldest first. */
+  restore(departed: readonly DepartedInstance[]): void;
+  /** Stores departures; resolves with whether the store has all of them while the instance still waits for it. */
+  save(departed: readonly DepartedInstance[]): Promise<boolean>;
+}
+
+export function createDepartureRecords(
+  { clock, log, write }: DepartureRecordsOptions,
+): DepartureRecords {
+  /** The oldest first. */
+  let stored: readonly DepartedInstance[] = [];
+
+  function isStored(departure: DepartedInstance): boolean {
+    return stored.some((known) => isSameDeparture(known, departure));
+  }
+
+  function add(departures: readonly DepartedInstance[]): void {
+    stored = [...stored, ...departures.filter((each) => !isStored(each))];
+  }
+
+  /** Writes once; resolves with whether the store has responded that it was done. */
+  async function attempt(update: DepartureUpdate): Promise<boolean> {
+    const written = await write(update);
+    if (written.err) {
+      log.write("warn", "instance.departure-not-stored", {
+        instances: update.added.map(({ identity }) => identity).join(","),
+        step: written.val.step,
+        error: written.val.message,
+      });
+      return false;
+    }
+    stored = stored.filter((each) =>
+      !update.removed.some((removed) => isSameDeparture(removed, each))
+    );
+    add(update.added);
+    return true;
+  }
+
+  return {
+    restore: add,
+    async save(departed) {
+      const startedAt = clock.now();
+      const timeLeft = () =>
+        startedAt + ACKNOWLEDGEMENT_TIMEOUT_MS - clock.now();
+      // The newest ones are the last ones.
+      const needed = departed.slice(-MAXIMUM_STORED_DEPARTURES);
+      const isDone = () => needed.every(isStored);
+      let retryDelay = RETRY_DELAY_MS;
+      while (!isDone() && timeLeft() > MINIMUM_WRITE_MS) {
+        const added = needed.filter((each) => !isStored(each));
+        const kept = MAXIMUM_STORED_DEPARTURES - added.length;
+        const removed = stored.slice(0, Math.max(0, stored.length - kept));
+        const result = attempt({ added, removed });
+        const pause = (delay: Milliseconds) =>
+          clock.sleep(Math.min(delay, Math.max(0, timeLeft())));
+        if (
+          await Promise.race([
+            result,
+            pause(REPEAT_MS).then(() => undefined),
+          ]) ===
+            false
+        ) {
+          await pause(retryDelay);
+          retryDelay *= 2;
+        }
+      }
+      return isDone();
+    },
+  };
+}
--- a/src/features/gate/common/instance_tracker.ts
+++ b/src/features/gate/common/instance_tracker.ts
@@ -35,6 +35,13 @@
   restoreDepartures(departed: readonly DepartedInstance[]): void;
 }
 
+export function isSameDeparture(
+  left: DepartedInstance,
+  right: DepartedInstance,
+): boolean {
+  return left.identity === right.identity && left.startedAt === right.startedAt;
+}
+
 /** The number of most recent departures that are kept. */
 const MAXIMUM_DEPARTURES = 16;
 
@@ -50,13 +57,9 @@
   }
 
   function recordDeparture({ identity, startedAt }: DepartedInstance): void {
-    if (
-      !departed.some((known) =>
-        known.identity === identity && known.startedAt === startedAt
-      )
-    ) {
-      departed = [...departed, { identity, startedAt }]
-        .slice(-MAXIMUM_DEPARTURES);
+    const departure = { identity, startedAt };
+    if (!departed.some((known) => isSameDeparture(known, departure))) {
+      departed = [...departed, departure].slice(-MAXIMUM_DEPARTURES);
     }
   }
 
--- a/src/features/operator/common/mesh_store.ts
+++ b/src/features/operator/common/mesh_store.ts
@@ -9,9 +9,12 @@
 import type { StepError } from "../../../base/common/step_error.ts";
 import type { RolloutState } from "../../../world/common/mesh_configuration.ts";
 import type {
+  HostName,
   ServiceName,
   ServiceVersion,
 } from "../../../world/common/names.ts";
+import type { DepartureUpdate } from "../../gate/common/departure_records.ts";
+import type { DepartedInstance } from "../../gate/common/instance_tracker.ts";
 import type { LinkTarget } from "../../link/common/peer_network.ts";
 import type { OperatorRecord } from "./operator_records.ts";
 
@@ -30,6 +33,14 @@
   readonly state: RolloutState;
 }
 
+/** What daemons have written about hosts. */
+export interface HostRecords {
+  /** The addresses at which daemons accept links, including daemons that have stopped. */
+  readonly targets: readonly LinkTarget[];
+  /** The instances that have departed from one of the hosts, the oldest departure first. */
+  readonly departed: readonly DepartedInstance[];
+}
+
 export interface ReadOptions {
   /** How long the store may hold the request open while there are no new records (long poll). */
   readonly waitMilliseconds: Milliseconds;
@@ -50,8 +61,14 @@
   /** Publishes the address at which this daemon accepts links. */
   abstract announceHost(target: LinkTarget): Promise<Result<void, StepError>>;
 
-  /** Lists the addresses at which daemons accept links, including daemons that have stopped. */
-  abstract listHosts(): Promise<Result<readonly LinkTarget[], StepError>>;
+  /** Reads the addresses of all daemons, and the departures from `host`. */
+  abstract readHosts(host: HostName): Promise<Result<HostRecords, StepError>>;
+
+  /** Changes the stored departures from a host, in one step. */
+  abstract updateDepartures(
+    host: HostName,
+    update: DepartureUpdate,
+  ): Promise<Result<void, StepError>>;
 
   abstract readRolloutStatuses(): Promise<
     Result<
--- a/src/programs/node/host_registration.ts
+++ b/src/programs/node/host_registration.ts
@@ -1,5 +1,6 @@
 /**
- * Registers the link address of this daemon in the store, and discovers the other daemons.
+ * Registers the link address of this daemon in the store, and discovers the other daemons and the departures from this
+ * host.
  *
  * A daemon writes its address before it lists the others, so that of two daemons that start
  * concurrently at least one finds the other. Daemons that start later connect to this one.
@@ -15,6 +16,7 @@
 import type { StepError } from "../../base/common/step_error.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import type { LinkTarget } from "../../features/link/common/peer_network.ts";
+import type { DepartedInstance } from "../../features/gate/common/instance_tracker.ts";
 import type { MeshStore } from "../../features/operator/common/mesh_store.ts";
 
 const STORE_BACKOFF = { baseMilliseconds: 250, capMilliseconds: 1_500 };
@@ -26,6 +28,8 @@
   readonly store: MeshStore;
   readonly fleet: Fleet;
   readonly target: LinkTarget;
+  /** Called when the departures from this host are known. */
+  readonly onDepartedRead: (departed: readonly DepartedInstance[]) => void;
   readonly isStopped: () => boolean;
 }
 
@@ -34,8 +38,11 @@
 ): Promise<void> {
   const { store, fleet, target } = options;
   await retry(options, () => store.announceHost(target));
-  const hosts = await retry(options, () => store.listHosts());
-  fleet.addHosts(hosts ?? []);
+  const hosts = await retry(options, () => store.readHosts(target.host));
+  if (hosts !== undefined) {
+    options.onDepartedRead(hosts.departed);
+    fleet.addHosts(hosts.targets);
+  }
 }
 
 async function retry<T>(
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -33,6 +33,8 @@
   listCoordinators,
 } from "../../features/fleet/common/coordinators.ts";
 import { createGateClient } from "../../features/gate/common/gate_client.ts";
+import { createDepartureRecords } from "../../features/gate/common/departure_records.ts";
+import { createReadyReportHold } from "../../features/gate/common/ready_report_hold.ts";
 import { createGateService } from "../../features/gate/common/gate_service.ts";
 import { createGate } from "../../features/gate/node/gate.ts";
 import { planStop } from "../../features/ingress/common/stop_plan.ts";
@@ -44,6 +46,7 @@
 } from "../../features/operator/common/record_sync.ts";
 import { listCandidates } from "../../features/placement/common/candidates.ts";
 import { createHostDelays } from "../../features/placement/common/host_delays.ts";
+import type { InstanceReport } from "../../world/common/mesh_instance.ts";
 import { formatProcess, type HostIdentity } from "../../world/common/host.ts";
 import { parseEndpoint } from "../../base/common/endpoint.ts";
 import type { MeshSettings } from "../common/mesh_settings.ts";
@@ -282,6 +285,34 @@
       rollouts.registry.chooseVersion(service, identity, clock.now()),
   });
 
+  const departureRecords = createDepartureRecords({
+    clock,
+    log,
+    write: (update) => platform.store.updateDepartures(settings.host, update),
+  });
+  const reportHold = disposables.add(
+    createReadyReportHold({
+      clock,
+      apply: applyReport,
+      onExpired: () => log.write("warn", "instance.departures-unknown"),
+    }),
+  );
+
+  function applyReport(report: InstanceReport): void {
+    const outcome = gate.applyReport(report);
+    if (outcome.type !== "unchanged") {
+      log.write("info", "instance.report", {
+        instance: report.identity,
+        service: report.service,
+        version: report.version,
+        state: report.state,
+        sequence: report.sequence,
+        outcome: outcome.type,
+        reason: outcome.type === "ignored" ? outcome.reason : undefined,
+      });
+    }
+  }
+
   function isReady(): boolean {
     return stopPhase === "serving" && state.routes !== undefined &&
       (network.peers.length > 0 || clock.now() - startedAt > PEER_WAIT_MS);
@@ -295,19 +326,10 @@
       }),
       listenHttp(
         platform.createInstanceHandler({
-          applyReport(report) {
-            const outcome = gate.applyReport(report);
-            if (outcome.type !== "unchanged") {
-              log.write("info", "instance.report", {
-                instance: report.identity,
-                service: report.service,
-                version: report.version,
-                state: report.state,
-                sequence: report.sequence,
-                outcome: outcome.type,
-                reason: outcome.type === "ignored" ? outcome.reason : undefined,
-              });
-            }
+          async applyReport(report) {
+            reportHold.handle(report);
+            return report.state === "ready" ||
+              await departureRecords.save(gate.departed);
           },
           applyDeparture(departure) {
             const outcome = gate.applyDeparture(departure);
@@ -315,6 +337,7 @@
               instance: departure.identity,
               outcome: outcome.type,
             });
+            return departureRecords.save(gate.departed);
           },
           rejectMessage: (reason) =>
             log.write("warn", "instance.report-rejected", { reason }),
@@ -370,6 +393,11 @@
     store: platform.store,
     fleet,
     target: linkTarget,
+    onDepartedRead(departed) {
+      departureRecords.restore(departed);
+      gate.restoreDepartures(departed);
+      reportHold.release();
+    },
     isStopped: () => isDisposed,
   });
   log.write("info", "process.started", {
--- a/src/programs/node/mesh_platform.ts
+++ b/src/programs/node/mesh_platform.ts
@@ -29,10 +29,10 @@
   | { readonly type: "unknown" }
   | { readonly type: "invalid"; readonly reason: string };
 
-/** Receives the messages of the instance on this host. */
+/** Receives the messages of the instance on this host. Resolves with whether a message may be acknowledged. */
 export interface InstanceSink {
-  applyReport(report: InstanceReport): void;
-  applyDeparture(departure: InstanceDeparture): void;
+  applyReport(report: InstanceReport): Promise<boolean>;
+  applyDeparture(departure: InstanceDeparture): Promise<boolean>;
   /** Called for a message without a valid instance. */
   rejectMessage(reason: string): void;
 }
@@ -43,7 +43,7 @@
   abstract decodeRecord(record: OperatorRecord): OperatorDocument;
   /** Decodes what an instance says of itself in the headers of a response. */
   abstract readNotices(rawHeaders: readonly string[]): InstanceNotices;
-  /** Handles the heartbeats of the instance; acknowledges a message after the sink has processed it. */
+  /** Handles the heartbeats of the instance; acknowledges a message once the sink has confirmed it. */
   abstract createInstanceHandler(sink: InstanceSink): HttpHandler;
   /** Handles the platform's checks whether clients may be sent to this host. */
   abstract createReadinessHandler(isReady: () => boolean): HttpHandler;
