End a call only after its response is written

What callers saw: of the calls whose response had an invalid header and whose instance was on another host, each stayed without any response: at the time-out of the route, half a second later, and until the client gave up. The connection stayed open.

Cause: deliverResponse disposed of the call and its timer and wrote the response afterwards. When writeHead threw, the dispatcher of link messages logged the exception, and nothing was left that would answer the client. More generally, exceptions in the events of a call were handled where the call is not known: by the dispatcher, or by the end of the process.

Ruled out: an outcome that cannot be decoded (the exception comes from the writer), and a response behind another one (one request at a time).

Change: a response is written before its call ends; each event of a call at the ingress, the gate and the service of the gate runs under a handler that logs the exception with its stack and ends this call alone, with 503 if nothing was offered and 502 otherwise. Exceptions elsewhere still end the process.

Why it works: the timer, the listeners and the entry of a call exist until its response is written, and no exception of an event of a call leaves that event.

--- a/src/features/gate/common/gate_service.ts
+++ b/src/features/gate/common/gate_service.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Disposable } from "../../../base/common/disposable.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
+import { runGuarded } from "../../../base/common/run_guarded.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { HostName } from "../../../world/common/names.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
@@ -47,6 +48,11 @@
   reachedInstance: false,
 };
 
+const STEP_FAILURE: GateOutcome = {
+  type: "failed",
+  reason: "the call could not be handled",
+};
+
 interface RemoteCall {
   readonly host: HostName;
   readonly retainUntil: Milliseconds;
@@ -135,11 +141,28 @@
       : queueMicrotask;
     defer(() => {
       if (!call.isCancelled) {
-        passToGate(request, call);
+        runStep(request, call, () => passToGate(request, call));
       }
     });
   }
 
+  /** Runs a step of a call. After an exception its caller's daemon gets a failure instead of no outcome. */
+  function runStep(
+    request: GateRequest,
+    call: RemoteCall,
+    step: () => void,
+  ): void {
+    runGuarded(step, {
+      log,
+      event: "gate.step-failed",
+      fields: { request: request.requestIdentity },
+      onFailed() {
+        call.outcome = STEP_FAILURE;
+        sendOutcome(request.identity, call);
+      },
+    });
+  }
+
   function passToGate(request: GateRequest, call: RemoteCall): void {
     const workTime = options.remainingWorkTime();
     if (workTime <= 0) {
@@ -156,7 +179,7 @@
     };
     call.ticket = gate.offer(limitedRequest, (outcome) => {
       call.outcome = outcome;
-      sendOutcome(request.identity, call);
+      runStep(request, call, () => sendOutcome(request.identity, call));
       if (outcome.type === "answer") {
         retainResponse(request.identity, outcome.body.length);
       }
--- a/src/features/gate/common/gate_service_test.ts
+++ b/src/features/gate/common/gate_service_test.ts
@@ -2,6 +2,7 @@
 import { describe, test } from "node:test";
 import { VirtualClock } from "../../../base/common/clock.ts";
 import { createDisposable } from "../../../base/common/disposable.ts";
+import { encodeMessage } from "../../../base/common/message_codec.ts";
 import { SILENT_LOG } from "../../../base/common/event_log.ts";
 import type {
   LinkMessage,
@@ -54,6 +55,7 @@
       onRequest: () => createDisposable(() => {}),
       onLinkOpened: () => createDisposable(() => {}),
       send(_: string, message: LinkMessage) {
+        encodeMessage(message);
         sent.push(message);
         return true;
       },
@@ -91,6 +93,35 @@
   };
 }
 
+// Guards against an exception that ends the process of the gate, or leaves the caller's daemon without an outcome.
+describe("a call that cannot be handled gets a failure as its outcome", () => {
+  const offer = encodeOffer({ request: REQUEST, sentAt: 5 });
+  const answer: GateOutcome = {
+    type: "answer",
+    status: 200,
+    rawHeaders: [],
+    // A value that the codec of the links cannot encode.
+    body: Symbol("body") as unknown as Uint8Array,
+    serviceMilliseconds: 1,
+    wasNestedRefused: false,
+  };
+  const cases: readonly [string, () => GateOutcome][] = [
+    ["the gate throws", () => {
+      throw new Error("cannot offer");
+    }],
+    ["its outcome cannot be sent", () => answer],
+  ];
+  for (const [name, settle] of cases) {
+    test(name, async () => {
+      const service = startService(false, settle);
+      service.receive(offer);
+      await service.endRead();
+      const outcomes = service.sent.map(decodeOutcome);
+      assert.deepEqual(outcomes.map((each) => each?.outcome.type), ["failed"]);
+    });
+  }
+});
+
 // Guards against running a call whose cancellation has already arrived after its offer.
 describe("an offer followed by its cancellation", () => {
   const cancel = { kind: CANCEL_KIND, identity: REQUEST.identity };
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -11,6 +11,7 @@
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import { runGuarded } from "../../../base/common/run_guarded.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import type { CallHandle, CallRecord, Gate } from "../common/gate.ts";
 import { createResponseBufferBudget } from "../common/response_buffer_budget.ts";
@@ -286,7 +287,23 @@
       call.isDeadlineExceeded = true;
       call.connection?.dispose();
     });
-    const connection = takeConnection(instance, now);
+    runStep(
+      call,
+      () => sendToInstance(call, instance, timeLeft),
+      () =>
+        finish(call, call.connection, {
+          type: "broken",
+          reason: "the request could not be sent",
+        }),
+    );
+  }
+
+  function sendToInstance(
+    call: GateCall,
+    instance: InstanceReport,
+    timeLeft: Milliseconds,
+  ): void {
+    const connection = takeConnection(instance, clock.now());
     call.connection = connection;
     connection.exchange({
       requestIdentity: call.request.requestIdentity,
@@ -331,7 +348,7 @@
 
   function finish(
     call: GateCall,
-    connection: InstanceConnection,
+    connection: InstanceConnection | undefined,
     outcome: ExchangeOutcome,
   ): void {
     if (call.state === "ended") {
@@ -341,32 +358,58 @@
     running.delete(call);
     call.timer?.dispose();
     call.state = "ended";
-    const gateOutcome = evaluateExchange(call, outcome, now);
+    let gateOutcome: GateOutcome = {
+      type: "failed",
+      reason: "the response could not be evaluated",
+    };
+    runStep(call, () => gateOutcome = evaluateExchange(call, outcome, now));
+    runStep(call, () => recordCompletion(call, gateOutcome, now));
+    runStep(call, () => call.settle(gateOutcome));
+    // The connection becomes idle only after this callback has returned.
+    queueMicrotask(() => {
+      if (connection?.isReusable(clock.now())) {
+        idleConnections.push(connection);
+      } else {
+        connection?.dispose();
+      }
+      if (queue.size > 0) {
+        options.afterStall(startQueued);
+      }
+    });
+  }
+
+  /** Runs a step of a call. An exception does not affect other calls. */
+  function runStep(
+    call: GateCall,
+    step: () => void,
+    onFailed?: () => void,
+  ): void {
+    runGuarded(step, {
+      log,
+      event: "gate.step-failed",
+      fields: { request: call.request.requestIdentity },
+      onFailed,
+    });
+  }
+
+  function recordCompletion(
+    call: GateCall,
+    outcome: GateOutcome,
+    now: Milliseconds,
+  ): void {
     // Callers cancel slow calls in favor of a hedged request, so overdue cancelled calls are recorded too.
     if (
-      gateOutcome.type !== "refused" &&
+      outcome.type !== "refused" &&
       (!call.isCancelled || isOverdue(call, now))
     ) {
       callCompleted.fire({
         route: call.request.route,
         isFailure: !call.isCancelled && !call.wasNestedRefused &&
-          (gateOutcome.type === "failed" || gateOutcome.status >= 500),
+          (outcome.type === "failed" || outcome.status >= 500),
         isWarm: call.startedAt >= coldUntil,
         duration: now - call.startedAt,
       });
     }
-    call.settle(gateOutcome);
-    // The connection becomes idle only after this callback has returned.
-    queueMicrotask(() => {
-      if (connection.isReusable(clock.now())) {
-        idleConnections.push(connection);
-      } else {
-        connection.dispose();
-      }
-      if (queue.size > 0) {
-        options.afterStall(startQueued);
-      }
-    });
   }
 
   function applyNotices(
@@ -532,12 +575,13 @@
   ): void {
     call.timer?.dispose();
     call.state = "ended";
-    call.settle({
-      type: "refused",
-      reason,
-      retryAfter,
-      reachedInstance: false,
-    });
+    runStep(call, () =>
+      call.settle({
+        type: "refused",
+        reason,
+        retryAfter,
+        reachedInstance: false,
+      }));
   }
 
   function refuseQueued(reason: RefusalReason): void {
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import { runGuarded } from "../../../base/common/run_guarded.ts";
 import { createConnectionClosePolicy } from "../../../base/node/connection_close_policy.ts";
 import {
   deferAfterStall,
@@ -93,7 +94,7 @@
         call.route.kind === "safe" &&
         [...call.pendingOffers].some((offer) => offer.host === host)
       ) {
-        sendHedge(call);
+        runStep(call, () => sendHedge(call));
       }
     }
   });
@@ -108,7 +109,64 @@
     return created;
   }
 
+  /** Runs a step of a call. After an exception its client gets a response; other calls are not affected. */
+  function runStep(call: IngressCall, step: () => void): void {
+    runGuarded(step, {
+      log,
+      event: "call.step-failed",
+      fields: { request: call.identity, route: call.route.name },
+      onFailed: () => endAfterException(call),
+    });
+  }
+
+  function endAfterException(call: IngressCall): void {
+    if (call.isEnded) {
+      return;
+    }
+    const wasOffered = call.pendingOffers.size > 0 || call.mayHaveRun;
+    if (call.response.headersSent) {
+      // A part of a response was written, so the client must not take what follows for the rest of it.
+      call.request.socket.destroy();
+      finishCall(call, "failed");
+      return;
+    }
+    endWithLocalReply(
+      call,
+      wasOffered
+        ? {
+          status: 502,
+          message: "The response failed and the call may have been executed",
+        }
+        : createNotRunReply("The call failed", DEFAULT_RETRY_AFTER_MS),
+    );
+  }
+
+  /** Runs a step of a request that is not a call yet, so that nothing of it has run. */
+  function runFirstStep(
+    request: IncomingMessage,
+    response: ServerResponse,
+    step: () => void,
+  ): void {
+    runGuarded(step, {
+      log,
+      event: "call.step-failed",
+      fields: { request: String(request.headers[headers.requestIdentity]) },
+      onFailed() {
+        request.resume();
+        sendLocalReply(
+          request,
+          response,
+          createNotRunReply("The call failed", DEFAULT_RETRY_AFTER_MS),
+        );
+      },
+    });
+  }
+
   function handle(request: IncomingMessage, response: ServerResponse): void {
+    runFirstStep(request, response, () => accept(request, response));
+  }
+
+  function accept(request: IncomingMessage, response: ServerResponse): void {
     const identity = request.headers[headers.requestIdentity];
     if (!connectionEnds.acceptRequest(request)) {
       log.write("info", "call.behind-end", { request: String(identity) });
@@ -166,11 +224,12 @@
           delay: Math.round(delay),
         });
       } else {
-        beginCall(request, response, {
-          identity,
-          route,
-          delay: isStalled ? delay : 0,
-        });
+        runFirstStep(request, response, () =>
+          beginCall(request, response, {
+            identity,
+            route,
+            delay: isStalled ? delay : 0,
+          }));
       }
     });
   }
@@ -256,8 +315,11 @@
       release: () => {},
     };
     activeCalls.add(call);
-    const timer = clock.schedule(timeout - delay, () => expireCall(call));
-    const onClose = () => abandonCall(call);
+    const timer = clock.schedule(
+      timeout - delay,
+      () => runStep(call, () => expireCall(call)),
+    );
+    const onClose = () => runStep(call, () => abandonCall(call));
     request.socket.once("close", onClose);
     call.release = () => {
       timer.dispose();
@@ -265,22 +327,23 @@
       request.socket.off("close", onClose);
       activeCalls.delete(call);
     };
-    receiveBody(call);
+    runStep(call, () => receiveBody(call));
   }
 
   function receiveBody(call: IngressCall): void {
     readBody(call.request, {
       limit: options.limits()?.maximumBodyBytes ?? Infinity,
       onTooLong: () =>
-        endWithLocalReply(call, {
-          status: 413,
-          message: "The request body exceeds the size limit",
-        }),
-      onAborted: () => abandonCall(call),
+        runStep(call, () =>
+          endWithLocalReply(call, {
+            status: 413,
+            message: "The request body exceeds the size limit",
+          })),
+      onAborted: () => runStep(call, () => abandonCall(call)),
       onBody(body) {
         if (!call.isEnded) {
           call.body = body;
-          startCall(call);
+          runStep(call, () => startCall(call));
         }
       },
     });
@@ -415,31 +478,35 @@
       resumeTimeout: call.route.kind === "safe"
         ? Math.min(RETRYABLE_RESUME_MS, timeLeft)
         : timeLeft,
-      settle(outcome) {
-        call.pendingOffers.delete(pendingOffer);
-        if (
-          pendingOffer.retryTakenAt !== undefined &&
-          !hasReachedInstance(outcome)
-        ) {
-          call.unusedRetries.push(pendingOffer.retryTakenAt);
-        }
-        const settledAt = clock.now();
-        if (outcome.type === "answer") {
-          responseTimes.record(call.route.name, settledAt - now);
-        }
-        const serviceTime = serviceTimeOf(outcome);
-        if (host !== options.host && serviceTime !== undefined) {
-          const explainedTime = expectedWait + serviceTime +
-            options.loopDelay();
-          options.hostDelays.record(
-            host,
-            settledAt - now - explainedTime,
-            settledAt,
-          );
-        }
-        handleOutcome(call, host, outcome);
-      },
+      settle: (outcome) => runStep(call, () => settleOffer(outcome)),
     });
+
+    function settleOffer(outcome: GateOutcome): void {
+      call.pendingOffers.delete(pendingOffer);
+      call.mayHaveRun ||= outcome.type !== "refused";
+      if (
+        pendingOffer.retryTakenAt !== undefined &&
+        !hasReachedInstance(outcome)
+      ) {
+        call.unusedRetries.push(pendingOffer.retryTakenAt);
+      }
+      const settledAt = clock.now();
+      if (outcome.type === "answer") {
+        responseTimes.record(call.route.name, settledAt - now);
+      }
+      const serviceTime = serviceTimeOf(outcome);
+      if (host !== options.host && serviceTime !== undefined) {
+        const explainedTime = expectedWait + serviceTime +
+          options.loopDelay();
+        options.hostDelays.record(
+          host,
+          settledAt - now - explainedTime,
+          settledAt,
+        );
+      }
+      handleOutcome(call, host, outcome);
+    }
+
     if (call.pendingOffers.has(pendingOffer) && call.route.kind === "safe") {
       scheduleHedge(call, candidate, now);
     }
@@ -460,7 +527,11 @@
     call.hedgeTimer?.dispose();
     call.hedgeTimer = clock.schedule(
       delay,
-      () => deferAfterStall(options.loopDelay(), () => sendHedge(call)),
+      () =>
+        deferAfterStall(
+          options.loopDelay(),
+          () => runStep(call, () => sendHedge(call)),
+        ),
     );
   }
 
@@ -572,9 +643,6 @@
         fullGates.recordFull(host, call.rank, clock.now());
       }
     }
-    if (outcome.type !== "refused") {
-      call.mayHaveRun = true;
-    }
     if (hasReachedInstance(outcome)) {
       call.instancesReached += 1;
     }
@@ -606,11 +674,11 @@
     call: IngressCall,
     outcome: Extract<GateOutcome, { type: "answer" }>,
   ): void {
-    finishCall(call, outcome.status < 500 ? "answered" : "failed");
     relayResponse(call.response, outcome, {
       closesConnection: connectionEnds.closesAfter(call.request),
       isHead: call.request.method === "HEAD",
     });
+    finishCall(call, outcome.status < 500 ? "answered" : "failed");
   }
 
   /** Ends a call at its deadline: the timeout of the route or of the client. */
@@ -652,41 +720,41 @@
 
   function endWithLocalReply(call: IngressCall, localReply: LocalReply): void {
     if (!call.isEnded) {
-      finishCall(call, classifyLocalReply(localReply));
       sendLocalReply(call.request, call.response, localReply);
+      finishCall(call, classifyLocalReply(localReply));
     }
   }
 
   function terminateCalls(): void {
     for (const call of [...activeCalls]) {
-      const wasOffered = call.pendingOffers.size > 0 || call.mayHaveRun;
-      log.write("warn", "call.broken-off", {
-        request: call.identity,
-        route: call.route.name,
-        kind: call.route.kind,
-        gates: [...call.offeredHosts].join(","),
-        after: Math.round(clock.now() - call.arrivedAt),
-        timeLeft: Math.round(call.deadlineAt - clock.now()),
-      });
-      endWithLocalReply(
-        call,
-        wasOffered
-          ? {
-            status: 502,
-            message: "The daemon stopped and the call may still be executed",
-          }
-          : createNotRunReply("The daemon stopped", DEFAULT_RETRY_AFTER_MS),
-      );
+      runStep(call, () => terminateCall(call));
     }
   }
 
-  function finishCall(call: IngressCall, result: CallResult): void {
-    call.isEnded = true;
-    callEnded.fire({
+  function terminateCall(call: IngressCall): void {
+    const wasOffered = call.pendingOffers.size > 0 || call.mayHaveRun;
+    log.write("warn", "call.broken-off", {
+      request: call.identity,
+      route: call.route.name,
       kind: call.route.kind,
-      result,
-      duration: clock.now() - call.arrivedAt,
+      gates: [...call.offeredHosts].join(","),
+      after: Math.round(clock.now() - call.arrivedAt),
+      timeLeft: Math.round(call.deadlineAt - clock.now()),
     });
+    endWithLocalReply(
+      call,
+      wasOffered
+        ? {
+          status: 502,
+          message: "The daemon stopped and the call may still be executed",
+        }
+        : createNotRunReply("The daemon stopped", DEFAULT_RETRY_AFTER_MS),
+    );
+  }
+
+  /** Disposes of a call after its response was written or its client has left. */
+  function finishCall(call: IngressCall, result: CallResult): void {
+    call.isEnded = true;
     call.release();
     for (const { ticket } of call.pendingOffers) {
       ticket?.cancel();
@@ -695,6 +763,11 @@
     for (const takenAt of call.unusedRetries) {
       retryBudgetOf(call.service).returnRetry(takenAt);
     }
+    callEnded.fire({
+      kind: call.route.kind,
+      result,
+      duration: clock.now() - call.arrivedAt,
+    });
   }
 
   function sendLocalReply(
