Limit departures without a start time to earlier starts

What callers saw: nothing reported; found while comparing the ways to leave. A DELETE without its start time, from an instance that the daemon does not know, shut out each later start with the same identity, so that its calls went to the other instances. After a restart of the daemon, such a departure from a peer was ignored.

Cause: the departure was kept with an undefined start time, which counted for all starts; msgpack turns it into null, which counts for none.

Evidence: instance_tracker_test, two new cases red before (a later start; through the codec of the links).

Change: without a start time, the departure concerns starts up to the time at which the DELETE arrived, by the clock of the host, on which the instance runs too. All kept departures have a start time now.

Why it works: the instance that sent the DELETE started before it arrived, and any later start has a later time.

--- a/src/features/gate/common/instance_tracker.ts
+++ b/src/features/gate/common/instance_tracker.ts
@@ -21,7 +21,8 @@
 /** An instance that has announced its departure; it never becomes ready again. */
 export interface DepartedInstance {
   readonly identity: string;
-  readonly startedAt: Milliseconds | undefined;
+  /** The departure concerns starts at this time and before, in milliseconds since the Unix epoch. */
+  readonly startedAt: Milliseconds;
 }
 
 export interface InstanceTracker {
@@ -51,8 +52,7 @@
 
   function hasDeparted(identity: string, startedAt: Milliseconds): boolean {
     return departed.some((entry) =>
-      entry.identity === identity &&
-      (entry.startedAt === undefined || startedAt <= entry.startedAt)
+      entry.identity === identity && startedAt <= entry.startedAt
     );
   }
 
@@ -70,7 +70,7 @@
     recordDeparture({
       identity: departure.identity,
       startedAt: departure.startedAt ??
-        (isCurrent ? instance?.startedAt : undefined),
+        (isCurrent ? instance!.startedAt : departure.receivedAt),
     });
     if (!isCurrent) {
       return { type: "ignored", reason: "older" };
--- a/src/features/gate/common/instance_tracker_test.ts
+++ b/src/features/gate/common/instance_tracker_test.ts
@@ -1,5 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import {
+  decodeMessage,
+  encodeMessage,
+} from "../../../base/common/message_codec.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import { createInstanceTracker } from "./instance_tracker.ts";
 
@@ -22,7 +26,11 @@
 type Step =
   | { readonly report: Partial<InstanceReport>; readonly outcome: string }
   | {
-    readonly depart: { identity: string; startedAt: number | undefined };
+    readonly depart: {
+      identity: string;
+      startedAt: number | undefined;
+      receivedAt?: number;
+    };
     readonly outcome: string;
   };
 
@@ -87,6 +95,26 @@
     ],
     expected: "none",
   },
+  {
+    name:
+      "a departure without a start time that arrives before any heartbeat does not shut out a later start with the same identity",
+    steps: [
+      { depart: { identity: "i-1", startedAt: undefined }, outcome: "ignored" },
+      { report: { sequence: 3 }, outcome: "ignored" },
+      { report: { sequence: 1, startedAt: 6_000 }, outcome: "new" },
+    ],
+    expected: "i-1 ready",
+  },
+  {
+    name: "a departure without a start time is that of the present start",
+    steps: [
+      { report: { sequence: 1 }, outcome: "new" },
+      { depart: { identity: "i-1", startedAt: undefined }, outcome: "changed" },
+      { report: { sequence: 2 }, outcome: "ignored" },
+      { report: { sequence: 1, startedAt: 2_000 }, outcome: "new" },
+    ],
+    expected: "i-1 ready",
+  },
 ];
 
 describe("the tracked state of an instance", () => {
@@ -96,7 +124,7 @@
       for (const step of steps) {
         const outcome = "report" in step
           ? tracker.applyReport(report(step.report))
-          : tracker.applyDeparture(step.depart);
+          : tracker.applyDeparture({ receivedAt: 5_000, ...step.depart });
         assert.equal(outcome.type, step.outcome);
       }
       const { instance } = tracker;
@@ -109,6 +137,29 @@
     });
   }
 
+  test("a departure without a start time is known after a restart, also through the codec of the links", () => {
+    const before = createInstanceTracker();
+    before.applyDeparture({
+      identity: "i-1",
+      startedAt: undefined,
+      receivedAt: 5_000,
+    });
+    const restarted = createInstanceTracker();
+    const { departed } = decodeMessage(
+      encodeMessage({ departed: before.departed }),
+      "test",
+    ).unwrap() as Pick<typeof before, "departed">;
+    restarted.restoreDepartures(departed);
+    assert.equal(
+      restarted.applyReport(report({ sequence: 1 })).type,
+      "ignored",
+    );
+    assert.equal(
+      restarted.applyReport(report({ sequence: 1, startedAt: 6_000 })).type,
+      "new",
+    );
+  });
+
   test("a restarted daemon restores the departure of its instance from a peer", () => {
     const before = createInstanceTracker();
     before.applyReport(report({ sequence: 1 }));
--- a/src/world/common/mesh_instance.ts
+++ b/src/world/common/mesh_instance.ts
@@ -34,5 +34,8 @@
 /** Reports that an instance has ended, without its description. */
 export interface InstanceDeparture {
   readonly identity: string;
+  /** Undefined if the instance does not say when it started. */
   readonly startedAt: Milliseconds | undefined;
+  /** When the message arrived, in milliseconds since the Unix epoch, like the start times. */
+  readonly receivedAt: Milliseconds;
 }
