--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -15,7 +15,7 @@
 } from "../../../world/common/names.ts";
 import type { GateLoadReport } from "../../gate/common/gate_call.ts";
 import type { NamedRateLimit } from "../../gate/common/named_rate_limit.ts";
-import type { DepartedInstance } from "../../gate/common/instance_tracker.ts";
+import type { DepartedInstance } from "../../../world/common/mesh_instance.ts";
 import type {
   LinkTarget,
   Peer,
--- a/src/features/fleet/common/fleet_messages.ts
+++ b/src/features/fleet/common/fleet_messages.ts
@@ -13,7 +13,7 @@
 import type { GateLoadReport } from "../../gate/common/gate_call.ts";
 import { decodeLoad, encodeLoad } from "../../gate/common/gate_messages.ts";
 import type { NamedRateLimit } from "../../gate/common/named_rate_limit.ts";
-import type { DepartedInstance } from "../../gate/common/instance_tracker.ts";
+import type { DepartedInstance } from "../../../world/common/mesh_instance.ts";
 import type {
   LinkMessage,
   LinkTarget,
--- a/src/features/gate/common/departure_records.ts
+++ b/src/features/gate/common/departure_records.ts
@@ -12,7 +12,11 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { Result } from "../../../base/common/result.ts";
 import type { StepError } from "../../../base/common/step_error.ts";
-import { type DepartedInstance, isSameDeparture } from "./instance_tracker.ts";
+import {
+  type DepartedInstance,
+  type DepartureUpdate,
+  isSameDeparture,
+} from "../../../world/common/mesh_instance.ts";
 
 /** Instances wait one second for an acknowledgement. */
 const ACKNOWLEDGEMENT_TIMEOUT_MS: Milliseconds = 850;
@@ -28,13 +32,6 @@
  */
 export const MAXIMUM_STORED_DEPARTURES = 4;
 
-/** A change of the stored departures of a host; repeating it has no further effect. */
-export interface DepartureUpdate {
-  readonly added: readonly DepartedInstance[];
-  /** Older departures that are no longer needed. */
-  readonly removed: readonly DepartedInstance[];
-}
-
 export interface DepartureRecordsOptions {
   readonly clock: Clock;
   readonly log: EventLog;
--- a/src/features/gate/common/departure_records_test.ts
+++ b/src/features/gate/common/departure_records_test.ts
@@ -5,13 +5,15 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { Err, Ok, type Result } from "../../../base/common/result.ts";
 import { StepError } from "../../../base/common/step_error.ts";
-import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
+import type {
+  DepartedInstance,
+  DepartureUpdate,
+  InstanceReport,
+} from "../../../world/common/mesh_instance.ts";
 import {
   createDepartureRecords,
-  type DepartureUpdate,
   MAXIMUM_STORED_DEPARTURES,
 } from "./departure_records.ts";
-import type { DepartedInstance } from "./instance_tracker.ts";
 import {
   createReadyReportHold,
   MAXIMUM_REPORT_DELAY_MS,
--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -8,13 +8,14 @@
 import type { Event } from "../../../base/common/emitter.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type {
+  DepartedInstance,
   InstanceDeparture,
   InstanceReport,
 } from "../../../world/common/mesh_instance.ts";
 import type { RouteName } from "../../../world/common/names.ts";
 import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
 import type { NamedRateLimit } from "./named_rate_limit.ts";
-import type { DepartedInstance, ReportOutcome } from "./instance_tracker.ts";
+import type { ReportOutcome } from "./instance_tracker.ts";
 
 /** A call that the instance may have run, recorded when it ended. */
 export interface CallRecord {
--- a/src/features/gate/common/instance_tracker.ts
+++ b/src/features/gate/common/instance_tracker.ts
@@ -6,9 +6,11 @@
  */
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
-import type {
-  InstanceDeparture,
-  InstanceReport,
+import {
+  type DepartedInstance,
+  type InstanceDeparture,
+  type InstanceReport,
+  isSameDeparture,
 } from "../../../world/common/mesh_instance.ts";
 
 /** Why a report was ignored. */
@@ -18,13 +20,6 @@
   | { readonly type: "new" | "changed" | "unchanged" }
   | { readonly type: "ignored"; readonly reason: IgnoredReason };
 
-/** An instance that has announced its departure; it never becomes ready again. */
-export interface DepartedInstance {
-  readonly identity: string;
-  /** The departure concerns starts at this time and before, in milliseconds since the Unix epoch. */
-  readonly startedAt: Milliseconds;
-}
-
 export interface InstanceTracker {
   readonly instance: InstanceReport | undefined;
   readonly departed: readonly DepartedInstance[];
@@ -36,13 +31,6 @@
   restoreDepartures(departed: readonly DepartedInstance[]): void;
 }
 
-export function isSameDeparture(
-  left: DepartedInstance,
-  right: DepartedInstance,
-): boolean {
-  return left.identity === right.identity && left.startedAt === right.startedAt;
-}
-
 /** The number of most recent departures that are kept. */
 const MAXIMUM_DEPARTURES = 16;
 
--- a/src/features/operator/common/mesh_store.ts
+++ b/src/features/operator/common/mesh_store.ts
@@ -13,8 +13,10 @@
   ServiceName,
   ServiceVersion,
 } from "../../../world/common/names.ts";
-import type { DepartureUpdate } from "../../gate/common/departure_records.ts";
-import type { DepartedInstance } from "../../gate/common/instance_tracker.ts";
+import type {
+  DepartedInstance,
+  DepartureUpdate,
+} from "../../../world/common/mesh_instance.ts";
 import type { LinkTarget } from "../../link/common/peer_network.ts";
 import type { OperatorRecord } from "./operator_records.ts";
 
--- a/src/programs/node/host_registration.ts
+++ b/src/programs/node/host_registration.ts
@@ -16,7 +16,7 @@
 import type { StepError } from "../../base/common/step_error.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import type { LinkTarget } from "../../features/link/common/peer_network.ts";
-import type { DepartedInstance } from "../../features/gate/common/instance_tracker.ts";
+import type { DepartedInstance } from "../../world/common/mesh_instance.ts";
 import type { MeshStore } from "../../features/operator/common/mesh_store.ts";
 
 const STORE_BACKOFF = { baseMilliseconds: 250, capMilliseconds: 1_500 };
--- a/src/world/common/mesh_instance.ts
+++ b/src/world/common/mesh_instance.ts
@@ -39,3 +39,24 @@
   /** When the message arrived, in milliseconds since the Unix epoch, like the start times. */
   readonly receivedAt: Milliseconds;
 }
+
+/** An instance that has announced its departure; it never becomes ready again. */
+export interface DepartedInstance {
+  readonly identity: string;
+  /** The departure concerns starts at this time and before, in milliseconds since the Unix epoch. */
+  readonly startedAt: Milliseconds;
+}
+
+export function isSameDeparture(
+  left: DepartedInstance,
+  right: DepartedInstance,
+): boolean {
+  return left.identity === right.identity && left.startedAt === right.startedAt;
+}
+
+/** A change of the stored departures of a host; repeating it has no further effect. */
+export interface DepartureUpdate {
+  readonly added: readonly DepartedInstance[];
+  /** Older departures that are no longer needed. */
+  readonly removed: readonly DepartedInstance[];
+}
