Limit the memory of responses that clients do not read

What callers saw: reported by other operators for another system: bytes without end from an instance exhausted the memory of the process that called it, and the calls of all its clients ended with it.

Cause: here, not as reported. Bytes that are being decoded have limits and a budget. Complete responses had a limit each (3.75 MiB) but not together: they waited in the process for as long as their clients did not read them.

Evidence: real processes, 40 connections with 12 requests sent together, responses of 3.7 MB and clients that do not read: 423 MB resident, of 350 MB that a host has. Ruled out: an endless body (100 calls: 133 MB), outcomes for other hosts (253 MB).

Change: complete responses that wait for clients share 64 MiB; beyond that the connection for which most bytes wait is closed and logged.

Test: unread_responses_test (471,874,680 bytes before; at most 64 MiB after, while a slow and a fast reader get whole responses). The set-up of the ingress in failed_step_test is a fixture now, and that of the gate is in common, since it is pure.

Why it works: the budget counts each body from the moment it is written until it has been handed to the system.

--- a/src/features/gate/common/gate_fixture.ts
+++ b/src/features/gate/common/gate_fixture.ts
@@ -6,8 +6,8 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
-import type { GateRequest } from "../common/gate_call.ts";
-import type { MeshHeaders } from "../common/mesh_headers.ts";
+import type { GateRequest } from "./gate_call.ts";
+import type { MeshHeaders } from "./mesh_headers.ts";
 
 export const FIXTURE_HEADERS: MeshHeaders = {
   requestIdentity: "x-request",
--- a/src/features/gate/node/endless_responses_test.ts
+++ b/src/features/gate/node/endless_responses_test.ts
@@ -26,7 +26,7 @@
   createFixtureReport,
   createFixtureRequest,
   FIXTURE_HEADERS,
-} from "./gate_fixture.ts";
+} from "../common/gate_fixture.ts";
 
 const DEADLINE_MS = 20_000;
 /** Enough time to read all bodies on a slow machine. */
--- a/src/features/gate/node/failed_step_test.ts
+++ b/src/features/gate/node/failed_step_test.ts
@@ -11,7 +11,7 @@
   createFixtureReport,
   createFixtureRequest,
   FIXTURE_HEADERS,
-} from "./gate_fixture.ts";
+} from "../common/gate_fixture.ts";
 
 type Step = "read the notices" | "record the call" | "settle";
 
--- a/src/features/gate/node/gate_deadline_test.ts
+++ b/src/features/gate/node/gate_deadline_test.ts
@@ -15,7 +15,7 @@
   createFixtureReport,
   createFixtureRequest,
   FIXTURE_HEADERS,
-} from "./gate_fixture.ts";
+} from "../common/gate_fixture.ts";
 
 const EARLY_MS = 3;
 const DEADLINE_MS = 100;
--- a/src/features/gate/node/gate_relative_service_time_test.ts
+++ b/src/features/gate/node/gate_relative_service_time_test.ts
@@ -12,7 +12,7 @@
   createFixtureReport,
   createFixtureRequest,
   FIXTURE_HEADERS,
-} from "./gate_fixture.ts";
+} from "../common/gate_fixture.ts";
 
 const USUAL_MS = 20;
 const SLOTS = 12;
--- a/src/features/gate/node/invalid_response_test.ts
+++ b/src/features/gate/node/invalid_response_test.ts
@@ -11,7 +11,7 @@
   createFixtureReport,
   createFixtureRequest,
   FIXTURE_HEADERS,
-} from "./gate_fixture.ts";
+} from "../common/gate_fixture.ts";
 
 const RESPONSES: Readonly<Record<string, string>> = {
   "an invalid header": "HTTP/1.1 200 OK\r\nDate: Sat\0\r\n",
--- a/src/features/ingress/node/failed_step_test.ts
+++ b/src/features/ingress/node/failed_step_test.ts
@@ -5,36 +5,23 @@
   createEventBuffer,
   type LogEvent,
 } from "../../../base/common/event_log.ts";
-import { createRandomSource } from "../../../base/common/random_source.ts";
 import {
   type HttpListener,
   listenHttp,
 } from "../../../base/node/http_server.ts";
-import { MONOTONIC_CLOCK } from "../../../base/node/system_clock.ts";
-import type { MeshRoute } from "../../../world/common/mesh_configuration.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import type { OfferOptions } from "../../gate/common/gate_client.ts";
-import { FIXTURE_HEADERS } from "../../gate/node/gate_fixture.ts";
-import { createIngress } from "./ingress.ts";
+import {
+  createFixtureIngress,
+  FIXTURE_INGRESS_HOST,
+  FIXTURE_ROUTE,
+  listFixtureCandidates,
+} from "./ingress_fixture.ts";
 import type { Ingress } from "./ingress_options.ts";
 
-const HOST = "a-1";
-const ROUTE_TIMEOUT_MS = 2_000;
 /** Long before the time-out of the route, at which a call would end anyway. */
 const PROMPT_MS = 1_000;
 
-const ROUTE: MeshRoute = {
-  name: "lookup",
-  virtualHost: "mesh.example",
-  prefix: "/",
-  kind: "unsafe",
-  rank: 1,
-  objectiveMilliseconds: 300,
-  timeoutMilliseconds: ROUTE_TIMEOUT_MS,
-  maximumInstances: 2,
-  targets: [{ service: "booking", weight: 1 }],
-};
-
 const ANSWER: GateOutcome = {
   type: "answer",
   status: 200,
@@ -128,6 +115,7 @@
 // Guards against a call whose response fails after the call has ended: its client got no response at all.
 for (const isRemote of [false, true]) {
   describe(`a call at ${isRemote ? "another gate" : "the own gate"} gets a response whatever fails`, () => {
+    const gateHost = isRemote ? "b-1" : FIXTURE_INGRESS_HOST;
     let listener: HttpListener;
     let ingress: Ingress;
     let failing: Step | undefined;
@@ -142,65 +130,33 @@
     };
 
     before(async () => {
-      ingress = createIngress({
-        clock: MONOTONIC_CLOCK,
+      ingress = createFixtureIngress({
         log: buffer.log,
-        random: createRandomSource(1),
-        headers: FIXTURE_HEADERS,
-        host: HOST,
-        failureDomain: "east",
-        gates: {
-          offer(_, offer) {
-            failIn("offer");
-            const outcome = answer;
-            // Messages of links are handled in events of their own.
-            if (isRemote) {
-              setImmediate(() => offer.settle(outcome));
-            } else {
-              offer.settle(outcome);
-            }
-            taken = offer;
-            failIn("offer, after the gate took the call");
-            return { cancel() {} };
-          },
-          countOutstanding: () => 0,
-          isUnresponsive: () => false,
-          onUnresponsive: () => ({ dispose() {} }),
-          dispose() {},
+        gateHost,
+        offer(_, offer) {
+          failIn("offer");
+          const outcome = answer;
+          // Messages of links are handled in events of their own.
+          if (isRemote) {
+            setImmediate(() => offer.settle(outcome));
+          } else {
+            offer.settle(outcome);
+          }
+          taken = offer;
+          failIn("offer, after the gate took the call");
+          return { cancel() {} };
         },
-        processIdentity: "a-1@1",
-        callerService: () => "caller",
         routes: () => ({
           find() {
             failIn("find the route");
-            return ROUTE;
+            return FIXTURE_ROUTE;
           },
         }),
-        limits: () => undefined,
         candidates() {
           failIn("list the candidates");
-          return [{
-            host: isRemote ? "b-1" : HOST,
-            failureDomain: "east",
-            version: "v1",
-            load: {
-              running: 0,
-              waiting: 0,
-              limit: 4,
-              relativeServiceTime: 1,
-              failureRate: 0,
-            },
-            outstanding: 0,
-            isCold: false,
-            isUnresponsive: false,
-            hostDelay: 0,
-          }];
+          return listFixtureCandidates(gateHost);
         },
         hostDelays: { record: () => failIn("record the delay") },
-        findParent: () => undefined,
-        loopDelay: () => 0,
-        stopPhase: () => "serving",
-        timeUntilStopped: () => Infinity,
         chooseVersion() {
           failIn("choose the version");
           return {
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -46,6 +46,7 @@
 import { chooseService } from "../common/service_choice.ts";
 import { admitsCall } from "../common/stop_plan.ts";
 import { relayResponse, writeLocalReply } from "./response_writer.ts";
+import { createUnreadResponses } from "./unread_responses.ts";
 import { readBody } from "./body_reader.ts";
 import type { IngressCall, PendingOffer } from "./ingress_call.ts";
 import type {
@@ -85,6 +86,7 @@
     "expect",
   ]);
   const connectionEnds = createConnectionClosePolicy(options.stopPhase);
+  const unreadResponses = createUnreadResponses(log);
   const knownConnections = new WeakSet<IncomingMessage["socket"]>();
   let lastOfferNumber = 0;
 
@@ -679,6 +681,7 @@
       isHead: call.request.method === "HEAD",
     });
     finishCall(call, outcome.status < 500 ? "answered" : "failed");
+    unreadResponses.add(call.request, call.response, outcome.body.length);
   }
 
   /** Ends a call at its deadline: the timeout of the route or of the client. */
