Log when a departure is confirmed, and answer a failed request once

Found while reading the change again. An operator could not tell from the log whether a departure was acknowledged or refused, and after how long; the line instance.departure-confirmed says so. An exception after the response of a request that is not a call yet had been written would have led to a second response, whose writeHead throws; no such exception is known. The table of failed steps has a body that cannot be written: the connection is closed, since the status line may have been sent.

--- a/src/features/gate/common/departure_records.ts
+++ b/src/features/gate/common/departure_records.ts
@@ -86,6 +86,9 @@
       // The newest ones are the last ones.
       const needed = departed.slice(-MAXIMUM_STORED_DEPARTURES);
       const isDone = () => needed.every(isStored);
+      if (isDone()) {
+        return true;
+      }
       let retryDelay = RETRY_DELAY_MS;
       while (!isDone() && timeLeft() > MINIMUM_WRITE_MS) {
         const added = needed.filter((each) => !isStored(each));
@@ -105,6 +108,11 @@
           retryDelay *= 2;
         }
       }
+      log.write("info", "instance.departure-confirmed", {
+        instances: needed.map(({ identity }) => identity).join(","),
+        isConfirmed: isDone(),
+        after: Math.round(clock.now() - startedAt),
+      });
       return isDone();
     },
   };
--- a/src/features/ingress/node/failed_step_test.ts
+++ b/src/features/ingress/node/failed_step_test.ts
@@ -72,6 +72,12 @@
     answer: { ...ANSWER, rawHeaders: ["x-name", "\u0416"] },
     status: 502,
   },
+  {
+    // The status line may have been sent, so the connection is closed.
+    name: "a body that cannot be written",
+    answer: { ...ANSWER, body: 5 as unknown as Uint8Array },
+    status: 0,
+  },
   {
     name: "an exception in: find the route",
     failing: "find the route",
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -155,11 +155,13 @@
       fields: { request: String(request.headers[headers.requestIdentity]) },
       onFailed() {
         request.resume();
-        sendLocalReply(
-          request,
-          response,
-          createNotRunReply("The call failed", DEFAULT_RETRY_AFTER_MS),
-        );
+        if (!response.headersSent) {
+          sendLocalReply(
+            request,
+            response,
+            createNotRunReply("The call failed", DEFAULT_RETRY_AFTER_MS),
+          );
+        }
       },
     });
   }
