Accept instances that have started with their daemon without waiting for the departures

Cause: the reports of all ready instances were held back, also of those that had started after the loss of power.

Evidence: instance.departures-unknown on thika-1 and thika-5 at 37.28 s, and instance.report sequence=7 outcome=new right after.

Change: a report is held back only if its instance started more than 300 ms before the process. A departure that an earlier process acknowledged is one of an instance that ran before this process started.

Test: departure_records_test, an instance that started with the daemon (new case); mesh_departure_test stays green.

--- a/src/features/gate/common/departure_records_test.ts
+++ b/src/features/gate/common/departure_records_test.ts
@@ -209,12 +209,16 @@
   readonly events: readonly {
     readonly at: Milliseconds;
     readonly state?: InstanceReport["state"];
+    /** When the instance started; long before the daemon by default. */
+    readonly startedAt?: Milliseconds;
     readonly isRelease?: boolean;
   }[];
   /** The times at which the reports were received that are applied. */
   readonly applied: readonly Milliseconds[];
 }
 
+const DAEMON_STARTED_AT: Milliseconds = 1_000_000;
+
 const HOLD_CASES: readonly HoldCase[] = [
   {
     name: "a ready instance is accepted when the departures are known",
@@ -239,6 +243,16 @@
     ],
     applied: [MAXIMUM_REPORT_DELAY_MS + 100],
   },
+  {
+    name:
+      "an instance that started with the daemon, as after a loss of power, is accepted immediately",
+    events: [
+      { at: 100, state: "ready", startedAt: DAEMON_STARTED_AT - 200 },
+      { at: 900, state: "ready", startedAt: DAEMON_STARTED_AT + 500 },
+      { at: 950, state: "ready", startedAt: DAEMON_STARTED_AT - 60_000 },
+    ],
+    applied: [100, 900],
+  },
   {
     name: "departures that become known late change nothing more",
     events: [
@@ -258,13 +272,14 @@
       const appliedAt: Milliseconds[] = [];
       const hold = createReadyReportHold({
         clock,
+        processStartedAt: DAEMON_STARTED_AT,
         apply: ({ sequence }) => appliedAt.push(sequence),
         onExpired() {},
       });
-      for (const { at, state, isRelease } of events) {
+      for (const { at, state, startedAt = 1, isRelease } of events) {
         clock.advance(at - clock.now());
         if (state !== undefined) {
-          hold.handle(report(at, state));
+          hold.handle({ ...report(at, state), startedAt });
         }
         if (isRelease) {
           hold.release();
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -293,6 +293,7 @@
   const reportHold = disposables.add(
     createReadyReportHold({
       clock,
+      processStartedAt: self.process.startedAt,
       apply: applyReport,
       onExpired: () => log.write("warn", "instance.departures-unknown"),
     }),
