Store the departure that is acknowledged, whatever else is known

Found while reading the change again, not seen in a run: a DELETE was acknowledged when the newest four departures that the daemon knew were stored. Departures that a peer returns after a restart are added behind, so that a repeated DELETE whose first write had failed could have been acknowledged without being stored. The departure of the instance that sent the message is stored now, that of its latest start.

Test: departure_records_test (a departure is written although newer ones are stored).

--- a/src/features/gate/common/departure_records.ts
+++ b/src/features/gate/common/departure_records.ts
@@ -41,8 +41,8 @@
 export interface DepartureRecords {
   /** Records the departures that the store had when it was read, the oldest first. */
   restore(departed: readonly DepartedInstance[]): void;
-  /** Stores departures; resolves with whether the store has all of them while the instance still waits for it. */
-  save(departed: readonly DepartedInstance[]): Promise<boolean>;
+  /** Stores a departure; resolves with whether the store has it while the instance still waits for it. */
+  save(departure: DepartedInstance): Promise<boolean>;
 }
 
 export function createDepartureRecords(
@@ -55,46 +55,42 @@
     return stored.some((known) => isSameDeparture(known, departure));
   }
 
-  function add(departures: readonly DepartedInstance[]): void {
+  function restore(departures: readonly DepartedInstance[]): void {
     stored = [...stored, ...departures.filter((each) => !isStored(each))];
   }
 
   /** Writes once; resolves with whether the store has responded that it was done. */
-  async function attempt(update: DepartureUpdate): Promise<boolean> {
-    const written = await write(update);
+  async function attempt(departure: DepartedInstance): Promise<boolean> {
+    const removed = stored.slice(
+      0,
+      Math.max(0, stored.length + 1 - MAXIMUM_STORED_DEPARTURES),
+    );
+    const written = await write({ added: [departure], removed });
     if (written.err) {
       log.write("warn", "instance.departure-not-stored", {
-        instances: update.added.map(({ identity }) => identity).join(","),
+        instance: departure.identity,
         step: written.val.step,
         error: written.val.message,
       });
       return false;
     }
-    stored = stored.filter((each) =>
-      !update.removed.some((removed) => isSameDeparture(removed, each))
-    );
-    add(update.added);
+    stored = stored.filter((each) => !removed.includes(each));
+    restore([departure]);
     return true;
   }
 
   return {
-    restore: add,
-    async save(departed) {
+    restore,
+    async save(departure) {
+      if (isStored(departure)) {
+        return true;
+      }
       const startedAt = clock.now();
       const timeLeft = () =>
         startedAt + ACKNOWLEDGEMENT_TIMEOUT_MS - clock.now();
-      // The newest ones are the last ones.
-      const needed = departed.slice(-MAXIMUM_STORED_DEPARTURES);
-      const isDone = () => needed.every(isStored);
-      if (isDone()) {
-        return true;
-      }
       let retryDelay = RETRY_DELAY_MS;
-      while (!isDone() && timeLeft() > MINIMUM_WRITE_MS) {
-        const added = needed.filter((each) => !isStored(each));
-        const kept = MAXIMUM_STORED_DEPARTURES - added.length;
-        const removed = stored.slice(0, Math.max(0, stored.length - kept));
-        const result = attempt({ added, removed });
+      while (!isStored(departure) && timeLeft() > MINIMUM_WRITE_MS) {
+        const result = attempt(departure);
         const pause = (delay: Milliseconds) =>
           clock.sleep(Math.min(delay, Math.max(0, timeLeft())));
         if (
@@ -109,11 +105,11 @@
         }
       }
       log.write("info", "instance.departure-confirmed", {
-        instances: needed.map(({ identity }) => identity).join(","),
-        isConfirmed: isDone(),
+        instance: departure.identity,
+        isConfirmed: isStored(departure),
         after: Math.round(clock.now() - startedAt),
       });
-      return isDone();
+      return isStored(departure);
     },
   };
 }
--- a/src/features/gate/common/departure_records_test.ts
+++ b/src/features/gate/common/departure_records_test.ts
@@ -52,9 +52,12 @@
       if (type === "fail") {
         return FAILURE;
       }
-      for (const { identity } of removed) {
-        kept.splice(kept.indexOf(identity), 1);
-      }
+      const removedIdentities = removed.map(({ identity }) => identity);
+      kept.splice(
+        0,
+        kept.length,
+        ...kept.filter((each) => !removedIdentities.includes(each)),
+      );
       kept.push(
         ...added.map(({ identity }) => identity)
           .filter((identity) => !kept.includes(identity)),
@@ -141,7 +144,7 @@
         log: SILENT_LOG,
         write: store.write,
       });
-      const saved = await waitFor(clock, records.save([departure(1)]));
+      const saved = await waitFor(clock, records.save(departure(1)));
       assert.equal(saved.value, isSaved);
       assert.equal(saved.value && !store.kept.includes("i-1"), false);
       assert.ok(saved.duration < 1_000, `${saved.duration} ms`);
@@ -149,6 +152,20 @@
     });
   }
 
+  test("a departure is written although newer ones are stored, as after a peer has returned them", async () => {
+    const clock = new VirtualClock();
+    const store = createStore(clock, () => DONE);
+    const records = createDepartureRecords({
+      clock,
+      log: SILENT_LOG,
+      write: store.write,
+    });
+    records.restore([2, 3, 4, 5].map(departure));
+    const saved = await waitFor(clock, records.save(departure(1)));
+    assert.equal(saved.value, true);
+    assert.ok(store.kept.includes("i-1"));
+  });
+
   test("a departure that is stored is not written again", async () => {
     const clock = new VirtualClock();
     const store = createStore(clock, () => DONE);
@@ -158,7 +175,7 @@
       write: store.write,
     });
     records.restore([departure(1)]);
-    assert.equal(await records.save([departure(1)]), true);
+    assert.equal(await records.save(departure(1)), true);
     assert.equal(store.writes, 0);
   });
 });
@@ -175,7 +192,7 @@
   const all: DepartedInstance[] = [];
   for (let number = 0; number < 20; number += 1) {
     all.push(departure(number));
-    const { value } = await waitFor(clock, records.save(all.slice(-16)));
+    const { value } = await waitFor(clock, records.save(departure(number)));
     assert.equal(value, true);
     assert.deepEqual(
       store.kept,
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -299,6 +299,14 @@
     }),
   );
 
+  /** Resolves with whether the departure of the latest start of an instance is stored. */
+  async function confirmDeparture(identity: string): Promise<boolean> {
+    const [latest] = gate.departed
+      .filter((departed) => departed.identity === identity)
+      .sort((left, right) => right.startedAt - left.startedAt);
+    return latest !== undefined && await departureRecords.save(latest);
+  }
+
   function applyReport(report: InstanceReport): void {
     const outcome = gate.applyReport(report);
     if (outcome.type !== "unchanged") {
@@ -330,7 +338,7 @@
           async applyReport(report) {
             reportHold.handle(report);
             return report.state === "ready" ||
-              await departureRecords.save(gate.departed);
+              await confirmDeparture(report.identity);
           },
           applyDeparture(departure) {
             const outcome = gate.applyDeparture(departure);
@@ -338,7 +346,7 @@
               instance: departure.identity,
               outcome: outcome.type,
             });
-            return departureRecords.save(gate.departed);
+            return confirmDeparture(departure.identity);
           },
           rejectMessage: (reason) =>
             log.write("warn", "instance.report-rejected", { reason }),
