Refuse queued calls that the new instance at the address may not run

What callers saw: calls that waited at a gate while its instance ended and an instance of another service took over the address ran at the new instance; unsafe calls among them, answered with 200.

Cause: the gate compared the service and version of a call with those of its instance only when the call was offered. A report of a new instance closed the idle connections but kept the queue, and a call was started for whichever instance was there by then, with that instance's identity in the header by which instances refuse calls for others.

Ruled out: an offer to the wrong host (the test has one gate), and a check at the caller's daemon (it cannot know the queue).

Change: a report that changes the service or version refuses the queued calls that the instance may not run, as not run. A connection is kept only for the start and address of the instance that it was opened for.

Why it works: the queue holds only calls that the current instance may run, and no connection outlives its instance.

--- a/src/features/gate/common/call_queue.ts
+++ b/src/features/gate/common/call_queue.ts
@@ -43,11 +43,22 @@
   ): T[];
   /** Counts the queued calls that would start before this one. */
   countAhead(call: QueueableCall, now: Milliseconds): number;
+  /** Removes and returns the calls for which the predicate holds. */
+  removeWhere(predicate: (call: T) => boolean): T[];
   removeAll(): T[];
 }
 
 export function createCallQueue<T extends QueueableCall>(): CallQueue<T> {
   const calls = new Map<string, T>();
+
+  function removeWhere(predicate: (call: T) => boolean): T[] {
+    const removed = [...calls.values()].filter(predicate);
+    for (const { identity } of removed) {
+      calls.delete(identity);
+    }
+    return removed;
+  }
+
   return {
     get size() {
       return calls.size;
@@ -70,15 +81,8 @@
       }
       return next;
     },
-    removeUnmeetable(now) {
-      const unmeetable = [...calls.values()].filter((call) =>
-        isDeadlineUnmeetable(call, now)
-      );
-      for (const { identity } of unmeetable) {
-        calls.delete(identity);
-      }
-      return unmeetable;
-    },
+    removeUnmeetable: (now) =>
+      removeWhere((call) => isDeadlineUnmeetable(call, now)),
     removeUnmeetableAfterWait(now, estimateWait) {
       const unmeetable: T[] = [];
       let ahead = 0;
@@ -108,11 +112,8 @@
       }
       return ahead;
     },
-    removeAll() {
-      const all = [...calls.values()];
-      calls.clear();
-      return all;
-    },
+    removeWhere,
+    removeAll: () => removeWhere(() => true),
   };
 }
 
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -254,10 +254,7 @@
     if (instance.state !== "ready") {
       return "leaving";
     }
-    if (
-      instance.service !== request.service ||
-      (request.version !== undefined && instance.version !== request.version)
-    ) {
+    if (!canRun(instance, request)) {
       return "other-service";
     }
     return isServing() ? undefined : "unreachable";
@@ -367,7 +364,10 @@
     runStep(call, () => call.settle(gateOutcome));
     // The connection becomes idle only after this callback has returned.
     queueMicrotask(() => {
-      if (connection?.isReusable(clock.now())) {
+      if (
+        connection?.isReusable(clock.now()) &&
+        isSameEndpoint(call.instance, tracker.instance)
+      ) {
         idleConnections.push(connection);
       } else {
         connection?.dispose();
@@ -600,7 +600,18 @@
     }
   }
 
+  /** Calls were accepted for the service and version that the instance had at that time. */
+  function refuseQueuedForOthers(instance: InstanceReport): void {
+    const others = queue.removeWhere(({ request }) =>
+      !canRun(instance, request)
+    );
+    for (const call of others) {
+      refuse(call, "other-service");
+    }
+  }
+
   function applyReport(report: InstanceReport): ReportOutcome {
+    const before = tracker.instance;
     const outcome = tracker.applyReport(report);
     if (outcome.type === "ignored") {
       return outcome;
@@ -615,9 +626,13 @@
       failureRate = createFailureRate();
       rateLimitOfInstance.handleNewInstance(report, now);
       hasLoggedNoticeProblem = false;
+    }
+    if (!isSameEndpoint(before, report)) {
       closeIdleConnections();
     }
-    if (report.state !== "ready") {
+    if (report.state === "ready") {
+      refuseQueuedForOthers(report);
+    } else {
       refuseQueued("leaving");
     }
     if (outcome.type !== "unchanged") {
@@ -751,6 +766,21 @@
     left.startedAt === right.startedAt;
 }
 
+/** Whether a connection that was opened to one also reaches the other. */
+function isSameEndpoint(
+  left: InstanceReport | undefined,
+  right: InstanceReport | undefined,
+): boolean {
+  return right !== undefined && isSameStart(left, right) &&
+    left!.address === right.address;
+}
+
+/** Whether the instance belongs to the service, and to the version if one is named, that the call is for. */
+function canRun(instance: InstanceReport, request: GateRequest): boolean {
+  return instance.service === request.service &&
+    (request.version === undefined || instance.version === request.version);
+}
+
 function isOverdue(call: GateCall, now: Milliseconds): boolean {
   return now - call.startedAt >
     OVERDUE_FACTOR * call.request.meanServiceMilliseconds;
