--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { createBinaryHeap } from "./binary_heap.ts";
 import { createDisposable, type Disposable } from "./disposable.ts";
 import type { Milliseconds } from "./milliseconds.ts";
 
@@ -33,13 +34,19 @@
 
 interface Timer {
   readonly dueAt: Milliseconds;
-  readonly callback: () => void;
+  /** Timers that are due at the same time run in the order in which they were scheduled. */
+  readonly number: number;
+  /** Undefined once the timer is cancelled. */
+  callback: (() => void) | undefined;
 }
 
 /** A clock for tests and measurements whose time changes only through {@linkcode VirtualClock.advance}. */
 export class VirtualClock extends Clock {
   #now: Milliseconds;
-  readonly #timers = new Set<Timer>();
+  #lastTimerNumber = 0;
+  readonly #timers = createBinaryHeap<Timer>((left, right) =>
+    left.dueAt - right.dueAt || left.number - right.number
+  );
 
   constructor(startAt: Milliseconds = 0) {
     super();
@@ -51,35 +58,33 @@
   }
 
   override schedule(delay: Milliseconds, callback: () => void): Disposable {
-    const timer = { dueAt: this.#now + Math.max(0, delay), callback };
-    this.#timers.add(timer);
-    return createDisposable(() => this.#timers.delete(timer));
+    this.#lastTimerNumber += 1;
+    const timer: Timer = {
+      dueAt: this.#now + Math.max(0, delay),
+      number: this.#lastTimerNumber,
+      callback,
+    };
+    this.#timers.push(timer);
+    return createDisposable(() => {
+      timer.callback = undefined;
+    });
   }
 
   /** Advances the time and runs the timers that become due, in order of their due time. */
   advance(duration: Milliseconds): void {
     const endAt = this.#now + duration;
     for (
-      let next = this.#nextTimer(endAt);
-      next !== undefined;
-      next = this.#nextTimer(endAt)
+      let next = this.#timers.peek();
+      next !== undefined && next.dueAt <= endAt;
+      next = this.#timers.peek()
     ) {
-      this.#timers.delete(next);
-      this.#now = next.dueAt;
-      next.callback();
-    }
-    this.#now = endAt;
-  }
-
-  #nextTimer(endAt: Milliseconds): Timer | undefined {
-    let next: Timer | undefined;
-    for (const timer of this.#timers) {
-      if (
-        timer.dueAt <= endAt && (next === undefined || timer.dueAt < next.dueAt)
-      ) {
-        next = timer;
+      this.#timers.pop();
+      const { callback } = next;
+      if (callback !== undefined) {
+        this.#now = next.dueAt;
+        callback();
       }
     }
-    return next;
+    this.#now = endAt;
   }
 }
