Send the list of hosts only to a daemon that asks for it

What callers saw: nothing directly.

Cause: both sides of each new link sent all hosts that they knew, so a start of all daemons cost the cube of the number of hosts in bytes.

Evidence: fleet_test on the code of before: 445, 1,743 and 5,624 bytes a link and direction with 12, 60 and 200 hosts. Ruled out: that the lists are needed to find each other. Each daemon reads the hosts from the store after it has written its own address, and a restarted one is connected to by its peers, which say who they are.

Change: the welcome message names its sender only. A daemon that has not read the hosts from the store asks up to three peers for theirs; daemons of before ignore the request, and send their list in any case.

Before and after: fleet_test, 316, 321 and 325 bytes a link and direction now. 'if the first two peers know no other host' keeps the way without the store; with no request (hostsRequests < 0) both of its cases were red.

Why it works: what is sent over a new link no longer depends on the number of hosts.

--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -26,6 +26,7 @@
   decodeStatus,
   decodeTargets,
   encodeStatus,
+  HOSTS_REQUEST_KIND,
   type HostStatus,
   RATE_LIMIT_KIND,
   type RateLimitMessage,
@@ -42,6 +43,8 @@
 const EVIDENCE_INTERVAL_MS: Milliseconds = 150;
 /** Limits the cost of evidence in large fleets: each daemon sends it to all others. */
 const EVIDENCE_INTERVAL_PER_MEMBER_MS: Milliseconds = 6;
+/** A daemon that has not read the hosts from the store asks a few peers, as one may know few hosts itself. */
+const MAXIMUM_HOSTS_REQUESTS = 3;
 
 /** Another daemon with an open link. */
 export interface FleetMember {
@@ -63,7 +66,8 @@
   readonly onDepartedReported: Event<readonly DepartedInstance[]>;
   /** Fires when another daemon reports the rate limit that the instance on the own host has named. */
   readonly onRateLimitReported: Event<NamedRateLimit>;
-  addHosts(targets: readonly LinkTarget[]): void;
+  /** Adds the hosts that the store lists. */
+  addListedHosts(targets: readonly LinkTarget[]): void;
   updateLoad(host: HostName, load: GateLoadReport): void;
   /** Sends the own status to all daemons immediately. */
   broadcastStatus(): void;
@@ -90,6 +94,8 @@
   const retiredTargets = new Set<string>();
   const members = new Map<HostName, FleetMember>();
   let lastBroadcastAt = -Infinity;
+  let hasListedHosts = false;
+  let hostsRequests = 0;
   /** Cached values of `members`, which every call reads and which change rarely. */
   let memberList: readonly FleetMember[] = [];
   const departedByHost = new Map<HostName, readonly DepartedInstance[]>();
@@ -137,17 +143,28 @@
     }
   }
 
-  function sendWelcome(peer: Peer): void {
-    const { host } = peer.process;
-    log.write("info", "fleet.link-opened", { peer: host });
+  function sendWelcome(
+    { process: { host } }: Peer,
+    hosts: readonly LinkTarget[],
+  ): void {
     const welcome: WelcomeMessage = {
       kind: WELCOME_KIND,
-      hosts: [...targets.values()],
+      hosts,
       departed: departedByHost.get(host) ?? [],
       rateLimit: rateLimitByHost.get(host),
     };
     network.send(host, welcome);
+  }
+
+  function handleLinkOpened(peer: Peer): void {
+    const { host } = peer.process;
+    log.write("info", "fleet.link-opened", { peer: host });
+    sendWelcome(peer, [self]);
     network.send(host, encodeStatus(options.describeSelf()));
+    if (!hasListedHosts && hostsRequests < MAXIMUM_HOSTS_REQUESTS) {
+      hostsRequests += 1;
+      network.send(host, { kind: HOSTS_REQUEST_KIND });
+    }
   }
 
   function applyStatus(peer: Peer, status: HostStatus): void {
@@ -168,7 +185,11 @@
   }
 
   const registrations = [
-    network.onLinkOpened(sendWelcome),
+    network.onLinkOpened(handleLinkOpened),
+    network.onMessage(
+      HOSTS_REQUEST_KIND,
+      (peer) => sendWelcome(peer, [...targets.values()]),
+    ),
     network.onLinkClosed((peer) => {
       log.write("info", "fleet.link-closed", { peer: peer.process.host });
       members.delete(peer.process.host);
@@ -247,7 +268,10 @@
     onStatusReceived: statusReceived.event,
     onDepartedReported: departedReported.event,
     onRateLimitReported: rateLimitReported.event,
-    addHosts,
+    addListedHosts(listed) {
+      hasListedHosts = true;
+      addHosts(listed);
+    },
     updateLoad(host, load) {
       const member = members.get(host);
       if (member !== undefined) {
--- a/src/features/fleet/common/fleet_messages.ts
+++ b/src/features/fleet/common/fleet_messages.ts
@@ -23,6 +23,7 @@
 
 export const WELCOME_KIND = "fleet.welcome";
 export const STATUS_KIND = "fleet.status";
+export const HOSTS_REQUEST_KIND = "fleet.hosts";
 export const RATE_LIMIT_KIND = "fleet.rate-limit";
 
 export interface InstanceSummary {
@@ -35,8 +36,9 @@
   readonly coldForMilliseconds: Milliseconds;
 }
 
-/** The first message on a link. */
+/** The first message on a link, and the response to a request for the known hosts. */
 export interface WelcomeMessage extends LinkMessage {
+  /** The sending daemon; in a response all hosts that it knows. */
   readonly hosts: readonly LinkTarget[];
   /** Instances known to have departed from the host of the receiving daemon. */
   readonly departed: readonly DepartedInstance[];
--- /dev/null
+++ b/src/features/fleet/common/fleet_test.ts
@@ -0,0 +1,133 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { encodeMessage } from "../../../base/common/message_codec.ts";
+import {
+  createMemoryTransport,
+  type MemoryNetwork,
+} from "../../link/common/memory_network.ts";
+import type { LinkTarget } from "../../link/common/peer_network.ts";
+import { createFleet, type Fleet } from "./fleet.ts";
+import type { HostStatus } from "./fleet_messages.ts";
+
+const FAILURE_DOMAINS = 6;
+const TRANSIT_MS = 1;
+
+const STATUS: HostStatus = {
+  instance: {
+    identity: "i-1",
+    service: "booking",
+    version: "v1",
+    isServing: true,
+    coldForMilliseconds: 0,
+  },
+  load: {
+    running: 1,
+    waiting: 0,
+    limit: 15,
+    relativeServiceTime: 1,
+    failureRate: 0,
+  },
+  departed: [],
+  position: 4,
+  isAvailable: true,
+  isStopping: false,
+  rollouts: [],
+  evidence: [],
+};
+
+interface Host {
+  readonly target: LinkTarget;
+  readonly network: MemoryNetwork;
+  readonly fleet: Fleet;
+}
+
+function createHosts(
+  count: number,
+): { readonly clock: VirtualClock; readonly hosts: readonly Host[] } {
+  const clock = new VirtualClock();
+  const transport = createMemoryTransport({
+    clock,
+    latencyMilliseconds: TRANSIT_MS,
+    measureBytes: (message) => encodeMessage(message).length,
+  });
+  const hosts = Array.from({ length: count }, (_, index) => {
+    const host = `sidecar-domain-${index % FAILURE_DOMAINS}-${index}`;
+    const failureDomain = `domain-${index % FAILURE_DOMAINS}`;
+    const target = { host, address: `10.0.0.${index}`, port: 7_380 };
+    const network = transport.createNetwork({
+      process: { host, startedAt: 1 },
+      failureDomain,
+    });
+    const fleet = createFleet({
+      self: target,
+      clock,
+      log: SILENT_LOG,
+      network,
+      describeSelf: () => STATUS,
+    });
+    return { target, network, fleet };
+  });
+  return { clock, hosts };
+}
+
+function listHosts(hosts: readonly Host[]): void {
+  const targets = hosts.map(({ target }) => target);
+  for (const { fleet } of hosts) {
+    fleet.addListedHosts(targets);
+  }
+}
+
+function countTraffic(
+  hosts: readonly Host[],
+): { readonly messages: number; readonly bytes: number } {
+  const sum = (select: (host: Host) => number) =>
+    hosts.reduce((total, host) => total + select(host), 0);
+  return {
+    messages: sum(({ network }) => network.traffic.sentMessages),
+    bytes: sum(({ network }) => network.traffic.sentBytes),
+  };
+}
+
+// Guards against links whose cost grows with the fleet, so that a start of all costs the cube of the number of hosts.
+describe("the first messages over a link do not grow with the number of hosts", () => {
+  /** The address of the own host, its status, and what the other has to know of its own instances. */
+  const MAXIMUM_BYTES = 400;
+  for (const count of [12, 60, 200]) {
+    test(`${count} hosts`, (context) => {
+      const { clock, hosts } = createHosts(count);
+      listHosts(hosts);
+      clock.advance(100);
+      const bytes = countTraffic(hosts).bytes / (count * (count - 1));
+      context.diagnostic(`${Math.round(bytes)} bytes a link and direction`);
+      assert.ok(bytes <= MAXIMUM_BYTES, String(bytes));
+      for (const { fleet } of hosts) {
+        assert.equal(fleet.members.length, count - 1);
+      }
+    });
+  }
+});
+
+// Guards against a daemon that starts while the store is away and knows only those that connect to it.
+describe("a daemon that has not read the hosts from the store links to all", () => {
+  const KNOWN_HOSTS = 200;
+  const cases = [
+    { name: "if the first peer that connects knows them", strangers: 0 },
+    { name: "if the first two peers know no other host", strangers: 2 },
+  ];
+  for (const { name, strangers } of cases) {
+    test(name, () => {
+      const { clock, hosts } = createHosts(1 + strangers + KNOWN_HOSTS);
+      const [joining, ...others] = hosts;
+      const known = others.slice(strangers);
+      listHosts(known);
+      clock.advance(10);
+      for (const peer of others.slice(0, strangers + 1)) {
+        peer.fleet.addListedHosts([joining.target]);
+        clock.advance(10);
+      }
+      assert.equal(joining.fleet.members.length, others.length);
+    });
+  }
+});
--- a/src/programs/node/host_registration.ts
+++ b/src/programs/node/host_registration.ts
@@ -41,7 +41,7 @@
   const hosts = await retry(options, () => store.readHosts(target.host));
   if (hosts !== undefined) {
     options.onDepartedRead(hosts.departed);
-    fleet.addHosts(hosts.targets);
+    fleet.addListedHosts(hosts.targets);
   }
 }
 
