Announce a version to a few daemons of each failure domain

Cause: each daemon sent its status to all others for each version that it applied, so a version cost the square of the number of hosts in messages.

Ruled out: the records themselves, which the reader sends once to each daemon of its domain.

Change: a daemon announces a version to the next four daemons of its failure domain in a common order and to one of each other domain (announcement_choice.ts); all others learn it from the regular status. A change of reachability of the store still goes to all, since readers and leaders are chosen by it.

Why it works: a daemon that has missed a version hears of it from four others of its domain, and from about one of each other domain if its whole domain has missed it; it then fetches it as before.

--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -21,6 +21,7 @@
   Peer,
   PeerNetwork,
 } from "../../link/common/peer_network.ts";
+import { chooseAnnouncementTargets } from "./announcement_choice.ts";
 import {
   decodeRateLimit,
   decodeStatus,
@@ -71,12 +72,15 @@
   updateLoad(host: HostName, load: GateLoadReport): void;
   /** Sends the own status to all daemons immediately. */
   broadcastStatus(): void;
+  /** Sends the own status to a few daemons of each failure domain immediately. */
+  announceStatus(): void;
   /** Sends the rate limit of the own instance to all daemons. */
   broadcastRateLimit(limit: NamedRateLimit): void;
 }
 
 export interface FleetOptions {
   readonly self: LinkTarget;
+  readonly failureDomain: FailureDomainName;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly network: PeerNetwork;
@@ -250,12 +254,27 @@
     }),
   ];
 
+  function listPeerHosts(): readonly HostName[] {
+    return network.peers.map(({ process }) => process.host);
+  }
+
   function broadcastStatus(): void {
     lastBroadcastAt = clock.now();
-    const status = encodeStatus(options.describeSelf());
-    for (const peer of network.peers) {
-      network.send(peer.process.host, status);
-    }
+    network.sendToAll(listPeerHosts(), encodeStatus(options.describeSelf()));
+  }
+
+  function announceStatus(): void {
+    const linked = network.peers.map(({ process, failureDomain }) => ({
+      host: process.host,
+      failureDomain,
+    }));
+    network.sendToAll(
+      chooseAnnouncementTargets({
+        host: self.host,
+        failureDomain: options.failureDomain,
+      }, linked),
+      encodeStatus(options.describeSelf()),
+    );
   }
 
   return {
@@ -279,11 +298,10 @@
       }
     },
     broadcastStatus,
+    announceStatus,
     broadcastRateLimit(rateLimit) {
       const message: RateLimitMessage = { kind: RATE_LIMIT_KIND, rateLimit };
-      for (const peer of network.peers) {
-        network.send(peer.process.host, message);
-      }
+      network.sendToAll(listPeerHosts(), message);
     },
     dispose() {
       for (const registration of registrations) {
--- a/src/features/fleet/common/fleet_test.ts
+++ b/src/features/fleet/common/fleet_test.ts
@@ -62,6 +62,7 @@
     });
     const fleet = createFleet({
       self: target,
+      failureDomain,
       clock,
       log: SILENT_LOG,
       network,
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -97,8 +97,9 @@
   readonly isReading: boolean;
   /** Fires with records that are newer than the stored ones. */
   readonly onRecords: Event<ReceivedRecords>;
-  /** Fires when the position or the reachability of the store has changed. */
-  readonly onChanged: Event<void>;
+  readonly onPositionChanged: Event<void>;
+  /** Fires when the store becomes reachable or unreachable. */
+  readonly onReachabilityChanged: Event<void>;
   /** Records the position that a peer has reported. */
   updatePeerPosition(host: HostName, position: number): void;
   start(): void;
@@ -109,7 +110,8 @@
   const records = createOperatorRecords();
   const packer = createRecordPacker(options.compression);
   const received = createEmitter<ReceivedRecords>();
-  const changed = createEmitter<void>();
+  const positionChanged = createEmitter<void>();
+  const reachabilityChanged = createEmitter<void>();
   let reachesStore = true;
   let isReading = false;
   let failures = 0;
@@ -135,7 +137,7 @@
     }
     removeCaughtUpPeers();
     if (records.position !== before) {
-      changed.fire();
+      positionChanged.fire();
     }
     if (range.position > records.position && source !== STORE_SOURCE) {
       updatePeerPosition(source, range.position);
@@ -182,7 +184,7 @@
           reason,
         },
       );
-      changed.fire();
+      reachabilityChanged.fire();
     }
   }
 
@@ -209,11 +211,10 @@
       kind: UPDATE_KIND,
       ...packer.pack(range),
     };
-    for (const peer of network.peers) {
-      if (peer.failureDomain === self.failureDomain) {
-        network.send(peer.process.host, message);
-      }
-    }
+    const inOwnDomain = network.peers.filter(({ failureDomain }) =>
+      failureDomain === self.failureDomain
+    );
+    network.sendToAll(inOwnDomain.map(({ process }) => process.host), message);
   }
 
   async function run(): Promise<void> {
@@ -404,7 +405,8 @@
       return isReading;
     },
     onRecords: received.event,
-    onChanged: changed.event,
+    onPositionChanged: positionChanged.event,
+    onReachabilityChanged: reachabilityChanged.event,
     updatePeerPosition,
     start() {
       run().catch((error) =>
@@ -419,7 +421,8 @@
         registration.dispose();
       }
       received.dispose();
-      changed.dispose();
+      positionChanged.dispose();
+      reachabilityChanged.dispose();
     },
   };
 }
--- a/src/programs/node/configuration_late_test.ts
+++ b/src/programs/node/configuration_late_test.ts
@@ -11,6 +11,7 @@
 const DEPLOYMENTS = [
   { hosts: 10, failureDomains: 3, bound: 2_000 },
   { hosts: 68, failureDomains: 4, bound: 2_500 },
+  { hosts: 200, failureDomains: 6, bound: 3_000 },
 ];
 const START_MS = 4_000;
 
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -208,6 +208,7 @@
   const fleet: Fleet = disposables.add(
     createFleet({
       self: linkTarget,
+      failureDomain: settings.failureDomain,
       clock,
       log,
       network,
@@ -234,7 +235,8 @@
       rollouts.addOrder(order, { offset, mayPredateStart: isFirst });
     }
   }));
-  disposables.add(sync.onChanged(() => fleet.broadcastStatus()));
+  disposables.add(sync.onPositionChanged(() => fleet.announceStatus()));
+  disposables.add(sync.onReachabilityChanged(() => fleet.broadcastStatus()));
   disposables.add(gate.onChanged(() => fleet.broadcastStatus()));
   disposables.add(
     loopDelay.onOverloadedChanged(() => fleet.broadcastStatus()),
--- a/src/programs/node/spread_fixture.ts
+++ b/src/programs/node/spread_fixture.ts
@@ -70,6 +70,7 @@
   /** When each position took effect. */
   readonly appliedAt: Map<number, Milliseconds>;
   lastStoreReadAt: Milliseconds;
+  sentMessages: number;
   readonly handlers: Map<string, (peer: Peer, message: LinkMessage) => void>;
   readonly links: Map<HostName, { lastReceivedAt: Milliseconds }>;
   readonly opened: ReturnType<typeof createEmitter<Peer>>;
@@ -155,6 +156,8 @@
   /** Writes a version of the configuration; returns its position. */
   publish(): number;
   advance(duration: Milliseconds): Promise<void>;
+  /** The messages that a host has sent to the others, heartbeats apart. */
+  countSent(host: HostName): number;
   /** When a position took effect on a host; undefined before. */
   appliedAt(host: HostName, position: number): Milliseconds | undefined;
   readonly hosts: readonly HostName[];
@@ -206,6 +209,21 @@
   function createNetwork(host: Host): PeerNetwork {
     const linkOf = (name: HostName) => host.links.get(name);
     const ignore = () => ({ dispose() {} });
+
+    function send(name: HostName, message: LinkMessage): boolean {
+      const to = hosts.get(name)!;
+      if (linkOf(name) === undefined) {
+        return false;
+      }
+      host.sentMessages += 1;
+      transmit(
+        host,
+        to,
+        () => to.handlers.get(message.kind)?.(host.peer, message),
+      );
+      return true;
+    }
+
     return {
       get peers() {
         return [...host.links.keys()].map((name) => hosts.get(name)!.peer);
@@ -233,17 +251,11 @@
       onTargetReplaced: ignore,
       setTargets() {},
       setAddressResolver() {},
-      send(name, message) {
-        const to = hosts.get(name)!;
-        if (linkOf(name) === undefined) {
-          return false;
+      send,
+      sendToAll(names, message) {
+        for (const name of names) {
+          send(name, message);
         }
-        transmit(
-          host,
-          to,
-          () => to.handlers.get(message.kind)?.(host.peer, message),
-        );
-        return true;
       },
       request: () => Promise.reject(new Error("Requests are not used")),
       onMessage: (kind, handler) =>
@@ -347,6 +359,7 @@
     });
     host.fleet = createFleet({
       self: { host: location.host, address: location.host, port: 1 },
+      failureDomain: location.failureDomain,
       clock: host.clock,
       log: SILENT_LOG,
       network,
@@ -370,7 +383,8 @@
     host.fleet.onStatusReceived(({ peer, status }) =>
       host.sync.updatePeerPosition(peer.process.host, status.position)
     );
-    host.sync.onChanged(() => host.fleet.broadcastStatus());
+    host.sync.onPositionChanged(() => host.fleet.announceStatus());
+    host.sync.onReachabilityChanged(() => host.fleet.broadcastStatus());
     host.loopDelay.onOverloadedChanged(() => host.fleet.broadcastStatus());
     host.sync.onRecords(({ records }) => {
       host.appliedAt.set(records[0].offset + 1, host.clock.spend(TABLE_MS));
@@ -408,6 +422,7 @@
       fault: {},
       appliedAt: new Map(),
       lastStoreReadAt: -Infinity,
+      sentMessages: 0,
       handlers: new Map(),
       links: new Map(),
       opened: createEmitter<Peer>(),
@@ -466,6 +481,7 @@
         await new Promise((resolve) => setImmediate(resolve));
       }
     },
+    countSent: (name) => hosts.get(name)!.sentMessages,
     appliedAt: (name, position) => hosts.get(name)!.appliedAt.get(position),
     get now() {
       return clock.now();
