Send the evidence of rollouts to two daemons of each failure domain

What callers saw: nothing directly; processor time and bytes between failure domains, as for versions.

Cause: while a rollout runs, each daemon sent its status with evidence to all others, about each second with 195 hosts, and each of them evaluated the evidence of all.

Change: two daemons of each failure domain get the evidence and evaluate it (rollout_evaluators.ts); the leader is one of them. A verdict is sent to all at once, and passed on to a few of each domain by those that receive it. Evidence older than 5 s is left out, since a daemon may take itself for an evaluator while others do not.

Why it works: the messages of a host no longer grow with the fleet, and a cut-off domain still has two daemons that evaluate what is seen there.

--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -40,9 +40,9 @@
 const STATUS_INTERVAL_MS: Milliseconds = 1_000;
 /** Limits the cost of statuses in large fleets; loads are also sent with the outcomes of calls. */
 const STATUS_INTERVAL_PER_MEMBER_MS: Milliseconds = 60;
-/** Minimum interval of status broadcasts while the daemon has evidence for a running rollout. */
+/** Minimum interval of statuses to the evaluators while the daemon has evidence for a running rollout. */
 const EVIDENCE_INTERVAL_MS: Milliseconds = 150;
-/** Limits the cost of evidence in large fleets: each daemon sends it to all others. */
+/** Limits the cost of evidence in large fleets: each evaluator gets it from all others. */
 const EVIDENCE_INTERVAL_PER_MEMBER_MS: Milliseconds = 6;
 /** A daemon that has not read the hosts from the store asks a few peers, as one may know few hosts itself. */
 const MAXIMUM_HOSTS_REQUESTS = 3;
@@ -56,6 +56,7 @@
   load: GateLoadReport;
   /** When the cold start of the instance ends. */
   readonly coldUntil: Milliseconds;
+  readonly receivedAt: Milliseconds;
 }
 
 export interface Fleet extends Disposable {
@@ -85,6 +86,8 @@
   readonly log: EventLog;
   readonly network: PeerNetwork;
   readonly describeSelf: () => HostStatus;
+  /** The daemons that evaluate the evidence of rollouts. */
+  readonly evidenceRecipients: () => readonly HostName[];
 }
 
 function formatTarget({ host, address, port }: LinkTarget): string {
@@ -98,6 +101,7 @@
   const retiredTargets = new Set<string>();
   const members = new Map<HostName, FleetMember>();
   let lastBroadcastAt = -Infinity;
+  let lastEvidenceAt = -Infinity;
   let hasListedHosts = false;
   let hostsRequests = 0;
   /** Cached values of `members`, which every call reads and which change rarely. */
@@ -180,6 +184,7 @@
       status,
       load: status.load,
       coldUntil: now + (status.instance?.coldForMilliseconds ?? 0),
+      receivedAt: now,
     });
     memberList = [...members.values()];
     if (status.departed.length > 0) {
@@ -245,11 +250,9 @@
     }),
     clock.repeat(EVIDENCE_INTERVAL_MS, () => {
       const interval = EVIDENCE_INTERVAL_PER_MEMBER_MS * members.size;
-      if (
-        clock.now() - lastBroadcastAt >= interval &&
-        options.describeSelf().evidence.length > 0
-      ) {
-        broadcastStatus();
+      const now = clock.now();
+      if (now - Math.max(lastBroadcastAt, lastEvidenceAt) >= interval) {
+        sendEvidence(now);
       }
     }),
   ];
@@ -277,6 +280,14 @@
     );
   }
 
+  function sendEvidence(now: Milliseconds): void {
+    const status = options.describeSelf();
+    if (status.evidence.length > 0) {
+      lastEvidenceAt = now;
+      network.sendToAll(options.evidenceRecipients(), encodeStatus(status));
+    }
+  }
+
   return {
     get members() {
       return memberList;
--- a/src/features/fleet/common/fleet_test.ts
+++ b/src/features/fleet/common/fleet_test.ts
@@ -3,6 +3,7 @@
 import { VirtualClock } from "../../../base/common/clock.ts";
 import { SILENT_LOG } from "../../../base/common/event_log.ts";
 import { encodeMessage } from "../../../base/common/message_codec.ts";
+import type { HostName } from "../../../world/common/names.ts";
 import {
   createMemoryTransport,
   type MemoryNetwork,
@@ -45,6 +46,10 @@
 
 function createHosts(
   count: number,
+  options: {
+    readonly status?: HostStatus;
+    readonly evidenceRecipients?: readonly HostName[];
+  } = {},
 ): { readonly clock: VirtualClock; readonly hosts: readonly Host[] } {
   const clock = new VirtualClock();
   const transport = createMemoryTransport({
@@ -66,7 +71,9 @@
       clock,
       log: SILENT_LOG,
       network,
-      describeSelf: () => STATUS,
+      describeSelf: () => options.status ?? STATUS,
+      evidenceRecipients: () =>
+        (options.evidenceRecipients ?? []).filter((each) => each !== host),
     });
     return { target, network, fleet };
   });
@@ -132,3 +139,43 @@
     });
   }
 });
+
+// Guards against evidence that each daemon sends to all others for as long as a rollout lasts.
+describe("the evidence of a rollout is sent to its evaluators only", () => {
+  const DURATION_MS = 6_000;
+  const EVALUATORS = 2 * FAILURE_DOMAINS;
+  for (const count of [60, 200]) {
+    test(`${count} hosts`, (context) => {
+      const measure = (evidence: HostStatus["evidence"]) => {
+        const names = createHosts(EVALUATORS).hosts.map(({ target }) =>
+          target.host
+        );
+        const { clock, hosts } = createHosts(count, {
+          status: { ...STATUS, evidence },
+          evidenceRecipients: names,
+        });
+        listHosts(hosts);
+        clock.advance(100);
+        const before = countTraffic(hosts).messages;
+        clock.advance(DURATION_MS);
+        return (countTraffic(hosts).messages - before) / count;
+      };
+      const messages = measure([{
+        route: "lookup",
+        calls: 10,
+        failures: 1,
+        warmMilliseconds: 900,
+        warmCalls: 10,
+      }]) - measure([]);
+      const perEvaluator = messages / EVALUATORS;
+      context.diagnostic(`${perEvaluator.toFixed(1)} messages an evaluator`);
+      // Often enough for an evaluator to notice a bad version within about a second.
+      assert.ok(perEvaluator >= DURATION_MS / 1_500, String(perEvaluator));
+      // An evaluator that gets more than 170 messages a second from all hosts together cannot keep up.
+      assert.ok(
+        perEvaluator * count / (DURATION_MS / 1_000) <= 170,
+        String(perEvaluator),
+      );
+    });
+  }
+});
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -203,6 +203,7 @@
       coordinators: listAllCoordinators,
       isStopping: () => isLeaving,
       onProgress: () => fleet.broadcastStatus(),
+      onProgressReceived: () => fleet.announceStatus(),
     }),
   );
   const fleet: Fleet = disposables.add(
@@ -212,6 +213,7 @@
       clock,
       log,
       network,
+      evidenceRecipients: () => rollouts.evaluators,
       describeSelf: () => ({
         instance: gate.instance === undefined ? undefined : {
           identity: gate.instance.identity,
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -8,7 +8,6 @@
 import type { Clock } from "../../base/common/clock.ts";
 import type { Disposable } from "../../base/common/disposable.ts";
 import type { EventLog } from "../../base/common/event_log.ts";
-import { rankByRendezvous } from "../../base/common/hashing.ts";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import type { RolloutOrder } from "../../world/common/mesh_configuration.ts";
 import type {
@@ -26,6 +25,10 @@
   type RolloutEvent,
   type RolloutRegistry,
 } from "../../features/rollout/common/rollout_registry.ts";
+import {
+  chooseEvaluators,
+  chooseLeader,
+} from "../../features/rollout/common/rollout_evaluators.ts";
 import { NO_STEP } from "../../features/rollout/common/rollout_plan.ts";
 import {
   isFinal,
@@ -38,6 +41,8 @@
 
 const STEP_INTERVAL_MS: Milliseconds = 200;
 const WRITE_RETRY_MS: Milliseconds = 400;
+/** Daemons with evidence send it to the evaluators about each second in large fleets, and more often in small ones. */
+const MAXIMUM_EVIDENCE_AGE_MS: Milliseconds = 5_000;
 
 export interface RolloutControlOptions {
   readonly self: { readonly host: HostName };
@@ -50,7 +55,10 @@
   /** This daemon and the others, of which one leads. */
   readonly coordinators: () => readonly Coordinator[];
   readonly isStopping: () => boolean;
+  /** Called when this daemon has advanced or ended a rollout. */
   readonly onProgress: () => void;
+  /** Called when the end of a rollout was received from another daemon. */
+  readonly onProgressReceived: () => void;
 }
 
 export interface OrderOrigin {
@@ -63,6 +71,8 @@
   readonly registry: RolloutRegistry;
   /** Evidence of the local gate; empty unless a rollout of the instance's service is running. */
   readonly localEvidence: readonly RouteEvidence[];
+  /** The daemons that evaluate the evidence of all. */
+  readonly evaluators: readonly HostName[];
   addOrder(order: RolloutOrder, origin: OrderOrigin): void;
   mergeProgress(progress: readonly RolloutProgress[]): void;
 }
@@ -131,8 +141,9 @@
         routes: collectLocalEvidence(),
       });
     }
-    for (const { host, status } of options.members()) {
-      if (status.instance !== undefined) {
+    const oldest = clock.now() - MAXIMUM_EVIDENCE_AGE_MS;
+    for (const { host, status, receivedAt } of options.members()) {
+      if (status.instance !== undefined && receivedAt >= oldest) {
         rows.push({
           host,
           service: status.instance.service,
@@ -148,14 +159,11 @@
     if (options.isStopping() || !options.sync.reachesStore) {
       return false;
     }
-    const coordinators = options.coordinators();
-    const available = coordinators.filter(({ isAvailable }) => isAvailable);
-    // If all are overloaded, one of them leads nevertheless.
-    const eligible = available.length > 0 ? available : coordinators;
-    return rankByRendezvous(
-      "rollout-leader",
-      eligible.map(({ host }) => host),
-    )[0] === options.self.host;
+    return chooseLeader(options.coordinators()) === options.self.host;
+  }
+
+  function listEvaluators(): readonly HostName[] {
+    return chooseEvaluators(options.coordinators());
   }
 
   function countTargetInstances(progress: RolloutProgress): number {
@@ -180,7 +188,9 @@
       writeNextStatus();
     }
     const events = registry.advance({
-      evidence: collectEvidence(),
+      evidence: listEvaluators().includes(options.self.host)
+        ? collectEvidence()
+        : [],
       isLeader: isLeading,
       // Until the status is read from the store, the rollout may already have ended before this
       // daemon started.
@@ -295,6 +305,9 @@
     get localEvidence() {
       return collectLocalEvidence();
     },
+    get evaluators() {
+      return listEvaluators();
+    },
     addOrder(order, { offset, mayPredateStart }) {
       const isNew = registry.addOrder(order, offset, clock.now());
       // `isNew` is also false when a peer reported the rollout before its order was read.
@@ -332,7 +345,7 @@
         }
       }
       if (isChanged && progress.some(isFinal)) {
-        options.onProgress();
+        options.onProgressReceived();
       }
     },
     dispose() {
--- a/src/programs/node/rollout_control_test.ts
+++ b/src/programs/node/rollout_control_test.ts
@@ -64,6 +64,7 @@
     coordinators: () => coordinators,
     isStopping: () => false,
     onProgress() {},
+    onProgressReceived() {},
   });
   return {
     control,
--- a/src/programs/node/spread_fixture.ts
+++ b/src/programs/node/spread_fixture.ts
@@ -379,6 +379,7 @@
         rollouts: [],
         evidence: [],
       }),
+      evidenceRecipients: () => [],
     });
     host.fleet.onStatusReceived(({ peer, status }) =>
       host.sync.updatePeerPosition(peer.process.host, status.position)
