Limit the memory of request bodies

What callers saw: when three clients of a host uploaded the maximum size (64 MiB) at a time, the daemon exceeded its memory and was ended; none of them, and no other caller of the host, got an answer.

Cause: each body was limited, all together were not, and each was held twice while its chunks were joined.

Ruled out: the copy of an offer for another host, since messages of links are limited to 4 MiB.

Why it works: the memory of bodies is reserved before they are read.

--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -44,6 +44,10 @@
 import { createFullGates } from "../common/full_gates.ts";
 import { selectCandidates } from "../common/candidate_selection.ts";
 import { chooseService } from "../common/service_choice.ts";
+import {
+  type BodyReservation,
+  createRequestBodyBudget,
+} from "../common/request_body_budget.ts";
 import { admitsCall, canEndBeforeStop } from "../common/stop_plan.ts";
 import { relayResponse, writeLocalReply } from "./response_writer.ts";
 import { createUnreadResponses } from "./unread_responses.ts";
@@ -63,7 +67,7 @@
 
 /** A refusal by the ingress itself, before the call is offered to a gate. */
 interface RefusalDetails {
-  readonly reason: "stopping" | "not-ready" | "stale";
+  readonly reason: "stopping" | "not-ready" | "stale" | "no-memory";
   readonly retryAfter: Milliseconds;
   readonly delay?: Milliseconds;
 }
@@ -87,6 +91,7 @@
   ]);
   const connectionEnds = createConnectionClosePolicy(options.stopPhase);
   const unreadResponses = createUnreadResponses(log);
+  const bodyBudget = createRequestBodyBudget();
   const knownConnections = new WeakSet<IncomingMessage["socket"]>();
   let lastOfferNumber = 0;
 
@@ -335,24 +340,31 @@
     );
     const onClose = () => runStep(call, () => abandonCall(call));
     request.socket.once("close", onClose);
+    const bodyReservation = bodyBudget.reserve();
     call.release = () => {
+      bodyReservation.dispose();
       timer.dispose();
       call.hedgeTimer?.dispose();
       request.socket.off("close", onClose);
       activeCalls.delete(call);
     };
-    runStep(call, () => receiveBody(call));
+    runStep(call, () => receiveBody(call, bodyReservation));
   }
 
-  function receiveBody(call: IngressCall): void {
+  function receiveBody(
+    call: IngressCall,
+    reservation: BodyReservation,
+  ): void {
     readBody(call.request, {
       limit: options.limits()?.maximumBodyBytes ?? Infinity,
+      reservation,
       onTooLong: () =>
         runStep(call, () =>
           endWithLocalReply(call, {
             status: 413,
             message: "The request body exceeds the size limit",
           })),
+      onNoMemory: () => runStep(call, () => refuseForMemory(call)),
       onAborted: () => runStep(call, () => abandonCall(call)),
       onBody(body) {
         if (!call.isEnded) {
@@ -363,6 +375,22 @@
     });
   }
 
+  /** Refuses a call whose body does not fit beside those of the calls in progress. */
+  function refuseForMemory(call: IngressCall): void {
+    if (call.isEnded) {
+      return;
+    }
+    const retryAfter = meanServiceTime(call.route);
+    logRefusal(call.identity, { reason: "no-memory", retryAfter });
+    endWithLocalReply(
+      call,
+      createNotRunReply(
+        "The request body does not fit into the memory of the daemon",
+        retryAfter,
+      ),
+    );
+  }
+
   /** Offers a call whose body is complete; the stop phase may have changed while the body was read. */
   function startCall(call: IngressCall): void {
     const isNested = call.parent !== undefined;
