End an exchange behind a response to another request that ends the connection

What callers saw: after an instance had sent a late second response without a length, the next call on that connection got 504 at its time-out.

Cause: a response was compared with its request when it was complete. One without a length is complete when its connection closes, and an instance that keeps the connection open never completes it.

Evidence: instance_connection_test, 4 new cases: no outcome after 2 s without the change.

Change: the exchange ends as broken when the head of a response to another request shows that the connection ends with it, also if it has a length and 'Connection: close'.

Before and after: 4 cases red, now green. A copy with a length whose rest never comes still holds its call: the rest may come.

Why it works: nothing that could follow on such a connection is the expected response.

--- a/src/features/gate/common/response_decoder.ts
+++ b/src/features/gate/common/response_decoder.ts
@@ -42,6 +42,8 @@
   readonly bufferedBytes: number;
   /** Whether the current response is completed by the close of the connection. */
   readonly isCloseDelimited: boolean;
+  /** The head of the response whose body is incomplete. */
+  readonly incompleteHead: ResponseHead | undefined;
   push(bytes: Buffer): void;
   /** Returns the next complete response; call again until the result is `more`. */
   next(): DecodeResult;
@@ -234,6 +236,9 @@
     get isCloseDelimited() {
       return partial?.head.framing.type === "until-close";
     },
+    get incompleteHead() {
+      return partial?.head;
+    },
     push(bytes) {
       const rest = cursor.bytes.subarray(cursor.position);
       cursor = {
--- a/src/features/gate/node/instance_connection.ts
+++ b/src/features/gate/node/instance_connection.ts
@@ -153,10 +153,11 @@
   function readResponses(): void {
     while (current !== undefined) {
       const result = decoder.next();
-      if (
-        result.type === "more" ||
-        !handleResult(result, "the response is malformed")
-      ) {
+      if (result.type === "more") {
+        closeBehindUnmatched();
+        return;
+      }
+      if (!handleResult(result, "the response is malformed")) {
         return;
       }
     }
@@ -175,7 +176,7 @@
     if (!matchesRequest(response, current!.request.requestIdentity)) {
       // A duplicate response to an earlier request; the expected one may follow.
       if (!response.keepsConnection) {
-        close("a response to another request ended the connection");
+        close("a response to another request ends the connection");
         return false;
       }
       return skipUnmatched(response);
@@ -190,6 +191,17 @@
     return true;
   }
 
+  /** Ends the exchange if the response to another request, once complete, ends the connection. */
+  function closeBehindUnmatched(): void {
+    const head = decoder.incompleteHead;
+    if (
+      head !== undefined && !head.keepsConnection &&
+      !matchesRequest(head, current!.request.requestIdentity)
+    ) {
+      close("a response to another request ends the connection");
+    }
+  }
+
   /** Returns whether to continue reading. */
   function skipUnmatched({ body }: DecodedResponse): boolean {
     const exchange = current!;
@@ -206,10 +218,10 @@
   }
 
   function matchesRequest(
-    response: DecodedResponse,
+    { rawHeaders }: Pick<DecodedResponse, "rawHeaders">,
     identity: string,
   ): boolean {
-    return findHeader(response.rawHeaders, identityHeader) === identity;
+    return findHeader(rawHeaders, identityHeader) === identity;
   }
 
   function settle(outcome: ExchangeOutcome): void {
--- a/src/features/gate/node/instance_connection_test.ts
+++ b/src/features/gate/node/instance_connection_test.ts
@@ -19,6 +19,30 @@
   readonly isReusable?: boolean;
 }
 
+/** Heads of responses to other requests that no response can follow. The connection then stays open. */
+const UNMATCHED_ENDS: readonly {
+  readonly name: string;
+  readonly head: string;
+}[] = [
+  {
+    name: "that ends with its connection",
+    head: CLOSE_DELIMITED_HEAD.replace("Identity: a", "Identity: b"),
+  },
+  {
+    name: "that ends with its connection, with a part of its body,",
+    head: CLOSE_DELIMITED_HEAD.replace("Identity: a", "Identity: b") + "half",
+  },
+  {
+    name: "that has no identity and ends with its connection",
+    head: "HTTP/1.1 200 OK\r\n\r\nhalf",
+  },
+  {
+    name: "with a length, incomplete, after which the connection closes,",
+    head:
+      "HTTP/1.1 200 OK\r\nRequest-Identity: b\r\nConnection: close\r\nContent-Length: 9\r\n\r\nhalf",
+  },
+];
+
 const CASES: readonly Case[] = [
   {
     name: "a close-delimited response is complete after an orderly close",
@@ -59,6 +83,11 @@
     outcome: "response body",
     isReusable: true,
   },
+  ...UNMATCHED_ENDS.map(({ name, head }): Case => ({
+    name: `a response to another request ${name} ends the exchange promptly`,
+    answer: (socket) => socket.write(head),
+    outcome: "broken",
+  })),
 ];
 
 function listen(answer: (socket: Socket) => void): Promise<Server> {
@@ -73,8 +102,9 @@
 
 describe("an exchange with an instance", () => {
   for (const { name, answer, outcome, isReusable = false } of CASES) {
-    test(name, async () => {
+    test(name, { timeout: 2_000 }, async (context) => {
       const server = await listen(answer);
+      context.after(() => server.close());
       const { port } = server.address() as { port: number };
       const connection = createInstanceConnection({
         address: "127.0.0.1",
@@ -98,7 +128,6 @@
       await new Promise((resolve) => setTimeout(resolve, 5));
       assert.equal(connection.isReusable(MONOTONIC_CLOCK.now()), isReusable);
       connection.dispose();
-      server.close();
     });
   }
 
