Count the time of unanswered calls for the relative service time of a gate

What callers saw: an instance that had become ten times slower kept its full part of the calls, since its callers cancelled them in favor of others or they exceeded their deadline, and only answered calls counted. Two tests of this were known red.

Cause: the relative service time was an average of answered calls, and such an instance answers none in time.

Evidence: gate_relative_service_time_test, 2 of 3 cases red before: the estimate was 1 after 36 calls that took three times the usual time and more.

Change: the time that an unanswered call has run is a lower bound of the estimate, weighted by how many calls an instance of usual speed would have answered in that time (relative_service_time.ts, apart from input and output). A slow estimate without calls is kept for 3 s and then fades, so that the instance is tried again.

Why it works: five calls that reach a deadline of seven times the usual time raise the estimate above 4.

--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -35,6 +35,7 @@
 import { createInstanceRateLimit } from "../common/instance_rate_limit.ts";
 import { formatRequestHead } from "../common/request_head.ts";
 import { createMovingAverages } from "../common/moving_averages.ts";
+import { createRelativeServiceTime } from "../common/relative_service_time.ts";
 import { createPriorityLoad } from "../common/priority_load.ts";
 import {
   createCallQueue,
@@ -102,7 +103,7 @@
   let hasLoggedNoticeProblem = false;
   let rateTimer: Disposable | undefined;
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
-  let relativeServiceTime = 1;
+  let relativeServiceTime = createRelativeServiceTime();
   let failureRate = createFailureRate();
   let lastReportAt = -Infinity;
   let coldUntil: Milliseconds = 0;
@@ -198,7 +199,7 @@
       deadlineAt: now + timeLimitOf(request),
       expectedMilliseconds: serviceTimes.averageOf(
         request.route,
-        request.meanServiceMilliseconds * relativeServiceTime,
+        request.meanServiceMilliseconds * relativeServiceTime.current(now),
       ),
       request,
       settle,
@@ -461,6 +462,13 @@
         if (!call.isCancelled) {
           failureRate.record(true, now);
         }
+        if (call.isCancelled || timedOut) {
+          relativeServiceTime.recordUnanswered(
+            now - call.startedAt,
+            call.request.meanServiceMilliseconds,
+            now,
+          );
+        }
         log.write("info", "gate.exchange-broken", {
           request: call.request.requestIdentity,
           reason: describeFailure(call, timedOut, outcome.reason),
@@ -518,10 +526,11 @@
     if (status < 500) {
       serviceTimes.record(call.request.route, duration);
       meanServiceTime += SMOOTHING_FACTOR * (duration - meanServiceTime);
-      const ratio = duration /
-        Math.max(1, call.request.meanServiceMilliseconds);
-      relativeServiceTime += SMOOTHING_FACTOR *
-        (Math.min(ratio, 20) - relativeServiceTime);
+      relativeServiceTime.recordAnswered(
+        duration,
+        call.request.meanServiceMilliseconds,
+        now,
+      );
     }
     return {
       type: "answer",
@@ -622,7 +631,7 @@
     coldUntil = now + report.coldForMilliseconds;
     if (outcome.type === "new") {
       unreachableUntil = -Infinity;
-      relativeServiceTime = 1;
+      relativeServiceTime = createRelativeServiceTime();
       failureRate = createFailureRate();
       rateLimitOfInstance.handleNewInstance(report, now);
       hasLoggedNoticeProblem = false;
@@ -649,7 +658,7 @@
         waiting: queue.size,
         limit: limit(),
         mean: Math.round(meanServiceTime),
-        pace: relativeServiceTime.toFixed(2),
+        pace: relativeServiceTime.current(clock.now()).toFixed(2),
         failurePart: failureRate.current(clock.now()).toFixed(2),
       });
       refusedSinceReport = 0;
@@ -678,7 +687,7 @@
           : running.size,
         waiting: queue.size,
         limit: capacity(),
-        relativeServiceTime,
+        relativeServiceTime: relativeServiceTime.current(clock.now()),
         failureRate: failureRate.current(clock.now()),
       };
     },
