Look up a departure whose write has no response

What callers saw: an instance that left while the store lost the responses of appends got 503 although its departure was stored, and repeated its message or exited without an acknowledgement.

Cause: a write without a response was repeated, up to four times, and reported as failed when none of them got a response. Nothing asked the store what it had.

Evidence: departure_records_test without the lookup, 3 cases red: the responses of all writes are lost, the connection is reset after each write, and more writes than needed when nothing responds. Ruled out: the store itself, which had the departure in each case.

Change: after 0.25 s without a response, or after a failure that says nothing, the daemon reads the departures of its host. If the store has the departure, it is acknowledged, else the write is repeated; a read may take 0.1 s before that.

Before and after: 3 red before, green now; one write instead of four.

Why it works: a read that finds the departure is as good as the response of the write. The acknowledgement still follows what the store has.

--- a/src/features/gate/common/departure_records.ts
+++ b/src/features/gate/common/departure_records.ts
@@ -22,8 +22,10 @@
 const ACKNOWLEDGEMENT_TIMEOUT_MS: Milliseconds = 850;
 /** A write that starts later would not be done in time. */
 const MINIMUM_WRITE_MS: Milliseconds = 50;
-/** A store that has not responded for this long may have lost the response, so the call is repeated beside it. */
+/** A store that has not responded for this long may have lost the response. */
 const REPEAT_MS: Milliseconds = 250;
+/** How long a read may take that finds out whether a write was done; the write is then repeated beside it. */
+const LOOKUP_MS: Milliseconds = 100;
 /** The pause after the first attempt that failed; it doubles with each further one. */
 const RETRY_DELAY_MS: Milliseconds = 100;
 /**
@@ -36,8 +38,15 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly write: (update: DepartureUpdate) => Promise<Result<void, StepError>>;
+  /** Reads the departures from this host that the store has, the oldest first. */
+  readonly read: () => Promise<
+    Result<readonly DepartedInstance[], StepError>
+  >;
 }
 
+/** What is known of a write; `unknown` after a failure that says nothing, as a reset connection. */
+type WriteOutcome = "done" | "not-done" | "unknown" | "no-response";
+
 export interface DepartureRecords {
   /** Records the departures that the store had when it was read, the oldest first. */
   restore(departed: readonly DepartedInstance[]): void;
@@ -46,7 +55,7 @@
 }
 
 export function createDepartureRecords(
-  { clock, log, write }: DepartureRecordsOptions,
+  { clock, log, write, read }: DepartureRecordsOptions,
 ): DepartureRecords {
   /** The oldest first. */
   let stored: readonly DepartedInstance[] = [];
@@ -59,8 +68,7 @@
     stored = [...stored, ...departures.filter((each) => !isStored(each))];
   }
 
-  /** Writes once; resolves with whether the store has responded that it was done. */
-  async function attempt(departure: DepartedInstance): Promise<boolean> {
+  async function attempt(departure: DepartedInstance): Promise<WriteOutcome> {
     const removed = stored.slice(
       0,
       Math.max(0, stored.length + 1 - MAXIMUM_STORED_DEPARTURES),
@@ -72,11 +80,19 @@
         step: written.val.step,
         error: written.val.message,
       });
-      return false;
+      return written.val.outcome === "not-run" ? "not-done" : "unknown";
     }
     stored = stored.filter((each) => !removed.includes(each));
     restore([departure]);
-    return true;
+    return "done";
+  }
+
+  /** Reads what the store has, after a write whose response is missing. */
+  async function lookUp(): Promise<void> {
+    const found = await read();
+    if (found.ok) {
+      restore(found.val);
+    }
   }
 
   return {
@@ -90,16 +106,17 @@
         startedAt + ACKNOWLEDGEMENT_TIMEOUT_MS - clock.now();
       let retryDelay = RETRY_DELAY_MS;
       while (!isStored(departure) && timeLeft() > MINIMUM_WRITE_MS) {
-        const result = attempt(departure);
         const pause = (delay: Milliseconds) =>
           clock.sleep(Math.min(delay, Math.max(0, timeLeft())));
-        if (
-          await Promise.race([
-            result,
-            pause(REPEAT_MS).then(() => undefined),
-          ]) ===
-            false
-        ) {
+        const outcome = await Promise.race([
+          attempt(departure),
+          pause(REPEAT_MS).then(() => "no-response" as const),
+        ]);
+        if (outcome === "unknown" || outcome === "no-response") {
+          await Promise.race([lookUp(), pause(LOOKUP_MS)]);
+        }
+        // A store that does not respond has had its pause already.
+        if (!isStored(departure) && outcome !== "no-response") {
           await pause(retryDelay);
           retryDelay *= 2;
         }
--- a/src/features/gate/common/departure_records_test.ts
+++ b/src/features/gate/common/departure_records_test.ts
@@ -20,7 +20,12 @@
 } from "./ready_report_hold.ts";
 
 const STEP_MS: Milliseconds = 10;
-const FAILURE = Err(new StepError("append", "the store is down"));
+const FAILURE = Err(
+  new StepError("append", "the store is down", { outcome: "not-run" }),
+);
+const CONNECTION_RESET = Err(
+  new StepError("append", "the connection was reset", { outcome: "unknown" }),
+);
 
 function departure(number: number): DepartedInstance {
   return { identity: `i-${number}`, startedAt: number };
@@ -33,8 +38,9 @@
     write: number,
   ) => {
     readonly after: Milliseconds;
-    readonly type: "done" | "fail" | "lose";
+    readonly type: "done" | "fail" | "lose" | "reset" | "reset-before";
   },
+  answersReads = true,
 ) {
   const kept: string[] = [];
   let writes = 0;
@@ -43,6 +49,12 @@
     get writes() {
       return writes;
     },
+    async read(): Promise<Result<readonly DepartedInstance[], StepError>> {
+      await clock.sleep(5);
+      return answersReads
+        ? Ok(kept.map((identity) => departure(Number(identity.slice(2)))))
+        : new Promise(() => {});
+    },
     async write(
       { added, removed }: DepartureUpdate,
     ): Promise<Result<void, StepError>> {
@@ -52,6 +64,9 @@
       if (type === "fail") {
         return FAILURE;
       }
+      if (type === "reset-before") {
+        return CONNECTION_RESET;
+      }
       const removedIdentities = removed.map(({ identity }) => identity);
       kept.splice(
         0,
@@ -62,6 +77,9 @@
         ...added.map(({ identity }) => identity)
           .filter((identity) => !kept.includes(identity)),
       );
+      if (type === "reset") {
+        return CONNECTION_RESET;
+      }
       return type === "done" ? Ok(undefined) : new Promise(() => {});
     },
   };
@@ -88,6 +106,7 @@
 interface SaveCase {
   readonly name: string;
   readonly respond: Parameters<typeof createStore>[1];
+  readonly answersReads?: boolean;
   readonly isSaved: boolean;
   readonly maximumWrites: number;
 }
@@ -119,6 +138,38 @@
     isSaved: true,
     maximumWrites: 3,
   },
+  {
+    name: "loses the responses of all writes",
+    respond: () => ({ after: 5, type: "lose" }),
+    isSaved: true,
+    maximumWrites: 1,
+  },
+  {
+    name: "resets the connection after each write",
+    respond: () => ({ after: 5, type: "reset" }),
+    isSaved: true,
+    maximumWrites: 1,
+  },
+  {
+    name: "resets the connections without writing",
+    respond: () => ({ after: 5, type: "reset-before" }),
+    isSaved: false,
+    maximumWrites: 4,
+  },
+  {
+    name: "loses all responses",
+    respond: () => ({ after: 5, type: "lose" }),
+    answersReads: false,
+    isSaved: false,
+    maximumWrites: 3,
+  },
+  {
+    name: "resets the first connections and does not respond to reads",
+    respond: (write) => write <= 2 ? { after: 5, type: "reset" } : DONE,
+    answersReads: false,
+    isSaved: true,
+    maximumWrites: 3,
+  },
   {
     name: "responds too late for the instance",
     respond: () => ({ after: 2_000, type: "done" }),
@@ -135,14 +186,17 @@
 
 // Guards against an acknowledgement of a departure that the store does not have.
 describe("a departure is saved within the time that the instance waits, or not confirmed", () => {
-  for (const { name, respond, isSaved, maximumWrites } of SAVE_CASES) {
+  for (
+    const { name, respond, answersReads, isSaved, maximumWrites } of SAVE_CASES
+  ) {
     test(`the store ${name}`, async () => {
       const clock = new VirtualClock();
-      const store = createStore(clock, respond);
+      const store = createStore(clock, respond, answersReads);
       const records = createDepartureRecords({
         clock,
         log: SILENT_LOG,
         write: store.write,
+        read: store.read,
       });
       const saved = await waitFor(clock, records.save(departure(1)));
       assert.equal(saved.value, isSaved);
@@ -159,6 +213,7 @@
       clock,
       log: SILENT_LOG,
       write: store.write,
+      read: store.read,
     });
     records.restore([2, 3, 4, 5].map(departure));
     const saved = await waitFor(clock, records.save(departure(1)));
@@ -173,6 +228,7 @@
       clock,
       log: SILENT_LOG,
       write: store.write,
+      read: store.read,
     });
     records.restore([departure(1)]);
     assert.equal(await records.save(departure(1)), true);
@@ -188,6 +244,7 @@
     clock,
     log: SILENT_LOG,
     write: store.write,
+    read: store.read,
   });
   const all: DepartedInstance[] = [];
   for (let number = 0; number < 20; number += 1) {
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -293,6 +293,10 @@
     clock,
     log,
     write: (update) => platform.store.updateDepartures(settings.host, update),
+    read: async () =>
+      (await platform.store.readHosts(settings.host)).map(({ departed }) =>
+        departed
+      ),
   });
   const reportHold = disposables.add(
     createReadyReportHold({
