Take no step of a rollout right after a pause

What callers could see: a daemon that had been paused for seconds, and does not lead the rollout, gave a version under test all calls, or completed its rollout, although the others had found it bad meanwhile.

Cause: the timers of a process run before its sockets are read. The first round after a pause found all others overdue, took the daemon for the leader and took the step that the plan has for that time.

Ruled out: the status in the store, which is written on the condition of what was read right before.

Change: a round more than 0.6 s after the last one is skipped and logged (rollout.round-skipped).

Why it works: what the others have sent is read before the next round, 0.2 s later.

--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -41,6 +41,11 @@
 
 const STEP_INTERVAL_MS: Milliseconds = 200;
 const WRITE_RETRY_MS: Milliseconds = 400;
+/**
+ * After a longer time between two rounds the process was paused, or stalled for long. What others have sent
+ * meanwhile is read after this round, and until then all others seem to be unreachable.
+ */
+const MAXIMUM_ROUND_INTERVAL_MS: Milliseconds = 3 * STEP_INTERVAL_MS;
 /** Daemons with evidence send it to the evaluators about each second in large fleets, and more often in small ones. */
 const MAXIMUM_EVIDENCE_AGE_MS: Milliseconds = 5_000;
 
@@ -92,6 +97,7 @@
   const servicesWithPriorStatus = new Set<ServiceName>();
   let evidenceInstance: string | undefined;
   let isWriting = false;
+  let lastRoundAt = clock.now();
 
   function recordCall(
     { route, isFailure, isWarm, duration }: CallRecord,
@@ -180,9 +186,18 @@
   }
 
   function advanceRollouts(): void {
+    const now = clock.now();
+    const sinceLastRound = now - lastRoundAt;
+    lastRoundAt = now;
     if (registry.progress.length === 0) {
       return;
     }
+    if (sinceLastRound > MAXIMUM_ROUND_INTERVAL_MS) {
+      log.write("info", "rollout.round-skipped", {
+        sinceLastRound: Math.round(sinceLastRound),
+      });
+      return;
+    }
     const isLeading = isLeader();
     if (isLeading) {
       writeNextStatus();
@@ -198,7 +213,7 @@
         recordedOrders.has(progress.orderOffset)
           ? countTargetInstances(progress)
           : 0,
-      now: clock.now(),
+      now,
     });
     for (const event of events) {
       logEvent(event);
