Call a store that is away from two daemons of each failure domain only

Cause: a daemon that lost the store called it again each 0.2 s to 1.5 s to find out whether it was back. While a store refuses all, each reader is replaced by the next daemon, until all daemons have lost the store and all go on calling it.

Change: a daemon that does not read for its failure domain checks a lost store each 2.5 s to 7.5 s. While none of a domain reaches the store, the first two that are reachable go on as before; a host that is cut off from all others is one of them.

chooseReaders now holds what its caller did when none is available; the test 'no reader is chosen if no daemon is available' is replaced by two: none if none is reachable, two reachable ones if none is available.

--- a/src/features/fleet/common/coordinators.ts
+++ b/src/features/fleet/common/coordinators.ts
@@ -25,10 +25,12 @@
   readonly failureDomain: FailureDomainName;
   /** Whether it reaches the store, keeps up with its events, and is heard from in time. */
   readonly isAvailable: boolean;
+  /** Whether it is heard from in time, regardless of the store and its load. */
+  readonly isReachable: boolean;
 }
 
 export interface CoordinatorSources {
-  readonly self: Coordinator;
+  readonly self: Omit<Coordinator, "isReachable">;
   readonly members: readonly FleetMember[];
   readonly network: Pick<PeerNetwork, "getOverdueTime">;
   /** How long received frames may have waited for the event loop of this process. */
@@ -40,12 +42,16 @@
   { self, members, network, loopDelay }: CoordinatorSources,
 ): readonly Coordinator[] {
   return [
-    self,
-    ...members.map(({ host, failureDomain, status }) => ({
-      host,
-      failureDomain,
-      isAvailable: status.isAvailable && !status.isStopping &&
-        network.getOverdueTime(host) <= HEARTBEAT_TOLERANCE_MS + loopDelay,
-    })),
+    { ...self, isReachable: true },
+    ...members.map(({ host, failureDomain, status }) => {
+      const isReachable = !status.isStopping &&
+        network.getOverdueTime(host) <= HEARTBEAT_TOLERANCE_MS + loopDelay;
+      return {
+        host,
+        failureDomain,
+        isAvailable: status.isAvailable && isReachable,
+        isReachable,
+      };
+    }),
   ];
 }
--- a/src/features/operator/common/operator_test.ts
+++ b/src/features/operator/common/operator_test.ts
@@ -57,10 +57,15 @@
 });
 
 describe("the readers of a failure domain", () => {
-  const candidate = (host: string, isAvailable = true) => ({
+  const candidate = (
+    host: string,
+    isAvailable = true,
+    isReachable = true,
+  ) => ({
     host,
     failureDomain: "east",
     isAvailable,
+    isReachable,
   });
   const all = ["a", "b", "c", "d"].map((host) => candidate(host));
 
@@ -81,11 +86,25 @@
     assert.ok(!next.includes(first));
   });
 
-  test("no reader is chosen if no daemon is available", () => {
+  test("no reader is chosen if no daemon is reachable", () => {
     assert.deepEqual(
-      chooseReaders("east", all.map(({ host }) => candidate(host, false))),
+      chooseReaders(
+        "east",
+        all.map(({ host }) => candidate(host, false, false)),
+      ),
       [],
     );
     assert.deepEqual(chooseReaders("west", all), []);
   });
+
+  test("two reachable daemons are chosen if none is available", () => {
+    const [first, second] = chooseReaders("east", all);
+    const chosen = chooseReaders(
+      "east",
+      all.map(({ host }) => candidate(host, false, host !== first)),
+    );
+    assert.equal(chosen.length, 2);
+    assert.equal(chosen[0], second);
+    assert.ok(!chosen.includes(first));
+  });
 });
--- a/src/features/operator/common/reader_choice.ts
+++ b/src/features/operator/common/reader_choice.ts
@@ -3,7 +3,8 @@
  *
  * The store limits the calls of all daemons together, so their number must not grow with the number of
  * hosts: two daemons of each failure domain read records, and the first of them sends them to the others. If
- * one cannot reach the store or falls behind, the next daemon in the rendezvous order replaces it.
+ * one cannot reach the store or falls behind, the next daemon in the rendezvous order replaces it. While none of
+ * them reaches the store, two go on trying.
  *
  * @module
  */
@@ -19,6 +20,8 @@
   readonly failureDomain: FailureDomainName;
   /** Whether it reaches the store, keeps up with its events, and is heard from in time. */
   readonly isAvailable: boolean;
+  /** Whether it is heard from in time, regardless of the store and its load. */
+  readonly isReachable: boolean;
 }
 
 /**
@@ -27,14 +30,19 @@
  */
 const READERS_PER_DOMAIN = 2;
 
-/** Chooses the readers of a failure domain, at most two; none if none of its daemons is available. */
+/** Chooses the readers of a failure domain, at most two; none if none of its daemons is reachable. */
 export function chooseReaders(
   failureDomain: FailureDomainName,
   candidates: readonly ReaderCandidate[],
 ): readonly HostName[] {
-  const eligible = candidates.filter((candidate) =>
-    candidate.failureDomain === failureDomain && candidate.isAvailable
+  const inDomain = candidates.filter((candidate) =>
+    candidate.failureDomain === failureDomain
   );
+  const available = inDomain.filter(({ isAvailable }) => isAvailable);
+  // All may be overloaded, as after a restart of the whole fleet.
+  const eligible = available.length > 0
+    ? available
+    : inDomain.filter(({ isReachable }) => isReachable);
   return rankByRendezvous(
     `reader|${failureDomain}`,
     eligible.map(({ host }) => host),
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -54,6 +54,11 @@
 const FETCH_DELAY_MS: Milliseconds = 250;
 /** The backoff of retries while the store is unreachable. */
 const STORE_BACKOFF = { baseMilliseconds: 200, capMilliseconds: 1_500 };
+/**
+ * How often a daemon that does not read for others checks whether the store is back. It gets the records from
+ * those that read.
+ */
+const STORE_CHECK_INTERVAL_MS: Milliseconds = 5_000;
 /** How often a daemon checks whether it has become a reader of its failure domain. */
 const READER_CHECK_INTERVAL_MS: Milliseconds = 200;
 
@@ -115,6 +120,8 @@
   let reachesStore = true;
   let isReading = false;
   let failures = 0;
+  /** When a daemon that does not read for others calls a store next that it did not reach. */
+  let storeCheckAt: Milliseconds = 0;
   let disposed = false;
   let polling: AbortController | undefined;
   let fetchTimer: Disposable | undefined;
@@ -175,6 +182,8 @@
 
   function setReachesStore(value: boolean, reason?: string): void {
     failures = value ? 0 : failures + 1;
+    storeCheckAt = clock.now() +
+      STORE_CHECK_INTERVAL_MS * (0.5 + options.random.nextFraction());
     if (reachesStore !== value) {
       reachesStore = value;
       log.write(
@@ -190,13 +199,7 @@
 
   /** The readers of the own failure domain, the one that sends its records to the others first. */
   function listReaders(): readonly HostName[] {
-    const candidates = options.candidates();
-    const available = chooseReaders(self.failureDomain, candidates);
-    // If all are overloaded, as after a restart of the whole fleet, two of them read nevertheless.
-    return available.length > 0 ? available : chooseReaders(
-      self.failureDomain,
-      candidates.map((candidate) => ({ ...candidate, isAvailable: true })),
-    );
+    return chooseReaders(self.failureDomain, options.candidates());
   }
 
   function updateReading(isNowReading: boolean): void {
@@ -224,7 +227,9 @@
         await readNewest();
       } else if (reachesStore && isReading) {
         await poll();
-      } else if (!reachesStore) {
+      } else if (
+        !reachesStore && (isReading || clock.now() >= storeCheckAt)
+      ) {
         await clock.sleep(
           computeBackoff(failures, options.random, STORE_BACKOFF),
         );
--- a/src/features/operator/common/record_sync_test.ts
+++ b/src/features/operator/common/record_sync_test.ts
@@ -37,16 +37,20 @@
     failureDomain: peers[host].failureDomain,
   });
   const isLinked = (host: string) => peers[host]?.isLinked ?? true;
+  function send(to: string, message: LinkMessage): boolean {
+    if (isLinked(to)) {
+      sent.push({ to, message, at: clock.now() });
+    }
+    return isLinked(to);
+  }
+
   const network = {
     peers: Object.keys(peers).filter(isLinked).map(describePeer),
     findPeer: (host: string) => isLinked(host) ? describePeer(host) : undefined,
     getOverdueTime: (host: string) => peers[host].overdue ?? 0,
-    send(to: string, message: LinkMessage) {
-      if (isLinked(to)) {
-        sent.push({ to, message, at: clock.now() });
-      }
-      return isLinked(to);
-    },
+    send,
+    sendToAll: (hosts: readonly string[], message: LinkMessage) =>
+      hosts.forEach((host) => send(host, message)),
     onMessage(
       kind: string,
       handler: (peer: Peer, message: LinkMessage) => void,
@@ -72,7 +76,12 @@
       decompress: (value) => Ok(value),
     },
     candidates: () => [
-      { host: "self", failureDomain: "east", isAvailable: true },
+      {
+        host: "self",
+        failureDomain: "east",
+        isAvailable: true,
+        isReachable: true,
+      },
     ],
   });
   sync.start();
--- a/src/programs/node/rollout_control_test.ts
+++ b/src/programs/node/rollout_control_test.ts
@@ -34,6 +34,7 @@
   host: "a",
   failureDomain: "east",
   isAvailable: true,
+  isReachable: true,
 };
 
 /** Starts the rollout control of a leader that reads and writes these statuses. */
@@ -137,6 +138,7 @@
         host: before,
         failureDomain: "west",
         isAvailable,
+        isReachable: true,
       }]);
       control.addOrder(ORDER, { offset: OFFSET, mayPredateStart: false });
       await run();
--- a/src/programs/node/rollout_pause_test.ts
+++ b/src/programs/node/rollout_pause_test.ts
@@ -92,11 +92,17 @@
         sync: { reachesStore: true },
         members: () => [TARGET_HOST],
         coordinators: () => [
-          { host: self, failureDomain: "east", isAvailable: true },
+          {
+            host: self,
+            failureDomain: "east",
+            isAvailable: true,
+            isReachable: true,
+          },
           {
             host: leader,
             failureDomain: "west",
             isAvailable: base.now() - lastHeardAt <= OVERDUE_MS,
+            isReachable: base.now() - lastHeardAt <= OVERDUE_MS,
           },
         ],
         isStopping: () => false,
--- a/src/programs/node/spread_fixture.ts
+++ b/src/programs/node/spread_fixture.ts
@@ -58,6 +58,8 @@
   readonly isCutOff?: boolean;
   /** The store does not respond to the host. */
   readonly isStoreSilent?: boolean;
+  /** The store refuses each call of the host. */
+  readonly isStoreRefusing?: boolean;
 }
 
 interface Host {
@@ -71,6 +73,7 @@
   readonly appliedAt: Map<number, Milliseconds>;
   lastStoreReadAt: Milliseconds;
   sentMessages: number;
+  storeCalls: number;
   readonly handlers: Map<string, (peer: Peer, message: LinkMessage) => void>;
   readonly links: Map<HostName, { lastReceivedAt: Milliseconds }>;
   readonly opened: ReturnType<typeof createEmitter<Peer>>;
@@ -156,6 +159,8 @@
   /** Writes a version of the configuration; returns its position. */
   publish(): number;
   advance(duration: Milliseconds): Promise<void>;
+  /** The calls of the store that a host has made. */
+  countStoreCalls(host: HostName): number;
   /** The messages that a host has sent to the others, heartbeats apart. */
   countSent(host: HostName): number;
   /** When a position took effect on a host; undefined before. */
@@ -273,6 +278,7 @@
       respond: () => T,
       signal?: AbortSignal,
     ): Promise<Result<T, StepError>> {
+      host.storeCalls += 1;
       return new Promise((resolve) => {
         const finish = (result: Result<T, StepError>) => {
           timeout.dispose();
@@ -292,7 +298,10 @@
           clock.schedule(STORE_MS, () => finish(Ok(respond())));
         };
         const wake = () => {
-          if (isReady()) {
+          if (host.fault.isStoreRefusing) {
+            waiting.delete(wake);
+            fail("the store refused the call");
+          } else if (isReady()) {
             answer();
           }
         };
@@ -424,6 +433,7 @@
       appliedAt: new Map(),
       lastStoreReadAt: -Infinity,
       sentMessages: 0,
+      storeCalls: 0,
       handlers: new Map(),
       links: new Map(),
       opened: createEmitter<Peer>(),
@@ -482,6 +492,7 @@
         await new Promise((resolve) => setImmediate(resolve));
       }
     },
+    countStoreCalls: (name) => hosts.get(name)!.storeCalls,
     countSent: (name) => hosts.get(name)!.sentMessages,
     appliedAt: (name, position) => hosts.get(name)!.appliedAt.get(position),
     get now() {
