Keep the evidence of rollouts as long as large fleets need

Cause: two bounds for the same message that did not know of each other, found on reading the change again.

Evidence: rollout_control_test, 1,000 hosts heard from 8 s ago: the bad version was not reverted with the fixed bound.

Change: evidence is left out after three intervals of its fleet, at least 5 s.

Before and after: that case was red, now green; with 200 hosts evidence of 8 s ago is still left out.

Why it works: the bound follows from the interval at which evidence is sent.

--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -47,6 +47,11 @@
 /** A daemon that has not read the hosts from the store asks a few peers, as one may know few hosts itself. */
 const MAXIMUM_HOSTS_REQUESTS = 3;
 
+/** The longest time between two statuses of a daemon to an evaluator while it has evidence. */
+export function computeEvidenceInterval(members: number): Milliseconds {
+  return EVIDENCE_INTERVAL_MS + EVIDENCE_INTERVAL_PER_MEMBER_MS * members;
+}
+
 /** Another daemon with an open link. */
 export interface FleetMember {
   readonly host: HostName;
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -16,7 +16,10 @@
   ServiceName,
 } from "../../world/common/names.ts";
 import type { Coordinator } from "../../features/fleet/common/coordinators.ts";
-import type { FleetMember } from "../../features/fleet/common/fleet.ts";
+import {
+  computeEvidenceInterval,
+  type FleetMember,
+} from "../../features/fleet/common/fleet.ts";
 import type { CallRecord, Gate } from "../../features/gate/common/gate.ts";
 import type { MeshStore } from "../../features/operator/common/mesh_store.ts";
 import type { RecordSync } from "../../features/operator/common/record_sync.ts";
@@ -46,8 +49,10 @@
  * meanwhile is read after this round, and until then all others seem to be unreachable.
  */
 const MAXIMUM_ROUND_INTERVAL_MS: Milliseconds = 3 * STEP_INTERVAL_MS;
-/** Daemons with evidence send it to the evaluators about each second in large fleets, and more often in small ones. */
-const MAXIMUM_EVIDENCE_AGE_MS: Milliseconds = 5_000;
+/** Allows for slow links and hosts. */
+const MINIMUM_EVIDENCE_LIFETIME_MS: Milliseconds = 5_000;
+/** Evidence is left out once this many later statuses of its host are missing. */
+const MISSED_EVIDENCE_INTERVALS = 3;
 
 export interface RolloutControlOptions {
   readonly self: { readonly host: HostName };
@@ -147,8 +152,12 @@
         routes: collectLocalEvidence(),
       });
     }
-    const oldest = clock.now() - MAXIMUM_EVIDENCE_AGE_MS;
-    for (const { host, status, receivedAt } of options.members()) {
+    const members = options.members();
+    const oldest = clock.now() - Math.max(
+      MINIMUM_EVIDENCE_LIFETIME_MS,
+      MISSED_EVIDENCE_INTERVALS * computeEvidenceInterval(members.length),
+    );
+    for (const { host, status, receivedAt } of members) {
       if (status.instance !== undefined && receivedAt >= oldest) {
         rows.push({
           host,
--- a/src/programs/node/rollout_control_test.ts
+++ b/src/programs/node/rollout_control_test.ts
@@ -6,6 +6,7 @@
 import { Ok } from "../../base/common/result.ts";
 import { rankByRendezvous } from "../../base/common/hashing.ts";
 import type { Coordinator } from "../../features/fleet/common/coordinators.ts";
+import type { FleetMember } from "../../features/fleet/common/fleet.ts";
 import type { CallRecord, Gate } from "../../features/gate/common/gate.ts";
 import type {
   MeshStore,
@@ -20,6 +21,7 @@
   durationMilliseconds: 16_000,
 };
 const OFFSET = 4;
+const START_MS = 100_000;
 const PEER_PROGRESS: RolloutProgress = {
   service: "booking",
   targetVersion: "v2",
@@ -41,8 +43,9 @@
 function startLeader(
   stored: RolloutStatus[],
   coordinators: readonly Coordinator[] = [SELF],
+  members: readonly FleetMember[] = [],
 ) {
-  const clock = new VirtualClock();
+  const clock = new VirtualClock(START_MS);
   const control = createRolloutControl({
     self: { host: "a" },
     clock,
@@ -61,7 +64,7 @@
       onCallCompleted: createEmitter<CallRecord>().event,
     } as unknown as Gate,
     sync: { reachesStore: true },
-    members: () => [],
+    members: () => members,
     coordinators: () => coordinators,
     isStopping: () => false,
     onProgress() {},
@@ -147,3 +150,45 @@
     });
   }
 });
+
+// Guards against a bad version that nobody evaluates because the evidence of a large fleet comes seldom.
+describe("an evaluator leaves out the evidence of hosts that are not heard from", () => {
+  const cases = [
+    { hosts: 200, age: 4_000, isUsed: true },
+    { hosts: 200, age: 8_000, isUsed: false },
+    { hosts: 1_000, age: 8_000, isUsed: true },
+  ];
+  for (const { hosts, age, isUsed } of cases) {
+    test(`${hosts} hosts, heard from ${age} ms ago`, async () => {
+      const members = Array.from({ length: hosts }, (_, index) => {
+        const isTarget = index % 10 === 0;
+        return {
+          host: `host-${index}`,
+          status: {
+            instance: {
+              service: "booking",
+              version: isTarget ? "v2" : "v1",
+              isServing: true,
+            },
+            evidence: [{
+              route: "lookup",
+              calls: 20,
+              failures: isTarget ? 10 : 0,
+              warmMilliseconds: 0,
+              warmCalls: 0,
+            }],
+          },
+          receivedAt: START_MS - age,
+        } as unknown as FleetMember;
+      });
+      const { control, run } = startLeader([], [SELF], members);
+      control.addOrder(ORDER, { offset: OFFSET, mayPredateStart: false });
+      await run();
+      assert.equal(
+        control.registry.find("booking")?.state,
+        isUsed ? "reverted" : "running",
+      );
+      control.dispose();
+    });
+  }
+});
