--- a/src/features/rollout/common/rollout_registry.ts
+++ b/src/features/rollout/common/rollout_registry.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks the rollouts that a daemon knows and decides which versions of a service may run a call.
  *
- * Each daemon evaluates the evidence. The leader of a rollout advances its steps, and the others adopt
+ * The evaluators get the evidence of all daemons and evaluate it. The leader of a rollout advances its steps, and the others adopt
  * the latest step that they receive. A revert decision is adopted immediately from any daemon.
  *
  * @module
