--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -6,6 +6,7 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type {
+  AccountName,
   RouteName,
   ServiceName,
   ServiceVersion,
@@ -28,6 +29,8 @@
   readonly headerLines: string;
   readonly body: Uint8Array;
   readonly callerService: ServiceName;
+  /** The client account of the call, or of the call for which the instance makes it. */
+  readonly account?: AccountName;
   readonly isNested: boolean;
   readonly rank: number;
   readonly objectiveInMilliseconds: Milliseconds;
@@ -58,6 +61,11 @@
   readonly relativeServiceTime: number;
   /** The fraction of recent calls that the instance failed or refused, 0 to 1. */
   readonly failureRate: number;
+  /**
+   * How long work takes on the instance's host at this moment, relative to usual; undefined if the instance
+   * does not report it or the report is too old.
+   */
+  readonly currentServiceTime?: number;
 }
 
 /** The failure reason of a call that was aborted at its deadline. */
--- a/src/features/gate/common/gate_fixture.ts
+++ b/src/features/gate/common/gate_fixture.ts
@@ -14,6 +14,8 @@
   deadline: "x-deadline",
   expectedInstance: "x-instance",
   callerService: "x-caller",
+  clientKey: "x-client-key",
+  clientAccount: "x-client-account",
   notRun: "x-refused",
 };
 
--- a/src/features/gate/common/instance_notices.ts
+++ b/src/features/gate/common/instance_notices.ts
@@ -10,6 +10,8 @@
    * or `unknown` if it names one that cannot be used.
    */
   readonly rateLimit: number | "none" | "unknown";
+  /** How long work takes on the instance's host at this moment, relative to usual. */
+  readonly currentServiceTime?: number;
   /** Whether the instance is about to leave and takes no new requests. */
   readonly isLeaving: boolean;
   /** Why a notice cannot be used. */
--- a/src/features/gate/common/mesh_headers.ts
+++ b/src/features/gate/common/mesh_headers.ts
@@ -13,6 +13,10 @@
   readonly expectedInstance: string;
   /** The service of the host where the request originated. */
   readonly callerService: string;
+  /** The key of the client account; it is not forwarded. */
+  readonly clientKey: string;
+  /** The name of the client account, for the instance. */
+  readonly clientAccount: string;
   /** Response header: the instance did not run the request. */
   readonly notRun: string;
 }
--- a/src/programs/node/mesh_platform.ts
+++ b/src/programs/node/mesh_platform.ts
@@ -7,6 +7,7 @@
 
 import type { HttpHandler } from "../../base/node/http_server.ts";
 import type {
+  EvacuationOrder,
   MeshConfiguration,
   RolloutOrder,
 } from "../../world/common/mesh_configuration.ts";
@@ -26,6 +27,7 @@
     readonly configuration: MeshConfiguration;
   }
   | { readonly type: "rollout"; readonly order: RolloutOrder }
+  | { readonly type: "evacuation"; readonly order: EvacuationOrder }
   | { readonly type: "unknown" }
   | { readonly type: "invalid"; readonly reason: string };
 
--- a/src/world/common/mesh_configuration.ts
+++ b/src/world/common/mesh_configuration.ts
@@ -6,7 +6,14 @@
  */
 
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
-import type { RouteName, ServiceName, ServiceVersion } from "./names.ts";
+import type { ClientAccount } from "./client_account.ts";
+import type {
+  AccountName,
+  FailureDomainName,
+  RouteName,
+  ServiceName,
+  ServiceVersion,
+} from "./names.ts";
 
 /** Whether a call may be retried: a `safe` call may run again, an `unsafe` call or an `upload` must not. */
 export type RouteKind = "safe" | "unsafe" | "upload";
@@ -34,11 +41,23 @@
   readonly maximumInstances: number;
   /** At least one entry with a weight above 0. */
   readonly targets: readonly WeightedService[];
+  /** Whether clients may call the route without the key of an account. */
+  readonly isPublic?: boolean;
+}
+
+/** What an instance of a service takes while it is cold. */
+export interface ColdStartLimit {
+  /** How long an instance is cold after its start. */
+  readonly durationMilliseconds: Milliseconds;
+  /** The requests that a cold instance tolerates; it fails at a rate well above. */
+  readonly requestsPerSecond: number;
 }
 
 export interface MeshService {
   readonly name: ServiceName;
   readonly maximumConnections: number;
+  /** Undefined if a cold instance is only slower. */
+  readonly coldStart?: ColdStartLimit;
 }
 
 export interface CallerLimits {
@@ -54,6 +73,14 @@
   readonly routes: readonly MeshRoute[];
   readonly services: ReadonlyMap<ServiceName, MeshService>;
   readonly limits: CallerLimits;
+  /** Undefined if callers need no key. */
+  readonly accounts?: ReadonlyMap<AccountName, ClientAccount>;
+}
+
+/** An operator's order to send no calls to the instances of a failure domain, or its end. */
+export interface EvacuationOrder {
+  readonly failureDomain: FailureDomainName;
+  readonly isActive: boolean;
 }
 
 /** An operator's order to move the traffic of a service to another version. */
--- a/src/world/common/names.ts
+++ b/src/world/common/names.ts
@@ -7,6 +7,8 @@
 export type HostName = string;
 export type FailureDomainName = string;
 export type CustomerName = string;
+/** A client account of a mesh. */
+export type AccountName = string;
 export type ServiceName = string;
 export type ServiceVersion = string;
 export type RouteName = string;
