Split the gate by the steps of a call

Admission, dispatch, evaluation of exchanges and idle connections are files of their own, and what is known of the instance is a pure module (instance_condition.ts). The 206 tests of the gate pass as before.

--- /dev/null
+++ b/src/features/gate/common/instance_condition.ts
@@ -0,0 +1,146 @@
+/**
+ * What the gate knows of its instance: its last report, whether it can be reached, what it takes at a time,
+ * and how fast and how reliably it has served.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
+import type { RouteName } from "../../../world/common/names.ts";
+import { createFailureRate, type FailureRate } from "./failure_rate.ts";
+import type { GateRequest } from "./gate_call.ts";
+import {
+  createInstanceRateLimit,
+  type InstanceRateLimit,
+} from "./instance_rate_limit.ts";
+import {
+  createInstanceTracker,
+  type InstanceTracker,
+} from "./instance_tracker.ts";
+import { createMovingAverages } from "./moving_averages.ts";
+import {
+  createRelativeServiceTime,
+  type RelativeServiceTime,
+} from "./relative_service_time.ts";
+
+/** The assumed service time before any call has completed. */
+const INITIAL_MEAN_MS: Milliseconds = 50;
+const SMOOTHING_FACTOR = 0.05;
+/** How long the instance counts as unreachable after a failed connection. */
+const UNREACHABLE_MS: Milliseconds = 300;
+/** The number of heartbeats that may be missed before the instance counts as lost. */
+const MAXIMUM_MISSED_HEARTBEATS = 3;
+
+export interface InstanceCondition {
+  readonly tracker: InstanceTracker;
+  readonly rateLimit: InstanceRateLimit;
+  readonly relativeServiceTime: RelativeServiceTime;
+  readonly failureRate: FailureRate;
+  readonly meanServiceTime: Milliseconds;
+  /** When the cold start of the instance ends. */
+  readonly coldUntil: Milliseconds;
+  readonly lastReportAt: Milliseconds;
+  readonly isServing: boolean;
+  /** The calls that the instance handles concurrently. */
+  readonly limit: number;
+  /** The calls that the instance can run at a time within its slots and its rate limit; may be below 1. */
+  readonly capacity: number;
+  /** The expected service time of a call at this instance. */
+  expectServiceTime(request: GateRequest, now: Milliseconds): Milliseconds;
+  /** Records the duration of a call that the instance has served. */
+  recordServed(
+    route: RouteName,
+    duration: Milliseconds,
+    meanServiceMilliseconds: Milliseconds,
+    now: Milliseconds,
+  ): void;
+  recordReport(report: InstanceReport, now: Milliseconds): void;
+  /** Forgets what was measured of the instance before. */
+  handleNewInstance(report: InstanceReport, now: Milliseconds): void;
+  markUnreachable(now: Milliseconds): void;
+}
+
+export function createInstanceCondition(
+  { clock, heartbeatMilliseconds }: {
+    readonly clock: Clock;
+    readonly heartbeatMilliseconds: Milliseconds;
+  },
+): InstanceCondition {
+  const tracker = createInstanceTracker();
+  const rateLimit = createInstanceRateLimit();
+  const serviceTimes = createMovingAverages();
+  let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
+  let relativeServiceTime = createRelativeServiceTime();
+  let failureRate = createFailureRate();
+  let lastReportAt = -Infinity;
+  let coldUntil: Milliseconds = 0;
+  let unreachableUntil = -Infinity;
+
+  function limit(): number {
+    return tracker.instance?.slots ?? 0;
+  }
+
+  return {
+    tracker,
+    rateLimit,
+    get relativeServiceTime() {
+      return relativeServiceTime;
+    },
+    get failureRate() {
+      return failureRate;
+    },
+    get meanServiceTime() {
+      return meanServiceTime;
+    },
+    get coldUntil() {
+      return coldUntil;
+    },
+    get lastReportAt() {
+      return lastReportAt;
+    },
+    get isServing() {
+      const now = clock.now();
+      return tracker.instance?.state === "ready" && now >= unreachableUntil &&
+        now - lastReportAt <
+          (MAXIMUM_MISSED_HEARTBEATS + 0.5) * heartbeatMilliseconds;
+    },
+    get limit() {
+      return limit();
+    },
+    get capacity() {
+      const { rate } = rateLimit;
+      return rate.limit === undefined
+        ? limit()
+        : Math.min(limit(), rate.limit * meanServiceTime / 1_000);
+    },
+    expectServiceTime: ({ route, meanServiceMilliseconds }, now) =>
+      serviceTimes.averageOf(
+        route,
+        meanServiceMilliseconds * relativeServiceTime.current(now),
+      ),
+    recordServed(route, duration, meanServiceMilliseconds, now) {
+      serviceTimes.record(route, duration);
+      meanServiceTime += SMOOTHING_FACTOR * (duration - meanServiceTime);
+      relativeServiceTime.recordAnswered(
+        duration,
+        meanServiceMilliseconds,
+        now,
+      );
+    },
+    recordReport(report, now) {
+      lastReportAt = now;
+      coldUntil = now + report.coldForMilliseconds;
+    },
+    handleNewInstance(report, now) {
+      unreachableUntil = -Infinity;
+      relativeServiceTime = createRelativeServiceTime();
+      failureRate = createFailureRate();
+      rateLimit.handleNewInstance(report, now);
+    },
+    markUnreachable(now) {
+      unreachableUntil = now + UNREACHABLE_MS;
+    },
+  };
+}
--- /dev/null
+++ b/src/features/gate/node/call_admission.ts
@@ -0,0 +1,260 @@
+/**
+ * Admits offered calls: starts, queues or refuses them, and starts queued calls when there is room.
+ *
+ * @module
+ */
+
+import type { Disposable } from "../../../base/common/disposable.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
+import {
+  decideAdmission,
+  estimateQueueWait,
+} from "../common/admission_decision.ts";
+import { createCallQueue, isDeadlineUnmeetable } from "../common/call_queue.ts";
+import type { CallHandle } from "../common/gate.ts";
+import type {
+  GateOutcome,
+  GateRequest,
+  RefusalReason,
+} from "../common/gate_call.ts";
+import {
+  canRun,
+  createGateCall,
+  type GateCall,
+} from "../common/gate_call_state.ts";
+import type { InstanceCondition } from "../common/instance_condition.ts";
+import { createPriorityLoad } from "../common/priority_load.ts";
+import { type CallDispatch, runStep } from "./call_dispatch.ts";
+import type { GateOptions } from "./gate_options.ts";
+
+/** The interval of the checks for queued calls that can no longer meet their deadline. */
+const SWEEP_INTERVAL_MS: Milliseconds = 40;
+
+export interface CallAdmission extends Disposable {
+  /** The number of queued calls. */
+  readonly waiting: number;
+  offer(
+    request: GateRequest,
+    settle: (outcome: GateOutcome) => void,
+  ): CallHandle;
+  /** Starts queued calls while there is room; called when a slot may be free. */
+  startQueued(): void;
+  refuseQueued(reason: RefusalReason): void;
+  /** Refuses the queued calls that the instance cannot run; they were accepted for the one before it. */
+  refuseQueuedForOthers(instance: InstanceReport): void;
+  /** Returns the number of offers refused with the reason `full` since the last call. */
+  takeRefusedCount(): number;
+}
+
+export function createCallAdmission(
+  { clock, log, afterStall }: GateOptions,
+  { condition, dispatch }: {
+    readonly condition: InstanceCondition;
+    readonly dispatch: () => CallDispatch;
+  },
+): CallAdmission {
+  const queue = createCallQueue<GateCall>();
+  const priorityLoad = createPriorityLoad();
+  const requestRate = condition.rateLimit.rate;
+  let sweepTimer: Disposable | undefined;
+  let rateTimer: Disposable | undefined;
+  let refusedCount = 0;
+
+  function describeLoad(call: GateCall, ahead: number, now: Milliseconds) {
+    return {
+      limit: condition.limit,
+      meanMilliseconds: condition.meanServiceTime,
+      running: dispatch().running.size,
+      ahead,
+      rateWait: requestRate.timeUntil(ahead + 1, now),
+      higherPriorityLoad: priorityLoad.estimateHigherPriorityLoad(
+        call,
+        {
+          limit: condition.capacity,
+          meanMilliseconds: condition.meanServiceTime,
+        },
+        now,
+      ),
+    };
+  }
+
+  function sweep(): void {
+    sweepTimer = undefined;
+    const now = clock.now();
+    const unmeetable = queue.removeUnmeetableAfterWait(
+      now,
+      (call, ahead) => estimateQueueWait(describeLoad(call, ahead, now)),
+    );
+    for (const call of unmeetable) {
+      refuse(call, "hopeless", condition.meanServiceTime);
+    }
+    scheduleSweep();
+  }
+
+  /** The timer runs only while calls are queued, so that it doesn't wake an idle process. */
+  function scheduleSweep(): void {
+    if (queue.size > 0) {
+      sweepTimer ??= clock.schedule(SWEEP_INTERVAL_MS, sweep);
+    }
+  }
+
+  function offer(
+    request: GateRequest,
+    settle: (outcome: GateOutcome) => void,
+  ): CallHandle {
+    const now = clock.now();
+    const call = createGateCall({
+      request,
+      settle,
+      expectedMilliseconds: condition.expectServiceTime(request, now),
+      now,
+    });
+    const refusalReason = findRefusalReason(request);
+    if (refusalReason !== undefined) {
+      refuse(call, refusalReason);
+      return { cancel() {} };
+    }
+    const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
+    const decision = decideAdmission(
+      call,
+      describeLoad(call, ahead, now),
+      now,
+    );
+    if (decision.type !== "refuse") {
+      priorityLoad.record(call, now);
+    }
+    switch (decision.type) {
+      case "refuse":
+        refusedCount += 1;
+        refuse(call, "full", decision.retryAfter);
+        break;
+      case "start":
+        dispatch().start(call);
+        break;
+      case "wait":
+        queue.enqueue(call);
+        scheduleDeadlineCheck(call, now);
+        scheduleSweep();
+        if (requestRate.limit !== undefined) {
+          scheduleRateWait(requestRate.timeUntil(1, now));
+        }
+        break;
+    }
+    return { cancel: () => cancel(call) };
+  }
+
+  function findRefusalReason(request: GateRequest): RefusalReason | undefined {
+    const { instance } = condition.tracker;
+    if (instance === undefined) {
+      return "no-instance";
+    }
+    if (instance.state !== "ready") {
+      return "leaving";
+    }
+    if (!canRun(instance, request)) {
+      return "other-service";
+    }
+    return condition.isServing ? undefined : "unreachable";
+  }
+
+  function scheduleDeadlineCheck(call: GateCall, now: Milliseconds): void {
+    const delay = call.deadlineAt - now - call.expectedMilliseconds / 2;
+    call.timer = clock.schedule(Math.max(0, delay) + 1, () => {
+      if (call.state === "waiting" && isDeadlineUnmeetable(call, clock.now())) {
+        queue.remove(call.identity);
+        refuse(call, "hopeless", condition.meanServiceTime);
+      }
+    });
+  }
+
+  function startWaiting(): void {
+    while (queue.size > 0 && dispatch().running.size < condition.limit) {
+      const now = clock.now();
+      for (const unmeetable of queue.removeUnmeetable(now)) {
+        refuse(unmeetable, "hopeless", condition.meanServiceTime);
+      }
+      const rateWait = requestRate.timeUntil(1, now);
+      if (rateWait > 0) {
+        scheduleRateWait(rateWait);
+        return;
+      }
+      const next = queue.dequeue(now);
+      if (next !== undefined) {
+        dispatch().start(next);
+      }
+    }
+  }
+
+  function scheduleRateWait(delay: Milliseconds): void {
+    rateTimer ??= clock.schedule(delay, () => {
+      rateTimer = undefined;
+      startWaiting();
+    });
+  }
+
+  function refuse(
+    call: GateCall,
+    reason: RefusalReason,
+    retryAfter: Milliseconds = 0,
+  ): void {
+    call.timer?.dispose();
+    call.state = "ended";
+    runStep(log, call, () =>
+      call.settle({
+        type: "refused",
+        reason,
+        retryAfter,
+        reachedInstance: false,
+      }));
+  }
+
+  function refuseQueued(reason: RefusalReason): void {
+    for (const call of queue.removeAll()) {
+      refuse(call, reason);
+    }
+  }
+
+  function cancel(call: GateCall): void {
+    if (call.state === "waiting") {
+      queue.remove(call.identity);
+      refuse(call, "cancelled");
+    } else if (call.state === "running") {
+      call.isCancelled = true;
+      call.connection?.dispose();
+    }
+  }
+
+  function refuseQueuedForOthers(instance: InstanceReport): void {
+    const others = queue.removeWhere(({ request }) =>
+      !canRun(instance, request)
+    );
+    for (const call of others) {
+      refuse(call, "other-service");
+    }
+  }
+
+  return {
+    get waiting() {
+      return queue.size;
+    },
+    offer,
+    startQueued() {
+      if (queue.size > 0) {
+        afterStall(startWaiting);
+      }
+    },
+    refuseQueued,
+    refuseQueuedForOthers,
+    takeRefusedCount() {
+      const count = refusedCount;
+      refusedCount = 0;
+      return count;
+    },
+    dispose() {
+      sweepTimer?.dispose();
+      rateTimer?.dispose();
+      refuseQueued("cancelled");
+    },
+  };
+}
--- /dev/null
+++ b/src/features/gate/node/gate_options.ts
@@ -0,0 +1,21 @@
+/**
+ * The options of a gate.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { InstanceNotices } from "../common/instance_notices.ts";
+import type { MeshHeaders } from "../common/mesh_headers.ts";
+
+export interface GateOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly headers: MeshHeaders;
+  readonly heartbeatMilliseconds: Milliseconds;
+  readonly readNotices: (rawHeaders: readonly string[]) => InstanceNotices;
+  /** Calls back immediately, or after an event loop stall once the input that arrived in it is processed. */
+  readonly afterStall: (callback: () => void) => void;
+}
