Identify callers by the keys of client accounts

Callers saw their key passed on to instances and no account named there: no key was read on this path. A configuration with accounts now makes every call that is neither public nor nested present a key of an account. The key is dropped, the instance gets the name of the account whatever the caller sent under that name, and an unknown key gets 401. Nested calls are bound to the account of their parent and take its priority. A daemon that has just started cannot know the parents of nested calls, so for 10 s a request without a key is refused as not run instead of 401, which would be final.

Off without accounts in the configuration. An offer carries the account as a sixteenth field only if it has one, so that daemons of other releases read all other offers.

--- a/src/base/layers_test.ts
+++ b/src/base/layers_test.ts
@@ -19,6 +19,8 @@
   "administration",
   "timeline",
   "operator",
+  "account",
+  "evacuation",
   "gate",
   "rollout",
   "fleet",
--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -12,7 +12,7 @@
   InstanceDeparture,
   InstanceReport,
 } from "../../../world/common/mesh_instance.ts";
-import type { RouteName } from "../../../world/common/names.ts";
+import type { AccountName, RouteName } from "../../../world/common/names.ts";
 import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
 import type { NamedRateLimit } from "./named_rate_limit.ts";
 import type { ReportOutcome } from "./instance_tracker.ts";
@@ -36,6 +36,7 @@
 /** A running call for which the instance makes a nested call. */
 export interface ParentCall {
   readonly rank: number;
+  readonly account: AccountName | undefined;
   /** Records that the nested call was refused. */
   recordNestedRefusal(): void;
 }
--- a/src/features/gate/common/gate_messages.ts
+++ b/src/features/gate/common/gate_messages.ts
@@ -44,6 +44,8 @@
 }
 
 const OFFER_LENGTH = 15;
+/** The account follows only if the call has one, so that daemons of other releases read other offers. */
+const OFFER_LENGTH_WITH_ACCOUNT = 16;
 const LOAD_LENGTH = 5;
 /** The relative service time and the failure rate are encoded in hundredths. */
 const RATIO_SCALE = 100;
@@ -71,6 +73,7 @@
       request.objectiveInMilliseconds,
       request.deadlineInMilliseconds,
       request.meanServiceMilliseconds,
+      ...(request.account === undefined ? [] : [request.account]),
     ],
   };
 }
@@ -79,7 +82,8 @@
 export function decodeOffer(message: LinkMessage): DecodedOffer | undefined {
   const { row, sentAt } = message as Partial<OfferMessage>;
   if (
-    !Array.isArray(row) || row.length !== OFFER_LENGTH ||
+    !Array.isArray(row) ||
+    (row.length !== OFFER_LENGTH && row.length !== OFFER_LENGTH_WITH_ACCOUNT) ||
     typeof sentAt !== "number"
   ) {
     return undefined;
@@ -88,7 +92,7 @@
     row;
   const [target, headerLines, body, callerService, isNested, rank, ...times] =
     rest;
-  const [objective, deadline, usual] = times;
+  const [objective, deadline, usual, account] = times;
   const request: GateRequest = {
     identity,
     requestIdentity,
@@ -105,6 +109,7 @@
     objectiveInMilliseconds: objective,
     deadlineInMilliseconds: deadline,
     meanServiceMilliseconds: usual,
+    ...(account === undefined ? {} : { account }),
   };
   return { request, sentAt };
 }
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -135,6 +135,7 @@
       ) {
         return {
           rank: call.rank,
+          account: request.account,
           recordNestedRefusal() {
             call.wasNestedRefused = true;
           },
--- a/src/features/ingress/node/call_offers.ts
+++ b/src/features/ingress/node/call_offers.ts
@@ -67,8 +67,26 @@
     "content-length",
     "expect",
   ]);
+  /** Where callers have keys, the instance learns the account from the daemon only. */
+  const droppedAccountHeaders = new Set([
+    ...droppedHeaders,
+    headers.clientKey,
+    headers.clientAccount,
+  ]);
   let lastOfferNumber = 0;
 
+  function formatForwardedHeaders(call: IngressCall): string {
+    const { rawHeaders } = call.request;
+    if (options.accounts() === undefined) {
+      return formatHeaderLines(copyEndToEndHeaders(rawHeaders, droppedHeaders));
+    }
+    const kept = copyEndToEndHeaders(rawHeaders, droppedAccountHeaders);
+    if (call.account !== undefined) {
+      kept.push(headers.clientAccount, call.account);
+    }
+    return formatHeaderLines(kept);
+  }
+
   function timeLeftFor(call: IngressCall, now: Milliseconds): Milliseconds {
     return Math.min(call.deadlineAt - now, options.timeUntilStopped());
   }
@@ -112,11 +130,10 @@
         route: call.route.name,
         method: call.request.method ?? "GET",
         target: call.request.url ?? "/",
-        headerLines: formatHeaderLines(
-          copyEndToEndHeaders(call.request.rawHeaders, droppedHeaders),
-        ),
+        headerLines: formatForwardedHeaders(call),
         body: call.body,
         callerService: options.callerService(),
+        ...(call.account === undefined ? {} : { account: call.account }),
         isNested: call.parent !== undefined,
         rank: call.rank,
         objectiveInMilliseconds: call.arrivedAt +
--- a/src/features/ingress/node/call_start.ts
+++ b/src/features/ingress/node/call_start.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { MeshRoute } from "../../../world/common/mesh_configuration.ts";
+import type { CallerIdentity } from "../../account/common/caller_identification.ts";
 import { createNotRunReply } from "../common/local_reply.ts";
 import {
   type BodyReservation,
@@ -26,6 +27,7 @@
 export interface AcceptedRequest {
   readonly identity: string;
   readonly route: MeshRoute;
+  readonly caller: CallerIdentity;
   /** How long the request may have waited for the event loop of this process. */
   readonly delay: Milliseconds;
 }
@@ -57,7 +59,7 @@
   function beginCall(
     request: IncomingMessage,
     response: ServerResponse,
-    { identity, route, delay }: AcceptedRequest,
+    { identity, route, caller, delay }: AcceptedRequest,
   ): void {
     const arrivedAt = clock.now() - delay;
     const clientTimeout = Number(request.headers[headers.deadline] ?? NaN);
@@ -74,7 +76,6 @@
       return;
     }
     const service = chooseService(route, options.random);
-    const parent = options.findParent(identity);
     const call: IngressCall = {
       request,
       response,
@@ -84,8 +85,9 @@
       versionPreference: options.chooseVersion(service, identity),
       arrivedAt,
       deadlineAt: arrivedAt + timeout,
-      parent,
-      rank: Math.max(route.rank, parent?.rank ?? route.rank),
+      parent: options.findParent(identity),
+      account: caller.account,
+      rank: caller.rank,
       offeredHosts: new Set(),
       body: Buffer.alloc(0),
       pendingOffers: new Set(),
--- a/src/features/ingress/node/ingress_call.ts
+++ b/src/features/ingress/node/ingress_call.ts
@@ -8,7 +8,11 @@
 import type { Disposable } from "../../../base/common/disposable.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { MeshRoute } from "../../../world/common/mesh_configuration.ts";
-import type { HostName, ServiceName } from "../../../world/common/names.ts";
+import type {
+  AccountName,
+  HostName,
+  ServiceName,
+} from "../../../world/common/names.ts";
 import type { CallHandle, ParentCall } from "../../gate/common/gate.ts";
 import type { VersionPreference } from "../../rollout/common/rollout_registry.ts";
 
@@ -31,6 +35,8 @@
   readonly arrivedAt: Milliseconds;
   readonly deadlineAt: Milliseconds;
   readonly parent: ParentCall | undefined;
+  /** The account of the caller, or of the parent of a nested call; undefined without accounts. */
+  readonly account: AccountName | undefined;
   /** Priority rank, 0 is the most urgent; a nested call is never more urgent than its parent. */
   readonly rank: number;
   readonly offeredHosts: Set<HostName>;
--- a/src/features/ingress/node/ingress_fixture.ts
+++ b/src/features/ingress/node/ingress_fixture.ts
@@ -13,6 +13,9 @@
 import { createIngress } from "./ingress.ts";
 import type { Ingress, IngressOptions } from "./ingress_options.ts";
 
+/** The daemon has been running for longer than calls last. */
+const FIXTURE_UPTIME_MS = 60_000;
+
 export const FIXTURE_INGRESS_HOST = "a-1";
 
 export const FIXTURE_ROUTE: MeshRoute = {
@@ -31,7 +34,13 @@
   Partial<
     Pick<
       IngressOptions,
-      "routes" | "candidates" | "hostDelays" | "chooseVersion"
+      | "routes"
+      | "candidates"
+      | "hostDelays"
+      | "chooseVersion"
+      | "accounts"
+      | "uptime"
+      | "findParent"
     >
   > {
   readonly log?: EventLog;
@@ -64,6 +73,8 @@
     limits: () => undefined,
     candidates: () => listFixtureCandidates(gateHost),
     hostDelays: { record() {} },
+    accounts: () => undefined,
+    uptime: () => FIXTURE_UPTIME_MS,
     findParent: () => undefined,
     loopDelay: () => 0,
     stopPhase: () => "serving",
--- a/src/features/ingress/node/ingress_options.ts
+++ b/src/features/ingress/node/ingress_options.ts
@@ -17,6 +17,7 @@
 } from "../../../world/common/mesh_configuration.ts";
 import type { HostName, ServiceName } from "../../../world/common/names.ts";
 import type { ParentCall } from "../../gate/common/gate.ts";
+import type { AccountDirectory } from "../../account/common/account_directory.ts";
 import type { GateClient } from "../../gate/common/gate_client.ts";
 import type { MeshHeaders } from "../../gate/common/mesh_headers.ts";
 import type { HostDelays } from "../../placement/common/host_delays.ts";
@@ -38,6 +39,10 @@
   readonly callerService: () => ServiceName;
   /** Undefined until a configuration is known to be the latest. */
   readonly routes: () => HostRoutes | undefined;
+  /** Undefined if callers need no key. */
+  readonly accounts: () => AccountDirectory | undefined;
+  /** Time since the start of the daemon. */
+  readonly uptime: () => Milliseconds;
   readonly limits: () => CallerLimits | undefined;
   readonly candidates: (service: ServiceName) => readonly VersionedCandidate[];
   readonly hostDelays: Pick<HostDelays, "record">;
--- a/src/features/ingress/node/request_acceptance.ts
+++ b/src/features/ingress/node/request_acceptance.ts
@@ -11,6 +11,10 @@
   runAfterPendingEvents,
   STALL_THRESHOLD_MS,
 } from "../../../base/node/loop_delay.ts";
+import {
+  type CallerIdentification,
+  identifyCaller,
+} from "../../account/common/caller_identification.ts";
 import { createNotRunReply } from "../common/local_reply.ts";
 import type { RouteMeasurements } from "../common/route_measurements.ts";
 import { admitsCall, canEndBeforeStop } from "../common/stop_plan.ts";
@@ -76,8 +80,8 @@
       });
       return;
     }
-    const isNested = options.findParent(identity) !== undefined;
-    if (!admitsCall(options.stopPhase(), { isNested })) {
+    const parent = options.findParent(identity);
+    if (!admitsCall(options.stopPhase(), { isNested: parent !== undefined })) {
       refusals.refuseWithoutBody(request, response, {
         reason: "stopping",
         message: "The daemon is stopping",
@@ -103,6 +107,17 @@
       });
       return;
     }
+    const caller = identifyCaller({
+      directory: options.accounts(),
+      key: readHeader(request, headers.clientKey),
+      route,
+      parent,
+      uptime: options.uptime(),
+    });
+    if (caller.type !== "identified") {
+      refuseCaller(request, response, { identity, caller });
+      return;
+    }
     if (
       !canEndBeforeStop(
         measurements.meanServiceTime(route),
@@ -120,7 +135,12 @@
     const isStalled = delay >= STALL_THRESHOLD_MS;
     const mayBeStale = isStalled || isOnNewConnection(request);
     if (!mayBeStale) {
-      callStart.beginCall(request, response, { identity, route, delay: 0 });
+      callStart.beginCall(request, response, {
+        identity,
+        route,
+        caller,
+        delay: 0,
+      });
       return;
     }
     // The client may have disconnected; the end of its connection is then read right after the request.
@@ -140,6 +160,7 @@
             callStart.beginCall(request, response, {
               identity,
               route,
+              caller,
               delay: isStalled ? delay : 0,
             }),
         );
@@ -147,6 +168,35 @@
     });
   }
 
+  function refuseCaller(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { identity, caller }: {
+      readonly identity: string;
+      readonly caller: Exclude<CallerIdentification, { type: "identified" }>;
+    },
+  ): void {
+    if (caller.type === "unknown-parent") {
+      refusals.refuseWithoutBody(request, response, {
+        reason: "unknown-parent",
+        message: "The call for which this call is made is not known",
+      });
+      return;
+    }
+    // The key itself is a secret.
+    log.write("info", "call.unauthorized", {
+      request: identity,
+      reason: caller.reason,
+    });
+    request.resume();
+    ending.reply(request, response, {
+      status: 401,
+      message: caller.reason === "no-key"
+        ? `The request has no ${headers.clientKey} header`
+        : "The key belongs to no account",
+    });
+  }
+
   function isOnNewConnection({ socket }: IncomingMessage): boolean {
     const isNew = !knownConnections.has(socket);
     knownConnections.add(socket);
@@ -158,3 +208,12 @@
       runFirstStep(request, response, () => accept(request, response)),
   };
 }
+
+/** Returns the value of a header; several values belong to no account, so they are joined. */
+function readHeader(
+  { headers }: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value.join(", ") : value;
+}
--- a/src/features/ingress/node/request_refusals.ts
+++ b/src/features/ingress/node/request_refusals.ts
@@ -12,7 +12,12 @@
 
 /** A refusal by the ingress itself, before the call is offered to a gate. */
 export interface RefusalDetails {
-  readonly reason: "stopping" | "not-ready" | "stale" | "no-memory";
+  readonly reason:
+    | "stopping"
+    | "not-ready"
+    | "unknown-parent"
+    | "stale"
+    | "no-memory";
   readonly retryAfter: Milliseconds;
   readonly delay?: Milliseconds;
 }
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -268,6 +268,8 @@
     processIdentity: processName,
     callerService: () => settings.service,
     routes: () => state.routes,
+    accounts: () => state.accounts,
+    uptime: () => clock.now() - startedAt,
     limits: () => state.configuration?.limits,
     candidates: (service) =>
       listCandidates(service, {
--- a/src/programs/node/mesh_state.ts
+++ b/src/programs/node/mesh_state.ts
@@ -11,6 +11,10 @@
   MeshConfiguration,
   RolloutOrder,
 } from "../../world/common/mesh_configuration.ts";
+import {
+  type AccountDirectory,
+  buildAccountDirectory,
+} from "../../features/account/common/account_directory.ts";
 import type { OperatorRecord } from "../../features/operator/common/operator_records.ts";
 import {
   buildHostRoutes,
@@ -26,6 +30,8 @@
 export interface MeshState {
   readonly configuration: MeshConfiguration | undefined;
   readonly routes: HostRoutes | undefined;
+  /** Undefined if callers need no key. */
+  readonly accounts: AccountDirectory | undefined;
   readonly onConfiguration: Event<MeshConfiguration>;
   /** Applies records of the operator and returns the rollout orders among them. */
   apply(records: readonly OperatorRecord[]): readonly ReceivedOrder[];
@@ -40,6 +46,7 @@
   const configurationEmitter = createEmitter<MeshConfiguration>();
   let configuration: MeshConfiguration | undefined;
   let routes: HostRoutes | undefined;
+  let accounts: AccountDirectory | undefined;
 
   function applyConfiguration(next: MeshConfiguration, offset: number): void {
     const isNewer = configuration === undefined ||
@@ -49,11 +56,13 @@
       offset,
       replaces: configuration?.version,
       routes: next.routes.length,
+      accounts: next.accounts?.size,
       outcome: isNewer ? "in-force" : "older",
     });
     if (isNewer) {
       configuration = next;
       routes = buildHostRoutes(next);
+      accounts = buildAccountDirectory(next);
       configurationEmitter.fire(next);
     }
   }
@@ -87,6 +96,9 @@
     get routes() {
       return routes;
     },
+    get accounts() {
+      return accounts;
+    },
     onConfiguration: configurationEmitter.event,
     apply: (records) =>
       records.map(applyRecord).filter((placed) => placed !== undefined),
