Check responses without a length to uploads for a later reset

Callers got a part of a response as complete: an instance that has not read an upload answers without a length, ends its side of the connection and resets it 2 ms later. The one write that tells a reset from an orderly end came before the reset. Now the response is a failure while a part of the request is unsent, and is checked 40 ms after the end otherwise.

Responses with a length are delivered as before.

--- a/src/features/gate/node/instance_connection.ts
+++ b/src/features/gate/node/instance_connection.ts
@@ -25,6 +25,8 @@
 const IDLE_MARGIN_MS: Milliseconds = 1_500;
 /** The assumed idle timeout of an instance that doesn't announce one. */
 const DEFAULT_IDLE_TIMEOUT_MS: Milliseconds = 5_000;
+/** How long after the end of its side an instance may reset a connection whose request it has not read. */
+const RESET_DELAY_MS: Milliseconds = 40;
 const KEEP_ALIVE_TIMEOUT = /timeout\s*=\s*(\d+)/i;
 
 export interface InstanceRequest {
@@ -77,6 +79,7 @@
   let closed = false;
   let idleTimeout: Milliseconds = DEFAULT_IDLE_TIMEOUT_MS;
   let idleSince: Milliseconds = clock.now();
+  let confirmationTimer: Disposable | undefined;
 
   const decoder = createResponseDecoder({
     isHeadRequest: () => current?.request.isHead ?? false,
@@ -124,8 +127,25 @@
   /**
    * A close-delimited response is complete only after an orderly close. A reset can be reported as `end`
    * too; only a write distinguishes the two. Servers ignore the empty line (RFC 9112, section 2.2).
+   *
+   * An instance that has not read the whole request may end its side first and reset the connection then, so
+   * the response to a request with a body is checked somewhat later: a write would fail after the reset.
+   * There is one write only, because the instance resets the connection on a write after it has closed it.
    */
   function finishCloseDelimited(): void {
+    if (socket.writableLength > 0) {
+      close("the connection ended before the request was sent");
+    } else if (current!.request.body.length > 0) {
+      confirmationTimer = clock.schedule(
+        RESET_DELAY_MS,
+        completeUnlessReset,
+      );
+    } else {
+      completeUnlessReset();
+    }
+  }
+
+  function completeUnlessReset(): void {
     socket.write("\r\n", (error) => {
       if (!closed && (error === undefined || error === null)) {
         handleResult(decoder.finish(), "the connection ended");
@@ -236,6 +256,7 @@
     }
     closed = true;
     connectTimer.dispose();
+    confirmationTimer?.dispose();
     socket.destroy();
     const sent = current?.sent ?? false;
     decoder.discard();
