--- a/src/features/gate/common/admission_decision.ts
+++ b/src/features/gate/common/admission_decision.ts
@@ -25,6 +25,8 @@
   readonly higherPriorityLoad?: number;
   /** The time until the rate limit of the instance allows this call and those before it; 0 when absent. */
   readonly rateWait?: Milliseconds;
+  /** The time until a slot is free that is not kept for more urgent calls; 0 when absent. */
+  readonly reservedWait?: Milliseconds;
 }
 
 /** The minimum fraction of the capacity assumed for a call, because high-priority load is bursty. */
@@ -34,7 +36,7 @@
  * Service times vary widely. If calls were admitted on the mean service time alone, every other call
  * would miss its objective. About one call in eight takes longer than this multiple of the mean.
  */
-const SERVICE_TIME_MARGIN_FACTOR = 1.6;
+export const SERVICE_TIME_MARGIN_FACTOR = 1.6;
 
 /** Whether most calls of this mean service time end within the time. */
 export function usuallyEndsWithin(
@@ -56,8 +58,10 @@
     MINIMUM_CAPACITY_FRACTION,
     1 - (load.higherPriorityLoad ?? 0),
   );
-  return Math.max(estimateSlotWait(load), load.rateWait ?? 0) /
-    capacityFraction;
+  return Math.max(
+    Math.max(estimateSlotWait(load), load.rateWait ?? 0) / capacityFraction,
+    load.reservedWait ?? 0,
+  );
 }
 
 /** The time until a slot is free, without calls that arrive later. */
