Order queued calls by the slot time of their accounts

One account that sends 4.8 times its usual fills a queue that is ordered by due times. Start-time fair queueing over the accounts of a rank: priority, nested before new calls, account, due time. Deficit round robin was ruled out: it needs a quantum near the longest call, and positions of queued calls, which admission reads, are known only after the rounds.

The queue takes its order as a function; without one it orders by due time as before. State is bounded to 256 accounts of a rank, those idle for 10 s are forgotten.

--- /dev/null
+++ b/src/features/gate/common/account_shares.ts
@@ -0,0 +1,198 @@
+/**
+ * Shares the slot time of an instance among accounts (start-time fair queueing with equal weights).
+ *
+ * Load pattern: one account sends five times its usual number of calls. In order of due times it fills the
+ * queue and pushes out the calls of all others. Here each start of a call moves the virtual time of its
+ * account by the slot time that the call is expected to take, and the account that is behind goes first.
+ * An account that was idle gets no credit for that time. The shares are those within one rank: more
+ * urgent calls go first whoever makes them.
+ *
+ * Calls whose objective leaves no time to wait never enter the queue. For these, an account that has used
+ * more than twice the mean of the active accounts counts as above its share (`isAboveShare`).
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import {
+  compareCalls,
+  comparePriority,
+  type QueueableCall,
+} from "./call_queue.ts";
+
+/** Accounts with state of each rank; the one that started no call for longest is forgotten. */
+export const MAXIMUM_ACCOUNTS = 256;
+const MAXIMUM_RANKS = 64;
+/** An account without calls for this long is not active. */
+const IDLE_MS: Milliseconds = 10_000;
+/** Slot time decays to a third within this time; one gate serves each account a few times a second only. */
+const DECAY_MS: Milliseconds = 5_000;
+const ABOVE_SHARE_FACTOR = 2;
+/** Calls of equal accounts arrive at random; one in forty deviates by more than this many deviations. */
+const TOLERATED_DEVIATIONS = 2;
+
+interface AccountShare {
+  /** The virtual time at which the next call of the account starts. */
+  finishesAt: number;
+  running: number;
+  lastStartAt: Milliseconds;
+  /** Decayed slot time as of the last start. */
+  used: Milliseconds;
+}
+
+interface RankShares {
+  /** The virtual time of the call that started last. */
+  virtualTime: number;
+  /** Decayed slot time of all accounts as of the last start. */
+  used: Milliseconds;
+  lastStartAt: Milliseconds;
+  /** In the order of their last start. */
+  readonly accounts: Map<string, AccountShare>;
+}
+
+export interface AccountShares {
+  /** The number of accounts with state. */
+  readonly size: number;
+  /**
+   * Returns the order in which the calls start: by priority, nested calls first, then by the virtual time of
+   * their accounts, then by due time. It holds until a call starts or ends.
+   */
+  createOrder(
+    calls: Iterable<QueueableCall>,
+    now: Milliseconds,
+  ): (left: QueueableCall, right: QueueableCall) => number;
+  /** Whether the account of the call has used much more slot time than others of the same rank. */
+  isAboveShare(call: QueueableCall, now: Milliseconds): boolean;
+  recordStart(call: QueueableCall, now: Milliseconds): void;
+  /** Corrects the slot time of the account by what the call took. */
+  recordEnd(call: QueueableCall, duration: Milliseconds): void;
+}
+
+export function createAccountShares(): AccountShares {
+  const ranks = new Map<number, RankShares>();
+
+  function sharesOf(rank: number, now: Milliseconds): RankShares {
+    let shares = ranks.get(rank);
+    if (shares === undefined) {
+      if (ranks.size >= MAXIMUM_RANKS) {
+        ranks.delete(ranks.keys().next().value!);
+      }
+      shares = {
+        virtualTime: 0,
+        used: 0,
+        lastStartAt: now,
+        accounts: new Map(),
+      };
+      ranks.set(rank, shares);
+    }
+    return shares;
+  }
+
+  function nextStartOf(call: QueueableCall): number {
+    const shares = ranks.get(call.rank);
+    return shares === undefined ? 0 : Math.max(
+      shares.virtualTime,
+      shares.accounts.get(nameOf(call))?.finishesAt ?? 0,
+    );
+  }
+
+  return {
+    get size() {
+      let size = 0;
+      for (const { accounts } of ranks.values()) {
+        size += accounts.size;
+      }
+      return size;
+    },
+    createOrder(calls, now) {
+      // The calls of an account start one after the other, so each moves the start of those behind it.
+      const byAccount = new Map<string, QueueableCall[]>();
+      for (const call of calls) {
+        const key = `${call.rank}|${nameOf(call)}`;
+        const ofAccount = byAccount.get(key);
+        if (ofAccount === undefined) {
+          byAccount.set(key, [call]);
+        } else {
+          ofAccount.push(call);
+        }
+      }
+      const starts = new Map<QueueableCall, number>();
+      for (const ofAccount of byAccount.values()) {
+        ofAccount.sort((left, right) => compareCalls(left, right, now));
+        let startsAt = nextStartOf(ofAccount[0]);
+        for (const call of ofAccount) {
+          starts.set(call, startsAt);
+          startsAt += call.expectedMilliseconds;
+        }
+      }
+      return (left, right) =>
+        comparePriority(left, right) ||
+        starts.get(left)! - starts.get(right)! ||
+        compareCalls(left, right, now);
+    },
+    isAboveShare(call, now) {
+      const shares = ranks.get(call.rank);
+      const share = shares?.accounts.get(nameOf(call));
+      if (shares === undefined || share === undefined) {
+        return false;
+      }
+      forgetIdle(shares, now);
+      const { size } = shares.accounts;
+      const mean = decay(shares, now) / size;
+      // The number of calls of an account varies by its square root.
+      const deviation = Math.sqrt(mean * call.expectedMilliseconds);
+      return size > 1 &&
+        decay(share, now) >
+          ABOVE_SHARE_FACTOR * mean + TOLERATED_DEVIATIONS * deviation;
+    },
+    recordStart(call, now) {
+      const shares = sharesOf(call.rank, now);
+      const name = nameOf(call);
+      const startsAt = nextStartOf(call);
+      const share = shares.accounts.get(name) ??
+        { finishesAt: 0, running: 0, lastStartAt: now, used: 0 };
+      share.finishesAt = startsAt + call.expectedMilliseconds;
+      share.running += 1;
+      shares.virtualTime = startsAt;
+      for (const entry of [share, shares]) {
+        entry.used = decay(entry, now) + call.expectedMilliseconds;
+        entry.lastStartAt = now;
+      }
+      shares.accounts.delete(name);
+      shares.accounts.set(name, share);
+      forgetIdle(shares, now);
+    },
+    recordEnd(call, duration) {
+      const share = ranks.get(call.rank)?.accounts.get(nameOf(call));
+      if (share !== undefined) {
+        share.running = Math.max(0, share.running - 1);
+        share.finishesAt += duration - call.expectedMilliseconds;
+      }
+    },
+  };
+}
+
+/** Calls without an account, as those of public routes, share the room of one. */
+function nameOf({ account }: QueueableCall): string {
+  return account ?? "";
+}
+
+function decay(
+  { used, lastStartAt }: Pick<AccountShare, "used" | "lastStartAt">,
+  now: Milliseconds,
+): Milliseconds {
+  return used * Math.exp((lastStartAt - now) / DECAY_MS);
+}
+
+/** Forgets the accounts without calls; each is forgotten once, so a call causes little work. */
+function forgetIdle({ accounts }: RankShares, now: Milliseconds): void {
+  for (const [name, { running, lastStartAt }] of accounts) {
+    if (accounts.size <= MAXIMUM_ACCOUNTS && now - lastStartAt < IDLE_MS) {
+      return;
+    }
+    // Few accounts have running calls, at most one for each slot.
+    if (running === 0) {
+      accounts.delete(name);
+    }
+  }
+}
--- /dev/null
+++ b/src/features/gate/common/account_shares_test.ts
@@ -0,0 +1,302 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { createAccountShares, MAXIMUM_ACCOUNTS } from "./account_shares.ts";
+import { decideAdmission } from "./admission_decision.ts";
+import { createCallQueue, type QueueableCall } from "./call_queue.ts";
+
+const SERVICE_MS = 50;
+
+function createCall(fields: Partial<QueueableCall>): QueueableCall {
+  return {
+    identity: "call",
+    isNested: false,
+    rank: 1,
+    objectiveAt: 400,
+    deadlineAt: 1_000,
+    expectedMilliseconds: SERVICE_MS,
+    account: "quiet",
+    ...fields,
+  };
+}
+
+interface OrderCase {
+  readonly name: string;
+  readonly first: Partial<QueueableCall>;
+  readonly second: Partial<QueueableCall>;
+}
+
+/** The account `busy` has started ten calls of rank 0 and two of rank 1, `quiet` one of rank 1. */
+const ORDER_CASES: readonly OrderCase[] = [
+  {
+    name: "priority goes before the share of the account",
+    first: { rank: 0, account: "busy" },
+    second: { rank: 1, account: "quiet" },
+  },
+  {
+    name: "priority goes before nested calls",
+    first: { rank: 0 },
+    second: { rank: 1, isNested: true },
+  },
+  {
+    name: "nested calls go before the share of the account",
+    first: { isNested: true, account: "busy" },
+    second: { account: "quiet" },
+  },
+  {
+    name: "the share of the account goes before the due time",
+    first: { account: "quiet", objectiveAt: 900 },
+    second: { account: "busy", objectiveAt: 100 },
+  },
+  {
+    name: "the calls of an account go by due time",
+    first: { objectiveAt: 100 },
+    second: { objectiveAt: 900 },
+  },
+  {
+    name: "an account without calls before goes by its share",
+    first: { account: "new", objectiveAt: 900 },
+    second: { account: "busy", objectiveAt: 100 },
+  },
+];
+
+describe("the order of queued calls", () => {
+  for (const { name, first, second } of ORDER_CASES) {
+    test(name, () => {
+      const shares = createAccountShares();
+      for (let index = 0; index < 10; index += 1) {
+        shares.recordStart(createCall({ rank: 0, account: "busy" }), 0);
+      }
+      for (const account of ["busy", "quiet", "busy"]) {
+        shares.recordStart(createCall({ account }), 0);
+      }
+      for (const isReversed of [false, true]) {
+        const queue = createCallQueue(shares.createOrder);
+        const calls = [
+          createCall({ ...first, identity: "first" }),
+          createCall({ ...second, identity: "second" }),
+        ];
+        for (const call of isReversed ? calls.reverse() : calls) {
+          queue.enqueue(call);
+        }
+        assert.equal(queue.dequeue(0)?.identity, "first");
+      }
+    });
+  }
+
+  test("an account that was idle does not push out the others afterwards", () => {
+    const shares = createAccountShares();
+    for (let index = 0; index < 100; index += 1) {
+      shares.recordStart(createCall({ account: "busy" }), 0);
+    }
+    const queue = createCallQueue(shares.createOrder);
+    for (let index = 0; index < 8; index += 1) {
+      for (const account of ["busy", "new"]) {
+        queue.enqueue(createCall({ identity: `${account}${index}`, account }));
+      }
+    }
+    let ofNew = 0;
+    for (let index = 0; index < 8; index += 1) {
+      const next = queue.dequeue(0)!;
+      shares.recordStart(next, 0);
+      ofNew += next.account === "new" ? 1 : 0;
+    }
+    assert.ok(ofNew <= 5, String(ofNew));
+  });
+
+  test("an account whose calls take longer than expected starts fewer of them", () => {
+    const shares = createAccountShares();
+    const starts = { slow: 0, usual: 0 };
+    const queue = createCallQueue(shares.createOrder);
+    for (let index = 0; index < 100; index += 1) {
+      for (const account of ["slow", "usual"]) {
+        queue.enqueue(createCall({ identity: `${account}${index}`, account }));
+      }
+    }
+    for (let index = 0; index < 80; index += 1) {
+      const next = queue.dequeue(0)!;
+      const name = next.account as keyof typeof starts;
+      starts[name] += 1;
+      shares.recordStart(next, 0);
+      shares.recordEnd(next, name === "slow" ? 3 * SERVICE_MS : SERVICE_MS);
+    }
+    assert.ok(starts.usual > 2.5 * starts.slow, JSON.stringify(starts));
+  });
+});
+
+describe("the state of accounts", () => {
+  test("is bounded when calls of many accounts arrive", () => {
+    const shares = createAccountShares();
+    for (let index = 0; index < 3 * MAXIMUM_ACCOUNTS; index += 1) {
+      const call = createCall({ account: `a${index}` });
+      shares.recordStart(call, index);
+      shares.recordEnd(call, SERVICE_MS);
+    }
+    assert.equal(shares.size, MAXIMUM_ACCOUNTS);
+  });
+
+  test("is forgotten after ten seconds without calls, unless a call still runs", () => {
+    const shares = createAccountShares();
+    const ended = createCall({ account: "ended" });
+    shares.recordStart(ended, 0);
+    shares.recordEnd(ended, SERVICE_MS);
+    shares.recordStart(createCall({ account: "running" }), 0);
+    shares.recordStart(createCall({ account: "later" }), 11_000);
+    assert.equal(shares.size, 2);
+  });
+
+  test("is bounded over ranks", () => {
+    const shares = createAccountShares();
+    for (let rank = 0; rank < 1_000; rank += 1) {
+      shares.recordStart(createCall({ rank }), 0);
+    }
+    assert.ok(shares.size <= 64, String(shares.size));
+  });
+});
+
+interface Served {
+  /** The share of the calls of each account that ended within their objective. */
+  readonly accounts: readonly number[];
+  readonly all: number;
+}
+
+const ACCOUNTS = 6;
+const SLOTS = 4;
+
+/** Replays 60 s at one instance that gets 1.5 times what it can serve, since one account sends 4.8 times its usual. */
+function simulate(seed: number, order: "shares" | "due"): Served {
+  const clock = new VirtualClock();
+  const random = createRandomSource(seed);
+  const shares = createAccountShares();
+  const queue = order === "shares"
+    ? createCallQueue(shares.createOrder)
+    : createCallQueue();
+  const running = new Set<QueueableCall>();
+  const calls = Array.from({ length: ACCOUNTS }, () => ({ all: 0, served: 0 }));
+
+  function start(call: QueueableCall): void {
+    running.add(call);
+    shares.recordStart(call, clock.now());
+    const duration = SERVICE_MS * (0.5 + random.nextFraction());
+    clock.schedule(duration, () => {
+      running.delete(call);
+      shares.recordEnd(call, duration);
+      if (clock.now() <= call.objectiveAt) {
+        calls[Number(call.account)].served += 1;
+      }
+      queue.removeUnmeetable(clock.now());
+      const next = queue.dequeue(clock.now());
+      if (next !== undefined) {
+        start(next);
+      }
+    });
+  }
+
+  function arrive(index: number, account: number): void {
+    const now = clock.now();
+    calls[account].all += 1;
+    const call = createCall({
+      identity: String(index),
+      account: String(account),
+      objectiveAt: now + 300,
+      deadlineAt: now + 600,
+    });
+    const decision = decideAdmission(call, {
+      running: running.size,
+      limit: SLOTS,
+      ahead: queue.countAhead(call, now),
+      meanMilliseconds: SERVICE_MS,
+    }, now);
+    if (decision.type === "start") {
+      start(call);
+    } else if (decision.type === "wait") {
+      queue.enqueue(call);
+    }
+  }
+
+  const weights = 4.8 + ACCOUNTS - 1;
+  const meanInterval = SERVICE_MS / SLOTS / 1.5;
+  for (let at = 0, index = 0; at < 60_000; index += 1) {
+    at += -Math.log(1 - random.nextFraction()) * meanInterval;
+    const draw = random.nextFraction() * weights - 4.8;
+    const account = draw < 0 ? 0 : 1 + Math.floor(draw);
+    clock.schedule(at, () => arrive(index, account));
+  }
+  clock.advance(70_000);
+  const total = calls.reduce((sum, { all }) => sum + all, 0);
+  const served = calls.reduce((sum, { served }) => sum + served, 0);
+  return {
+    accounts: calls.map(({ all, served }) => served / all),
+    all: served / total,
+  };
+}
+
+describe("one account sends 4.8 times its usual number of calls", () => {
+  for (const seed of [1, 2, 3]) {
+    test(`seed ${seed}: the others are served, and it is not starved`, (context) => {
+      const byShares = simulate(seed, "shares");
+      const byDue = simulate(seed, "due");
+      const format = ({ accounts, all }: Served) =>
+        `all ${all.toFixed(3)}, by account ${
+          accounts.map((share) => share.toFixed(3)).join(" ")
+        }`;
+      context.diagnostic(`shares: ${format(byShares)}`);
+      context.diagnostic(`due times: ${format(byDue)}`);
+      const [busy, ...others] = byShares.accounts;
+      const [, ...othersByDue] = byDue.accounts;
+      assert.ok(Math.min(...others) > Math.max(...othersByDue));
+      assert.ok(busy > byShares.all / 4);
+      // The order decides who is served, not how many.
+      assert.ok(byShares.all > 0.95 * byDue.all);
+    });
+  }
+});
+
+describe("whether an account is above its share", () => {
+  function createUsage(counts: Readonly<Record<string, number>>) {
+    const shares = createAccountShares();
+    for (const [account, count] of Object.entries(counts)) {
+      for (let index = 0; index < count; index += 1) {
+        shares.recordStart(createCall({ account }), 0);
+      }
+    }
+    return shares;
+  }
+
+  test("an account with five times the calls of eleven others is", () => {
+    const others = Object.fromEntries(
+      Array.from({ length: 11 }, (_, index) => [`a${index}`, 5]),
+    );
+    const shares = createUsage({ ...others, busy: 25 });
+    assert.equal(shares.isAboveShare(createCall({ account: "busy" }), 0), true);
+    assert.equal(shares.isAboveShare(createCall({ account: "a1" }), 0), false);
+  });
+
+  test("the only account is not", () => {
+    const shares = createUsage({ only: 50 });
+    assert.equal(
+      shares.isAboveShare(createCall({ account: "only" }), 0),
+      false,
+    );
+  });
+
+  test("an account that made two calls by chance is not", () => {
+    const shares = createUsage({ a: 1, b: 1, c: 3 });
+    assert.equal(shares.isAboveShare(createCall({ account: "c" }), 0), false);
+  });
+
+  test("an account is no more once the others have used as much", () => {
+    const shares = createUsage({ a: 5, b: 5, c: 5, d: 5, busy: 30 });
+    assert.equal(shares.isAboveShare(createCall({ account: "busy" }), 0), true);
+    for (let index = 0; index < 100; index += 1) {
+      for (const account of ["a", "b", "c", "d"]) {
+        shares.recordStart(createCall({ account }), 8_000);
+      }
+    }
+    assert.equal(
+      shares.isAboveShare(createCall({ account: "busy" }), 8_000),
+      false,
+    );
+  });
+});
--- a/src/features/gate/common/call_queue.ts
+++ b/src/features/gate/common/call_queue.ts
@@ -23,14 +23,27 @@
   readonly deadlineAt: Milliseconds;
   /** The expected service time of the call. */
   readonly expectedMilliseconds: Milliseconds;
+  /** The account for which the call is made; read only where accounts share the room. */
+  readonly account?: string;
 }
 
+export type CallOrder = (left: QueueableCall, right: QueueableCall) => number;
+
+/** Returns the order of these calls: a negative number if the first one starts before the second one. */
+export type CreateCallOrder = (
+  calls: Iterable<QueueableCall>,
+  now: Milliseconds,
+) => CallOrder;
+
 export interface CallQueue<T extends QueueableCall> {
   readonly size: number;
   enqueue(call: T): void;
   remove(identity: string): T | undefined;
-  /** Removes and returns the call that starts next. */
-  dequeue(now: Milliseconds): T | undefined;
+  /** Removes and returns the call that starts next, of those that may start. */
+  dequeue(
+    now: Milliseconds,
+    mayStart?: (call: T) => boolean,
+  ): T | undefined;
   /** Removes and returns the calls that could not finish by their deadline even if started now. */
   removeUnmeetable(now: Milliseconds): T[];
   /**
@@ -39,16 +52,29 @@
    */
   removeUnmeetableAfterWait(
     now: Milliseconds,
-    estimateWait: (call: T, ahead: number) => Milliseconds,
+    estimateWait: (
+      call: T,
+      ahead: number,
+      alikeAhead: number,
+    ) => Milliseconds,
   ): T[];
   /** Counts the queued calls that would start before this one. */
   countAhead(call: QueueableCall, now: Milliseconds): number;
+  /** Counts those of them that have the same priority. */
+  countAlikeAhead(call: QueueableCall, now: Milliseconds): number;
+  /** Counts the accounts that have queued calls. */
+  countAccounts(): number;
   /** Removes and returns the calls for which the predicate holds. */
   removeWhere(predicate: (call: T) => boolean): T[];
   removeAll(): T[];
 }
 
-export function createCallQueue<T extends QueueableCall>(): CallQueue<T> {
+const createDueTimeOrder: CreateCallOrder = (_, now) => (left, right) =>
+  compareCalls(left, right, now);
+
+export function createCallQueue<T extends QueueableCall>(
+  createOrder: CreateCallOrder = createDueTimeOrder,
+): CallQueue<T> {
   const calls = new Map<string, T>();
 
   function removeWhere(predicate: (call: T) => boolean): T[] {
@@ -59,6 +85,21 @@
     return removed;
   }
 
+  function countAheadWhere(
+    call: QueueableCall,
+    now: Milliseconds,
+    isCounted: (other: T) => boolean,
+  ): number {
+    const order = createOrder([...calls.values(), call], now);
+    let ahead = 0;
+    for (const other of calls.values()) {
+      if (isCounted(other) && order(other, call) <= 0) {
+        ahead += 1;
+      }
+    }
+    return ahead;
+  }
+
   return {
     get size() {
       return calls.size;
@@ -69,10 +110,13 @@
       calls.delete(identity);
       return call;
     },
-    dequeue(now) {
+    dequeue(now, mayStart = () => true) {
+      const order = createOrder(calls.values(), now);
       let next: T | undefined;
       for (const call of calls.values()) {
-        if (next === undefined || compareCalls(call, next, now) < 0) {
+        if (
+          mayStart(call) && (next === undefined || order(call, next) < 0)
+        ) {
           next = call;
         }
       }
@@ -86,11 +130,17 @@
     removeUnmeetableAfterWait(now, estimateWait) {
       const unmeetable: T[] = [];
       let ahead = 0;
-      const inOrder = [...calls.values()].sort((left, right) =>
-        compareCalls(left, right, now)
+      let alikeAhead = 0;
+      let previous: T | undefined;
+      const inOrder = [...calls.values()].sort(
+        createOrder(calls.values(), now),
       );
       for (const call of inOrder) {
-        const startsAt = now + estimateWait(call, ahead);
+        if (previous !== undefined && comparePriority(previous, call) !== 0) {
+          alikeAhead = 0;
+        }
+        previous = call;
+        const startsAt = now + estimateWait(call, ahead, alikeAhead);
         if (
           startsAt + MINIMUM_SERVICE_FRACTION * call.expectedMilliseconds >
             call.deadlineAt
@@ -99,19 +149,20 @@
           calls.delete(call.identity);
         } else {
           ahead += 1;
+          alikeAhead += 1;
         }
       }
       return unmeetable;
     },
-    countAhead(call, now) {
-      let ahead = 0;
-      for (const other of calls.values()) {
-        if (compareCalls(other, call, now) <= 0) {
-          ahead += 1;
-        }
-      }
-      return ahead;
-    },
+    countAhead: (call, now) => countAheadWhere(call, now, () => true),
+    countAlikeAhead: (call, now) =>
+      countAheadWhere(
+        call,
+        now,
+        (other) => comparePriority(other, call) === 0,
+      ),
+    countAccounts: () =>
+      new Set([...calls.values()].map(({ account }) => account)).size,
     removeWhere,
     removeAll: () => removeWhere(() => true),
   };
--- a/src/features/gate/common/gate_call_state.ts
+++ b/src/features/gate/common/gate_call_state.ts
@@ -48,6 +48,7 @@
     identity: request.identity,
     isNested: request.isNested,
     rank: request.rank,
+    account: request.account,
     objectiveAt: now + request.objectiveInMilliseconds,
     deadlineAt: now + timeLimitOf(request),
     expectedMilliseconds,
