--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -77,6 +77,8 @@
   | "leaving"
   | "full"
   | "hopeless"
+  /** The nested calls of such calls are being refused, so it would fail. Other gates see the same. */
+  | "nested-refused"
   | "unreachable"
   | "instance-refused"
   | "cancelled";
