Share the room of a gate where callers have accounts

Archive reads of 476 ms took all slots of an instance, so that nested calls of 30 ms were refused and their parents failed. An account that has used twice the mean of the others leaves the last free slot to them for a second after one of their calls was refused; this is needed for calls whose objective leaves no time to wait, which never enter the queue. Nested calls are offered to five gates instead of three. Without accounts nothing changes. gate.pressed has the fields `reserved` and `accountsWaiting`.

--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -10,8 +10,13 @@
 import {
   decideAdmission,
   estimateQueueWait,
+  type GateLoad,
 } from "../common/admission_decision.ts";
-import { createCallQueue, isDeadlineUnmeetable } from "../common/call_queue.ts";
+import {
+  compareCalls,
+  createCallQueue,
+  isDeadlineUnmeetable,
+} from "../common/call_queue.ts";
 import type { CallHandle } from "../common/gate.ts";
 import type {
   GateOutcome,
@@ -24,7 +29,12 @@
   type GateCall,
 } from "../common/gate_call_state.ts";
 import type { InstanceCondition } from "../common/instance_condition.ts";
+import {
+  createNestedRefusals,
+  NESTED_RETRY_AFTER_MS,
+} from "../common/nested_refusals.ts";
 import { createPriorityLoad } from "../common/priority_load.ts";
+import { createSharedRoom } from "../common/shared_room.ts";
 import { type CallDispatch, runStep } from "./call_dispatch.ts";
 import type { GateOptions } from "./gate_options.ts";
 
@@ -38,6 +48,13 @@
     request: GateRequest,
     settle: (outcome: GateOutcome) => void,
   ): CallHandle;
+  /** Records a call that has left the instance. */
+  recordEnd(call: GateCall, now: Milliseconds): void;
+  /** Returns log fields: the slots kept for urgent calls and the accounts that wait; none without accounts. */
+  describeSharing(): {
+    readonly reserved?: number;
+    readonly accountsWaiting?: number;
+  };
   /** Starts queued calls while there is room; called when a slot may be free. */
   startQueued(): void;
   refuseQueued(reason: RefusalReason): void;
@@ -48,20 +65,43 @@
 }
 
 export function createCallAdmission(
-  { clock, log, afterStall }: GateOptions,
+  { clock, log, afterStall, sharesByAccount = () => false }: GateOptions,
   { condition, dispatch }: {
     readonly condition: InstanceCondition;
     readonly dispatch: () => CallDispatch;
   },
 ): CallAdmission {
-  const queue = createCallQueue<GateCall>();
+  const sharedRoom = createSharedRoom();
+  const nestedRefusals = createNestedRefusals();
+  const queue = createCallQueue<GateCall>((calls, now) =>
+    sharesByAccount()
+      ? sharedRoom.shares.createOrder(calls, now)
+      : (left, right) => compareCalls(left, right, now)
+  );
   const priorityLoad = createPriorityLoad();
   const requestRate = condition.rateLimit.rate;
   let sweepTimer: Disposable | undefined;
   let rateTimer: Disposable | undefined;
   let refusedCount = 0;
 
-  function describeLoad(call: GateCall, ahead: number, now: Milliseconds) {
+  function describeLoad(
+    call: GateCall,
+    { ahead, alikeAhead }: {
+      readonly ahead: number;
+      readonly alikeAhead: number;
+    },
+    now: Milliseconds,
+  ): GateLoad {
+    if (sharesByAccount()) {
+      return sharedRoom.describeLoad(call, {
+        running: dispatch().running,
+        limit: condition.limit,
+        ahead,
+        alikeAhead,
+        meanMilliseconds: condition.meanServiceTime,
+        rateWait: requestRate.timeUntil(ahead + 1, now),
+      }, now);
+    }
     return {
       limit: condition.limit,
       meanMilliseconds: condition.meanServiceTime,
@@ -84,11 +124,16 @@
     const now = clock.now();
     const unmeetable = queue.removeUnmeetableAfterWait(
       now,
-      (call, ahead) => estimateQueueWait(describeLoad(call, ahead, now)),
+      (call, ahead, alikeAhead) =>
+        estimateQueueWait(describeLoad(call, { ahead, alikeAhead }, now)),
     );
     for (const call of unmeetable) {
       refuse(call, "hopeless", condition.meanServiceTime);
     }
+    if (sharesByAccount()) {
+      // The slots that long calls may use grow when fewer urgent calls arrive.
+      startWaiting();
+    }
     scheduleSweep();
   }
 
@@ -115,22 +160,39 @@
       refuse(call, refusalReason);
       return { cancel() {} };
     }
+    const isShared = sharesByAccount();
+    if (isShared && nestedRefusals.takeRefusal(request.route, now)) {
+      refuse(call, "nested-refused", NESTED_RETRY_AFTER_MS);
+      return { cancel() {} };
+    }
+    if (isShared) {
+      sharedRoom.recordOffered(call, now);
+    }
     const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
+    const alikeAhead = ahead > 0 && isShared
+      ? queue.countAlikeAhead(call, now)
+      : 0;
     const decision = decideAdmission(
       call,
-      describeLoad(call, ahead, now),
+      describeLoad(call, { ahead, alikeAhead }, now),
       now,
     );
     if (decision.type !== "refuse") {
       priorityLoad.record(call, now);
+      if (isShared) {
+        sharedRoom.recordAdmitted(call, now);
+      }
     }
     switch (decision.type) {
       case "refuse":
         refusedCount += 1;
+        if (isShared) {
+          sharedRoom.recordRefused(call, now);
+        }
         refuse(call, "full", decision.retryAfter);
         break;
       case "start":
-        dispatch().start(call);
+        start(call);
         break;
       case "wait":
         queue.enqueue(call);
@@ -168,6 +230,21 @@
     });
   }
 
+  function start(call: GateCall): void {
+    if (sharesByAccount()) {
+      sharedRoom.shares.recordStart(call, clock.now());
+    }
+    dispatch().start(call);
+  }
+
+  function mayStart(call: GateCall, now: Milliseconds): boolean {
+    return !sharesByAccount() ||
+      sharedRoom.mayStart(call, {
+        running: dispatch().running,
+        limit: condition.limit,
+      }, now);
+  }
+
   function startWaiting(): void {
     while (queue.size > 0 && dispatch().running.size < condition.limit) {
       const now = clock.now();
@@ -179,10 +256,11 @@
         scheduleRateWait(rateWait);
         return;
       }
-      const next = queue.dequeue(now);
-      if (next !== undefined) {
-        dispatch().start(next);
+      const next = queue.dequeue(now, (call) => mayStart(call, now));
+      if (next === undefined) {
+        return;
       }
+      start(next);
     }
   }
 
@@ -239,6 +317,26 @@
       return queue.size;
     },
     offer,
+    recordEnd(call, now) {
+      if (sharesByAccount()) {
+        sharedRoom.shares.recordEnd(call, now - call.startedAt);
+        if (!call.isCancelled) {
+          nestedRefusals.recordRun(
+            call.request.route,
+            call.wasNestedRefused,
+            now,
+          );
+        }
+      }
+    },
+    describeSharing() {
+      return sharesByAccount()
+        ? {
+          reserved: sharedRoom.reservedSlots,
+          accountsWaiting: queue.countAccounts(),
+        }
+        : {};
+    },
     startQueued() {
       if (queue.size > 0) {
         afterStall(startWaiting);
--- a/src/features/gate/node/call_dispatch.ts
+++ b/src/features/gate/node/call_dispatch.ts
@@ -31,6 +31,8 @@
 export interface CallDispatchParts {
   readonly condition: InstanceCondition;
   readonly evaluation: ExchangeEvaluation;
+  /** Called with each call that has left the instance. */
+  readonly onEnded: (call: GateCall, now: Milliseconds) => void;
   /** Called when a slot may be free. */
   readonly onFinished: () => void;
 }
@@ -52,7 +54,7 @@
 
 export function createCallDispatch(
   { clock, log, headers }: GateOptions,
-  { condition, evaluation, onFinished }: CallDispatchParts,
+  { condition, evaluation, onEnded, onFinished }: CallDispatchParts,
 ): CallDispatch {
   const { tracker } = condition;
   const running = new Set<GateCall>();
@@ -117,6 +119,7 @@
     running.delete(call);
     call.timer?.dispose();
     call.state = "ended";
+    runStep(log, call, () => onEnded(call, now));
     let gateOutcome: GateOutcome = {
       type: "failed",
       reason: "the response could not be evaluated",
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -40,6 +40,7 @@
   const dispatch: CallDispatch = createCallDispatch(options, {
     condition,
     evaluation,
+    onEnded: admission.recordEnd,
     onFinished: admission.startQueued,
   });
 
@@ -106,6 +107,7 @@
         mean: Math.round(condition.meanServiceTime),
         pace: condition.relativeServiceTime.current(now).toFixed(2),
         failurePart: condition.failureRate.current(now).toFixed(2),
+        ...admission.describeSharing(),
       });
     }
   }
--- a/src/features/gate/node/gate_options.ts
+++ b/src/features/gate/node/gate_options.ts
@@ -16,6 +16,8 @@
   readonly headers: MeshHeaders;
   readonly heartbeatMilliseconds: Milliseconds;
   readonly readNotices: (rawHeaders: readonly string[]) => InstanceNotices;
+  /** Whether client accounts share the room of the instance; absent means that they don't. */
+  readonly sharesByAccount?: () => boolean;
   /** Calls back immediately, or after an event loop stall once the input that arrived in it is processed. */
   readonly afterStall: (callback: () => void) => void;
 }
--- a/src/features/ingress/common/ingress_test.ts
+++ b/src/features/ingress/common/ingress_test.ts
@@ -114,6 +114,34 @@
     state: { mayHaveRun: false, instancesReached: 0, fullGateCount: 3 },
     next: "refuse 40",
   },
+  {
+    name: "a nested call is tried at a fourth gate where accounts share them",
+    outcome: GATE_FULL,
+    state: {
+      mayHaveRun: false,
+      instancesReached: 0,
+      fullGateCount: 3,
+      protectsParent: true,
+    },
+    next: "ask-next",
+  },
+  {
+    name: "after five full gates a nested call is tried at no other one",
+    outcome: GATE_FULL,
+    state: {
+      mayHaveRun: false,
+      instancesReached: 0,
+      fullGateCount: 5,
+      protectsParent: true,
+    },
+    next: "refuse 40",
+  },
+  {
+    name: "a call whose nested calls are refused is tried at no other gate",
+    outcome: { ...GATE_FULL, reason: "nested-refused" },
+    state: { mayHaveRun: false, instancesReached: 0 },
+    next: "refuse 40",
+  },
   {
     name: "a write that has not run is refused with a retry-after time",
     outcome: GATE_FULL,
--- a/src/features/ingress/common/next_step.ts
+++ b/src/features/ingress/common/next_step.ts
@@ -24,6 +24,8 @@
   readonly instancesReached: number;
   /** Number of gates that had no capacity for the call, including that of the outcome. */
   readonly fullGateCount: number;
+  /** Whether the failure of the call would waste the work of its parent, and accounts share the gates. */
+  readonly protectsParent?: boolean;
   readonly maximumInstances: number;
   /** Whether an instance may have run the call, including that of the outcome. */
   readonly mayHaveRun: boolean;
@@ -45,6 +47,11 @@
 
 /** Gates with the lowest reported loads are tried first, so the others are probably full as well. */
 const MAXIMUM_FULL_GATES = 3;
+/**
+ * A nested call is asked at more gates, since its parent fails with it. More than five serve hardly more of them
+ * (`room_sharing_replay_test.ts`), and each offer costs two daemons work.
+ */
+const MAXIMUM_FULL_GATES_OF_NESTED = 5;
 
 /** Whether the gate refused for lack of capacity in time, and not because it cannot serve at all. */
 export function isCapacityRefusal(outcome: GateOutcome): boolean {
@@ -76,8 +83,9 @@
         };
     case "refused":
       if (
-        !outcome.reachedInstance && state.timeLeft > 0 &&
-        state.fullGateCount < MAXIMUM_FULL_GATES && state.hasCandidate()
+        !outcome.reachedInstance && outcome.reason !== "nested-refused" &&
+        state.timeLeft > 0 &&
+        state.fullGateCount < maximumFullGates(state) && state.hasCandidate()
       ) {
         return { type: "ask-next", isRetry: false };
       }
@@ -90,6 +98,12 @@
   }
 }
 
+function maximumFullGates({ protectsParent }: CallState): number {
+  return protectsParent === true
+    ? MAXIMUM_FULL_GATES_OF_NESTED
+    : MAXIMUM_FULL_GATES;
+}
+
 function mayRetry(state: CallState, outcomeMayHaveRun: boolean): boolean {
   return (!outcomeMayHaveRun || state.kind === "safe") &&
     (!state.mayHaveRun || state.kind === "safe") &&
--- a/src/features/ingress/node/call_outcomes.ts
+++ b/src/features/ingress/node/call_outcomes.ts
@@ -33,7 +33,7 @@
 }
 
 export function createCallOutcomes(
-  { clock, log }: Pick<IngressOptions, "clock" | "log">,
+  { clock, log, accounts }: Pick<IngressOptions, "clock" | "log" | "accounts">,
   { measurements, placement, ending, offers }: CallOutcomeParts,
 ): CallOutcomes {
   function handleOutcome(
@@ -54,6 +54,7 @@
       kind: call.route.kind,
       instancesReached: call.instancesReached,
       fullGateCount: call.fullGateCount,
+      protectsParent: call.parent !== undefined && accounts() !== undefined,
       maximumInstances: call.route.maximumInstances,
       mayHaveRun: call.mayHaveRun,
       hasCandidate: () => placement.hasCandidate(call),
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -128,6 +128,7 @@
       readNotices: platform.readNotices,
       heartbeatMilliseconds: settings.heartbeatSeconds * 1_000,
       afterStall: (callback) => deferAfterStall(loopDelay.current, callback),
+      sharesByAccount: () => state.accounts !== undefined,
     }),
   );
   disposables.add(
