Plan the retries of a window where callers have accounts

The budget counts first attempts and retries of ten seconds. While all instances refuse 55 % of the calls for 8.5 s, the reservation of the budget by rank covers two seconds of urgent retries, and numerous nested calls spend the rest in the first seconds, so that nothing is left for urgent calls later. shared_retry_budget.ts keeps what urgent calls will need until the end of the window: their rate times the share of attempts that fail, plus two deviations, less what they have taken; then nested calls, then others. The share of 0.15 is unchanged. Without accounts the budget by rank stays.

Guards: without the reservation 3 tests fail, without the deviations 1, without deducting the retries made 2; with the budget of accounts used always 2 fail.

--- a/src/features/ingress/common/service_retry_budgets.ts
+++ b/src/features/ingress/common/service_retry_budgets.ts
@@ -5,25 +5,47 @@
  */
 
 import type { ServiceName } from "../../../world/common/names.ts";
+import { createRankedRetryBudget } from "./ranked_retry_budget.ts";
 import {
-  createRankedRetryBudget,
-  type RankedRetryBudget,
-} from "./ranked_retry_budget.ts";
+  createSharedRetryBudget,
+  type SharedRetryBudget,
+} from "./shared_retry_budget.ts";
 
 export interface ServiceRetryBudgets {
-  of(service: ServiceName): RankedRetryBudget;
+  of(service: ServiceName): SharedRetryBudget;
 }
 
-export function createServiceRetryBudgets(): ServiceRetryBudgets {
-  const budgets = new Map<ServiceName, RankedRetryBudget>();
+/** Creates budgets that plan the retries of the whole window while `hasAccounts` holds. */
+export function createServiceRetryBudgets(
+  hasAccounts: () => boolean = () => false,
+): ServiceRetryBudgets {
+  const withAccounts = createBudgets(createSharedRetryBudget);
+  const withoutAccounts = createBudgets(createBudgetByRank);
   return {
-    of(service) {
-      let budget = budgets.get(service);
-      if (budget === undefined) {
-        budget = createRankedRetryBudget();
-        budgets.set(service, budget);
-      }
-      return budget;
-    },
+    of: (service) =>
+      hasAccounts() ? withAccounts(service) : withoutAccounts(service),
+  };
+}
+
+function createBudgets(
+  create: () => SharedRetryBudget,
+): (service: ServiceName) => SharedRetryBudget {
+  const budgets = new Map<ServiceName, SharedRetryBudget>();
+  return (service) => {
+    let budget = budgets.get(service);
+    if (budget === undefined) {
+      budget = create();
+      budgets.set(service, budget);
+    }
+    return budget;
+  };
+}
+
+function createBudgetByRank(): SharedRetryBudget {
+  const budget = createRankedRetryBudget();
+  return {
+    recordFirstAttempt: (_, now) => budget.recordFirstAttempt(now),
+    takeRetry: ({ rank }, now) => budget.takeRetry(rank, now),
+    returnRetry: (_, takenAt) => budget.returnRetry(takenAt),
   };
 }
--- a/src/features/ingress/node/call_ending.ts
+++ b/src/features/ingress/node/call_ending.ts
@@ -12,7 +12,7 @@
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import { createNotRunReply, type LocalReply } from "../common/local_reply.ts";
 import type { ServiceRetryBudgets } from "../common/service_retry_budgets.ts";
-import type { IngressCall } from "./ingress_call.ts";
+import { type IngressCall, retryClassOf } from "./ingress_call.ts";
 import type {
   CallResult,
   EndedCall,
@@ -183,7 +183,7 @@
     }
     call.pendingOffers.clear();
     for (const takenAt of call.unusedRetries) {
-      retryBudgets.of(call.service).returnRetry(takenAt);
+      retryBudgets.of(call.service).returnRetry(retryClassOf(call), takenAt);
     }
     callEnded.fire({
       kind: call.route.kind,
--- a/src/features/ingress/node/call_offers.ts
+++ b/src/features/ingress/node/call_offers.ts
@@ -23,7 +23,11 @@
 import type { ServiceRetryBudgets } from "../common/service_retry_budgets.ts";
 import { type CallEnding, DEFAULT_RETRY_AFTER_MS } from "./call_ending.ts";
 import type { CallPlacement } from "./call_placement.ts";
-import type { IngressCall, PendingOffer } from "./ingress_call.ts";
+import {
+  type IngressCall,
+  type PendingOffer,
+  retryClassOf,
+} from "./ingress_call.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 
 /** Limits how long a retryable call waits for a lost link to resume; it can be retried elsewhere. */
@@ -230,7 +234,7 @@
 
   function takeRetry(call: IngressCall, now: Milliseconds): boolean {
     const isTaken = call.unusedRetries.length > 0 ||
-      retryBudgets.of(call.service).takeRetry(call.rank, now);
+      retryBudgets.of(call.service).takeRetry(retryClassOf(call), now);
     if (isTaken && call.unusedRetries.length === 0) {
       call.unusedRetries.push(now);
     }
--- a/src/features/ingress/node/call_start.ts
+++ b/src/features/ingress/node/call_start.ts
@@ -20,7 +20,7 @@
 import { readBody } from "./body_reader.ts";
 import type { CallEnding } from "./call_ending.ts";
 import type { CallOffers } from "./call_offers.ts";
-import type { IngressCall } from "./ingress_call.ts";
+import { type IngressCall, retryClassOf } from "./ingress_call.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 import type { RequestRefusals } from "./request_refusals.ts";
 
@@ -175,7 +175,10 @@
       );
       return;
     }
-    retryBudgets.of(call.service).recordFirstAttempt(clock.now());
+    retryBudgets.of(call.service).recordFirstAttempt(
+      retryClassOf(call),
+      clock.now(),
+    );
     offers.offerToNextGate(call);
   }
 
--- a/src/features/ingress/node/ingress.ts
+++ b/src/features/ingress/node/ingress.ts
@@ -19,7 +19,9 @@
 
 export function createIngress(options: IngressOptions): Ingress {
   const measurements = createRouteMeasurements();
-  const retryBudgets = createServiceRetryBudgets();
+  const retryBudgets = createServiceRetryBudgets(() =>
+    options.accounts() !== undefined
+  );
   const connectionEnds = createConnectionClosePolicy(options.stopPhase);
   const ending = createCallEnding(options, { connectionEnds, retryBudgets });
   const refusals = createRequestRefusals(options, ending);
--- a/src/features/ingress/node/ingress_call.ts
+++ b/src/features/ingress/node/ingress_call.ts
@@ -14,6 +14,7 @@
   ServiceName,
 } from "../../../world/common/names.ts";
 import type { CallHandle, ParentCall } from "../../gate/common/gate.ts";
+import type { RetryClass } from "../common/shared_retry_budget.ts";
 import type { VersionPreference } from "../../rollout/common/rollout_registry.ts";
 
 /** An offer of a call to one gate that has no outcome yet. */
@@ -51,3 +52,9 @@
   isEnded: boolean;
   release: () => void;
 }
+
+export function retryClassOf(
+  { rank, parent }: Pick<IngressCall, "rank" | "parent">,
+): RetryClass {
+  return { rank, isNested: parent !== undefined };
+}
