Learn the calls that an instance takes from its resets

Instances reset the connection of a call that they have no room for, also below the announced slots. Only where the configuration has accounts. The learned limit is what the gate reports, so callers place calls by it.

Ruled out: treating the reset as "not run" in order to offer the call elsewhere. The instance may have begun to work on it.

--- a/src/features/gate/common/gate_call_state.ts
+++ b/src/features/gate/common/gate_call_state.ts
@@ -27,6 +27,8 @@
   /** When a running call is aborted. */
   readonly abortAt: Milliseconds;
   startedAt: Milliseconds;
+  /** The calls at the instance when this one started, including it; 0 before. */
+  runningAtStart: number;
   timer: Disposable | undefined;
   /** The connection on which the call is sent. */
   connection: Disposable | undefined;
@@ -60,6 +62,7 @@
     wasNestedRefused: false,
     abortAt: now + request.deadlineInMilliseconds,
     startedAt: now,
+    runningAtStart: 0,
     timer: undefined,
     connection: undefined,
     instance: undefined,
--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -19,6 +19,7 @@
   createInstanceTracker,
   type InstanceTracker,
 } from "./instance_tracker.ts";
+import { type BrokenExchange, createLearnedLimit } from "./learned_limit.ts";
 import { createMovingAverages } from "./moving_averages.ts";
 import {
   createRelativeServiceTime,
@@ -60,12 +61,18 @@
   /** Forgets what was measured of the instance before. */
   handleNewInstance(report: InstanceReport, now: Milliseconds): void;
   markUnreachable(now: Milliseconds): void;
+  /** Records an exchange that the instance has reset. */
+  recordReset(
+    exchange: Omit<BrokenExchange, "announced">,
+    now: Milliseconds,
+  ): void;
 }
 
 export function createInstanceCondition(
-  { clock, heartbeatMilliseconds }: {
+  { clock, heartbeatMilliseconds, sharesByAccount = () => false }: {
     readonly clock: Clock;
     readonly heartbeatMilliseconds: Milliseconds;
+    readonly sharesByAccount?: () => boolean;
   },
 ): InstanceCondition {
   const tracker = createInstanceTracker();
@@ -74,12 +81,16 @@
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
   let relativeServiceTime = createRelativeServiceTime();
   let failureRate = createFailureRate();
+  let learnedLimit = createLearnedLimit();
   let lastReportAt = -Infinity;
   let coldUntil: Milliseconds = 0;
   let unreachableUntil = -Infinity;
 
   function limit(): number {
-    return tracker.instance?.slots ?? 0;
+    const announced = tracker.instance?.slots ?? 0;
+    return sharesByAccount()
+      ? learnedLimit.apply(announced, clock.now())
+      : announced;
   }
 
   return {
@@ -137,10 +148,15 @@
       unreachableUntil = -Infinity;
       relativeServiceTime = createRelativeServiceTime();
       failureRate = createFailureRate();
+      learnedLimit = createLearnedLimit();
       rateLimit.handleNewInstance(report, now);
     },
     markUnreachable(now) {
       unreachableUntil = now + UNREACHABLE_MS;
     },
+    recordReset(exchange, now) {
+      const announced = tracker.instance?.slots ?? 0;
+      learnedLimit.recordReset({ ...exchange, announced }, now);
+    },
   };
 }
--- a/src/features/gate/node/call_dispatch.ts
+++ b/src/features/gate/node/call_dispatch.ts
@@ -68,6 +68,7 @@
     call.startedAt = now;
     call.instance = instance;
     running.add(call);
+    call.runningAtStart = running.size;
     condition.rateLimit.rate.record(now);
     const timeLeft = call.abortAt - now;
     call.timer = clock.schedule(timeLeft, () => {
--- a/src/features/gate/node/exchange_evaluation.ts
+++ b/src/features/gate/node/exchange_evaluation.ts
@@ -16,7 +16,11 @@
 import type { InstanceCondition } from "../common/instance_condition.ts";
 import type { GateOptions } from "./gate_options.ts";
 import { isSameStart } from "./idle_connections.ts";
-import { type ExchangeOutcome, findHeader } from "./instance_connection.ts";
+import {
+  type ExchangeOutcome,
+  findHeader,
+  isResetReason,
+} from "./instance_connection.ts";
 
 export interface ExchangeEvaluation {
   evaluate(
@@ -118,6 +122,12 @@
       case "broken":
         if (!call.isCancelled) {
           condition.failureRate.record(true, now);
+          if (!timedOut && isResetReason(outcome.reason)) {
+            condition.recordReset({
+              elapsed: now - call.startedAt,
+              runningAtStart: call.runningAtStart,
+            }, now);
+          }
         }
         if (call.isCancelled || timedOut) {
           condition.relativeServiceTime.recordUnanswered(
--- a/src/features/gate/node/instance_connection.ts
+++ b/src/features/gate/node/instance_connection.ts
@@ -27,6 +27,18 @@
 const DEFAULT_IDLE_TIMEOUT_MS: Milliseconds = 5_000;
 const KEEP_ALIVE_TIMEOUT = /timeout\s*=\s*(\d+)/i;
 
+/** Reasons of exchanges that the instance has ended without a response. */
+const RESET_REASONS: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+  "the connection ended",
+  "the connection closed",
+]);
+
+export function isResetReason(reason: string): boolean {
+  return RESET_REASONS.has(reason);
+}
+
 export interface InstanceRequest {
   readonly requestIdentity: string;
   /** The complete header section. */
