--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -13,7 +13,12 @@
   InstanceReport,
 } from "../../../world/common/mesh_instance.ts";
 import type { AccountName, RouteName } from "../../../world/common/names.ts";
-import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
+import type {
+  GateLoadReport,
+  GateOutcome,
+  GateRequest,
+  RefusalReason,
+} from "./gate_call.ts";
 import type { NamedRateLimit } from "./named_rate_limit.ts";
 import type { ReportOutcome } from "./instance_tracker.ts";
 
@@ -66,6 +71,8 @@
   readonly overdueCalls: readonly OverdueCall[];
   /** Fires after each call that the instance may have run. */
   readonly onCallCompleted: Event<CallRecord>;
+  /** Fires with the reason after each call that was refused. */
+  readonly onCallRefused: Event<RefusalReason>;
   applyReport(report: InstanceReport): ReportOutcome;
   applyDeparture(departure: InstanceDeparture): ReportOutcome;
   /** Restores the departures that a peer has kept, after this daemon has restarted. */
--- a/src/features/gate/common/shared_room.ts
+++ b/src/features/gate/common/shared_room.ts
@@ -19,9 +19,11 @@
 export interface RoomInUse {
   readonly running: ReadonlySet<QueueableCall>;
   readonly limit: number;
+  /** The calls that the instance can run at a time within its slots and its rate limit; may be below 1. */
+  readonly capacity: number;
   readonly ahead: number;
-  /** The queued calls of the same priority before this one. */
-  readonly alikeAhead: number;
+  /** Counts the queued calls of the same priority before this one; needed for restricted calls only. */
+  readonly countAlikeAhead: () => number;
   /** The mean service time of the instance, if no call runs. */
   readonly meanMilliseconds: Milliseconds;
   readonly rateWait: Milliseconds;
@@ -107,7 +109,7 @@
       return usable === limit || listOccupants(call, running).length < usable;
     },
     describeLoad(call, room, now) {
-      const { running, limit, ahead, alikeAhead, rateWait } = room;
+      const { running, limit, ahead, rateWait } = room;
       const urgent = work.summarizeAbove(call, now);
       const usable = countUsableSlots(
         limit,
@@ -124,13 +126,14 @@
           ? room.meanMilliseconds
           : meanHoldingTime(running),
         rateWait,
-        higherPriorityLoad: urgent.admittedSlots / Math.max(1, limit),
+        higherPriorityLoad: urgent.admittedSlots /
+          (room.capacity > 0 ? room.capacity : 1),
       };
       if (usable === limit) {
         return load;
       }
       const occupants = listOccupants(call, running);
-      const missing = occupants.length + alikeAhead - usable + 1;
+      const missing = occupants.length + room.countAlikeAhead() - usable + 1;
       return missing <= 0 ? load : {
         ...load,
         reservedWait: missing *
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -86,18 +86,17 @@
 
   function describeLoad(
     call: GateCall,
-    { ahead, alikeAhead }: {
-      readonly ahead: number;
-      readonly alikeAhead: number;
-    },
+    ahead: number,
+    countAlikeAhead: () => number,
     now: Milliseconds,
   ): GateLoad {
     if (sharesByAccount()) {
       return sharedRoom.describeLoad(call, {
         running: dispatch().running,
         limit: condition.limit,
+        capacity: condition.capacity,
         ahead,
-        alikeAhead,
+        countAlikeAhead,
         meanMilliseconds: condition.meanServiceTime,
         rateWait: requestRate.timeUntil(ahead + 1, now),
       }, now);
@@ -125,7 +124,7 @@
     const unmeetable = queue.removeUnmeetableAfterWait(
       now,
       (call, ahead, alikeAhead) =>
-        estimateQueueWait(describeLoad(call, { ahead, alikeAhead }, now)),
+        estimateQueueWait(describeLoad(call, ahead, () => alikeAhead, now)),
     );
     for (const call of unmeetable) {
       refuse(call, "hopeless", condition.meanServiceTime);
@@ -169,12 +168,14 @@
       sharedRoom.recordOffered(call, now);
     }
     const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
-    const alikeAhead = ahead > 0 && isShared
-      ? queue.countAlikeAhead(call, now)
-      : 0;
     const decision = decideAdmission(
       call,
-      describeLoad(call, { ahead, alikeAhead }, now),
+      describeLoad(
+        call,
+        ahead,
+        () => ahead === 0 ? 0 : queue.countAlikeAhead(call, now),
+        now,
+      ),
       now,
     );
     if (decision.type !== "refuse") {
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -7,7 +7,7 @@
 
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { CallRecord, Gate, ParentCall } from "../common/gate.ts";
-import type { GateLoadReport } from "../common/gate_call.ts";
+import type { GateLoadReport, RefusalReason } from "../common/gate_call.ts";
 import { isOverdue } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
 import type { ReportOutcome } from "../common/instance_tracker.ts";
@@ -24,6 +24,7 @@
   const { tracker, rateLimit } = condition;
   const changed = createEmitter<void>();
   const callCompleted = createEmitter<CallRecord>();
+  const callRefused = createEmitter<RefusalReason>();
   let wasServing = false;
 
   const admission: CallAdmission = createCallAdmission(options, {
@@ -182,6 +183,7 @@
     },
     onChanged: changed.event,
     onCallCompleted: callCompleted.event,
+    onCallRefused: callRefused.event,
     onRateLimitChanged: rateLimit.onChanged,
     applyReport,
     applyDeparture(departure) {
@@ -200,13 +202,20 @@
     restoreRateLimit: (restored) =>
       rateLimit.restore(restored, tracker.instance, clock.now()),
     findParent,
-    offer: admission.offer,
+    offer: (request, settle) =>
+      admission.offer(request, (outcome) => {
+        settle(outcome);
+        if (outcome.type === "refused") {
+          callRefused.fire(outcome.reason);
+        }
+      }),
     dispose() {
       servingTimer.dispose();
       admission.dispose();
       dispatch.dispose();
       changed.dispose();
       callCompleted.dispose();
+      callRefused.dispose();
       rateLimit.dispose();
     },
   };
--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -12,6 +12,7 @@
   type Labels,
 } from "../../features/administration/common/metrics.ts";
 import type { Gate } from "../../features/gate/common/gate.ts";
+import type { RefusalReason } from "../../features/gate/common/gate_call.ts";
 import type {
   CallResult,
   Ingress,
@@ -32,7 +33,7 @@
   readonly ingress: Pick<Ingress, "activeCalls" | "onCallEnded">;
   readonly gate: Pick<
     Gate,
-    "load" | "rateLimit" | "onCallCompleted" | "isServing"
+    "load" | "rateLimit" | "onCallCompleted" | "onCallRefused" | "isServing"
   >;
   readonly network: Pick<PeerNetwork, "peers">;
   readonly sync: Pick<
@@ -68,6 +69,11 @@
     "guavarun_instance_call_duration_microseconds",
     "Time for which the instance on this host worked on a call",
   );
+  const refusals = metrics.counter(
+    "guavarun_gate_refusals_total",
+    "Calls that the gate of this host has refused, by reason",
+  );
+  const refusalLabels = new Map<RefusalReason, Labels>();
   const callLabels = new Map<string, Labels>();
   const kindLabels = new Map<string, Labels>();
 
@@ -92,6 +98,12 @@
     instanceCallDurations.record(duration * MICROSECONDS_PER_MS);
   });
 
+  gate.onCallRefused((reason) => {
+    const labels = refusalLabels.get(reason) ?? { reason };
+    refusalLabels.set(reason, labels);
+    refusals.add(1, labels);
+  });
+
   const gauges: readonly (readonly [string, string, () => number])[] = [
     [
       "loop_delay_milliseconds",
