Tell refusals of accounts above their share from those of full gates

A daemon leaves a gate out for 100 ms after a refusal as full, for all calls that are as urgent. A gate that refuses an account above its share still has the slot that it keeps for others, so these would have avoided it. Such refusals have the reason `above-share`: they count towards the gates that are asked for a call, but do not mark the gate as full.

Ruled out: keeping full gates by account. The memory would grow with accounts, and a daemon sees few calls of each in 100 ms.

--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -77,6 +77,8 @@
   | "leaving"
   | "full"
   | "hopeless"
+  /** No capacity in time for an account that has used more than its share; there may be for others. */
+  | "above-share"
   /** The nested calls of such calls are being refused, so it would fail. Other gates see the same. */
   | "nested-refused"
   | "unreachable"
--- a/src/features/gate/common/shared_room.ts
+++ b/src/features/gate/common/shared_room.ts
@@ -42,8 +42,11 @@
   readonly shares: AccountShares;
   recordOffered(call: QueueableCall, now: Milliseconds): void;
   recordAdmitted(call: QueueableCall, now: Milliseconds): void;
-  /** Records a call that was refused because there is no room. */
-  recordRefused(call: QueueableCall, now: Milliseconds): void;
+  /** Records a call that was refused because there is no room; returns the reason. */
+  recordRefused(
+    call: QueueableCall,
+    now: Milliseconds,
+  ): "full" | "above-share";
   /** Whether the call may use one of the free slots. */
   mayStart(
     call: QueueableCall,
@@ -90,12 +93,14 @@
     recordOffered: work.recordOffered,
     recordAdmitted: work.recordAdmitted,
     recordRefused(call, now) {
-      if (!shares.isAboveShare(call, now)) {
-        if (refusedAt.size >= MAXIMUM_RANKS) {
-          refusedAt.clear();
-        }
-        refusedAt.set(call.rank, now);
+      if (shares.isAboveShare(call, now)) {
+        return "above-share";
+      }
+      if (refusedAt.size >= MAXIMUM_RANKS) {
+        refusedAt.clear();
       }
+      refusedAt.set(call.rank, now);
+      return "full";
     },
     mayStart(call, { running, limit }, now) {
       if (limit > 1 && running.size >= limit - 1 && leavesSlot(call, now)) {
--- a/src/features/gate/common/shared_room_test.ts
+++ b/src/features/gate/common/shared_room_test.ts
@@ -172,7 +172,10 @@
   for (const { name, call, refused, mayStart } of cases) {
     test(name, () => {
       const shared = createRoomOfBusy();
-      shared.recordRefused(refused, NOW);
+      assert.equal(
+        shared.recordRefused(refused, NOW),
+        refused === BUSY ? "above-share" : "full",
+      );
       assert.equal(shared.mayStart(call, room, NOW), mayStart);
       const load = shared.describeLoad(call, room, NOW);
       const decision = decideAdmission(call, load, NOW);
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -60,7 +60,7 @@
   refuseQueued(reason: RefusalReason): void;
   /** Refuses the queued calls that the instance cannot run; they were accepted for the one before it. */
   refuseQueuedForOthers(instance: InstanceReport): void;
-  /** Returns the number of offers refused with the reason `full` since the last call. */
+  /** Returns the number of offers refused for lack of capacity since the last call. */
   takeRefusedCount(): number;
 }
 
@@ -187,10 +187,11 @@
     switch (decision.type) {
       case "refuse":
         refusedCount += 1;
-        if (isShared) {
-          sharedRoom.recordRefused(call, now);
-        }
-        refuse(call, "full", decision.retryAfter);
+        refuse(
+          call,
+          isShared ? sharedRoom.recordRefused(call, now) : "full",
+          decision.retryAfter,
+        );
         break;
       case "start":
         start(call);
--- a/src/features/ingress/common/ingress_test.ts
+++ b/src/features/ingress/common/ingress_test.ts
@@ -5,7 +5,12 @@
   DEADLINE_EXCEEDED_REASON,
   type GateOutcome,
 } from "../../gate/common/gate_call.ts";
-import { type CallState, decideNextStep } from "./next_step.ts";
+import {
+  type CallState,
+  decideNextStep,
+  isCapacityRefusal,
+  isFullForAll,
+} from "./next_step.ts";
 import { computeHedgeDelay } from "./hedge_delay.ts";
 import { chooseService } from "./service_choice.ts";
 
@@ -206,6 +211,23 @@
   }
 });
 
+describe("a gate that has refused a call", () => {
+  const cases = [
+    { reason: "full", isCapacity: true, isForAll: true },
+    { reason: "hopeless", isCapacity: true, isForAll: true },
+    { reason: "above-share", isCapacity: true, isForAll: false },
+    { reason: "nested-refused", isCapacity: false, isForAll: false },
+    { reason: "leaving", isCapacity: false, isForAll: false },
+  ] as const;
+  for (const { reason, isCapacity, isForAll } of cases) {
+    test(`as ${reason} is ${isForAll ? "" : "not "}left out for other accounts`, () => {
+      const outcome: GateOutcome = { ...GATE_FULL, reason };
+      assert.equal(isCapacityRefusal(outcome), isCapacity);
+      assert.equal(isFullForAll(outcome), isForAll);
+    });
+  }
+});
+
 describe("the delay of a hedged request", () => {
   const cases = [
     {
--- a/src/features/ingress/common/next_step.ts
+++ b/src/features/ingress/common/next_step.ts
@@ -56,7 +56,14 @@
 /** Whether the gate refused for lack of capacity in time, and not because it cannot serve at all. */
 export function isCapacityRefusal(outcome: GateOutcome): boolean {
   return outcome.type === "refused" &&
-    (outcome.reason === "full" || outcome.reason === "hopeless");
+    (outcome.reason === "full" || outcome.reason === "hopeless" ||
+      outcome.reason === "above-share");
+}
+
+/** Whether the gate has no capacity for any call of the same urgency, whichever account makes it. */
+export function isFullForAll(outcome: GateOutcome): boolean {
+  return isCapacityRefusal(outcome) && outcome.type === "refused" &&
+    outcome.reason !== "above-share";
 }
 
 export function decideNextStep(
--- a/src/features/ingress/node/call_outcomes.ts
+++ b/src/features/ingress/node/call_outcomes.ts
@@ -7,7 +7,11 @@
 import type { HostName } from "../../../world/common/names.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import { createNotRunReply } from "../common/local_reply.ts";
-import { decideNextStep, isCapacityRefusal } from "../common/next_step.ts";
+import {
+  decideNextStep,
+  isCapacityRefusal,
+  isFullForAll,
+} from "../common/next_step.ts";
 import { hasReachedInstance, isSuccess } from "../common/outcome_properties.ts";
 import type { RouteMeasurements } from "../common/route_measurements.ts";
 import type { CallEnding } from "./call_ending.ts";
@@ -100,7 +104,7 @@
     measurements.recordOutcome(call.route.name, outcome);
     if (isCapacityRefusal(outcome)) {
       call.fullGateCount += 1;
-      if (host !== undefined) {
+      if (host !== undefined && isFullForAll(outcome)) {
         placement.recordFull(call, host);
       }
     }
