Bound the counts of retries of the least urgent class

The shared retry budget counts the retries of each class by second, and forgot old counts only when a less urgent class took a retry. For the least urgent class of a service nobody did, so each second with a retry left one entry for as long as the daemon ran. Old counts are now forgotten when the class itself takes a retry.

--- a/src/features/ingress/common/shared_retry_budget.ts
+++ b/src/features/ingress/common/shared_retry_budget.ts
@@ -58,7 +58,12 @@
   returnRetry(retryClass: RetryClass, takenAt: Milliseconds): void;
 }
 
-export function createSharedRetryBudget(): SharedRetryBudget {
+export interface WindowRetryBudget extends SharedRetryBudget {
+  /** The number of counts of retries that are kept, one for each class and second. */
+  readonly size: number;
+}
+
+export function createSharedRetryBudget(): WindowRetryBudget {
   const budget = createRetryBudget();
   const classes = new Map<string, ClassCounts>();
   const attempts = createDecayedCount(SECOND_MS);
@@ -103,6 +108,13 @@
   }
 
   return {
+    get size() {
+      let size = 0;
+      for (const { retries } of classes.values()) {
+        size += retries.size;
+      }
+      return size;
+    },
     recordFirstAttempt(retryClass, now) {
       budget.recordFirstAttempt(now);
       attempts.add(now);
@@ -115,9 +127,12 @@
         return false;
       }
       attempts.add(now);
-      const { retries } = countsOf(retryClass);
+      const counts = countsOf(retryClass);
+      const { retries } = counts;
       const second = Math.floor(now / SECOND_MS);
       retries.set(second, (retries.get(second) ?? 0) + 1);
+      // No other class reads the counts of the least urgent one.
+      countRetries(counts, now);
       return true;
     },
     returnRetry(retryClass, takenAt) {
--- a/src/features/ingress/common/shared_retry_budget_test.ts
+++ b/src/features/ingress/common/shared_retry_budget_test.ts
@@ -198,4 +198,15 @@
     assert.equal(budget.takeRetry(URGENT, 9_999), true);
     assert.equal(budget.takeRetry(URGENT, 9_999), false);
   });
+
+  test("is counted in bounded memory for the least urgent class as well", () => {
+    const budget = createSharedRetryBudget();
+    for (let second = 0; second < 1_000; second += 1) {
+      for (let index = 0; index < 20; index += 1) {
+        budget.recordFirstAttempt(ARCHIVE, second * 1_000);
+      }
+      assert.ok(budget.takeRetry(ARCHIVE, second * 1_000));
+    }
+    assert.equal(budget.size, 10);
+  });
 });
