Record the end of calls after accounts were removed

A call that started while the configuration had accounts and ended without them stayed counted as running. Its account was then never forgotten, and had the expected slot time instead of the real one when accounts were configured again. In the opposite case, the end of a call without a recorded start was taken for that of another call of the account. The end is now always recorded, and counts only for calls whose start was.

--- a/src/features/gate/common/account_shares.ts
+++ b/src/features/gate/common/account_shares.ts
@@ -64,12 +64,14 @@
   /** Whether the account of the call has used much more slot time than others of the same rank. */
   isAboveShare(call: QueueableCall, now: Milliseconds): boolean;
   recordStart(call: QueueableCall, now: Milliseconds): void;
-  /** Corrects the slot time of the account by what the call took. */
+  /** Corrects the slot time of the account by what the call took; ignores a call whose start was not recorded. */
   recordEnd(call: QueueableCall, duration: Milliseconds): void;
 }
 
 export function createAccountShares(): AccountShares {
   const ranks = new Map<number, RankShares>();
+  /** The calls whose start was recorded and whose end was not. */
+  const running = new Set<QueueableCall>();
 
   function sharesOf(rank: number, now: Milliseconds): RankShares {
     let shares = ranks.get(rank);
@@ -160,9 +162,13 @@
       }
       shares.accounts.delete(name);
       shares.accounts.set(name, share);
+      running.add(call);
       forgetIdle(shares, now);
     },
     recordEnd(call, duration) {
+      if (!running.delete(call)) {
+        return;
+      }
       const share = ranks.get(call.rank)?.accounts.get(nameOf(call));
       if (share !== undefined) {
         share.running = Math.max(0, share.running - 1);
--- a/src/features/gate/common/account_shares_test.ts
+++ b/src/features/gate/common/account_shares_test.ts
@@ -146,6 +146,14 @@
     assert.equal(shares.size, 2);
   });
 
+  test("does not change at the end of a call that started before accounts were configured", () => {
+    const shares = createAccountShares();
+    shares.recordStart(createCall({ account: "running" }), 0);
+    shares.recordEnd(createCall({ account: "running" }), SERVICE_MS);
+    shares.recordStart(createCall({ account: "later" }), 11_000);
+    assert.equal(shares.size, 2);
+  });
+
   test("is bounded over ranks", () => {
     const shares = createAccountShares();
     for (let rank = 0; rank < 1_000; rank += 1) {
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -320,15 +320,14 @@
     },
     offer,
     recordEnd(call, now) {
-      if (sharesByAccount()) {
-        sharedRoom.shares.recordEnd(call, now - call.startedAt);
-        if (!call.isCancelled) {
-          nestedRefusals.recordRun(
-            call.request.route,
-            call.wasNestedRefused,
-            now,
-          );
-        }
+      // Also without accounts: they may have been removed from the configuration since the call started.
+      sharedRoom.shares.recordEnd(call, now - call.startedAt);
+      if (sharesByAccount() && !call.isCancelled) {
+        nestedRefusals.recordRun(
+          call.request.route,
+          call.wasNestedRefused,
+          now,
+        );
       }
     },
     describeSharing() {
