Describe the new reasons of refusals in the timeline

The explanation of a request gave `above-share` and `nested-refused` as bare names, while the other reasons of a gate are described.

--- a/src/features/timeline/common/explanation.ts
+++ b/src/features/timeline/common/explanation.ts
@@ -21,6 +21,10 @@
 const REFUSAL_DESCRIPTIONS: Readonly<Record<string, string>> = {
   full: "the gate could not serve it within its objective",
   hopeless: "it waited until it could no longer meet its deadline",
+  "above-share":
+    "its account has used more than its share of the gate, which had no room in time",
+  "nested-refused":
+    "the nested calls of such calls were being refused, so it would have failed",
   "no-instance": "no instance of the service was known",
   "other-service": "the instance there belongs to another service or version",
   leaving: "the instance there is leaving",
--- a/src/features/timeline/common/explanation_test.ts
+++ b/src/features/timeline/common/explanation_test.ts
@@ -17,6 +17,8 @@
   "time=2026-01-01T00:00:03.100Z level=info event=call.step host=a failureDomain=x request=r4 route=k gate=c outcome=answer status=500 next=deliver reached=1 timeLeft=300",
   'time=2026-01-01T00:00:03.500Z level=info event=call.expired host=a failureDomain=x request=r5 route=k gates="b,c" after=800',
   "time=2026-01-01T00:00:03.600Z level=info event=call.stale host=c failureDomain=x request=r6 delay=640",
+  "time=2026-01-01T00:00:03.700Z level=info event=call.step host=a failureDomain=x request=r7 route=k gate=c outcome=refused reason=above-share next=refuse reached=0 timeLeft=600",
+  "time=2026-01-01T00:00:03.800Z level=info event=call.step host=a failureDomain=x request=r8 route=k gate=c outcome=refused reason=nested-refused next=refuse reached=0 timeLeft=600",
 ];
 
 const TIMELINE: readonly TimelineEvent[] = mergeTimeline(
@@ -35,6 +37,24 @@
 }
 
 const CASES: readonly Case[] = [
+  {
+    name: "a refusal of an account above its share is described",
+    request: "r7",
+    decidedBy: "a",
+    findings: [
+      /^503 by a: its account has used more than its share .*\(last gate: c\)/,
+      /version 7/,
+    ],
+  },
+  {
+    name: "a refusal of a call whose nested calls are refused is described",
+    request: "r8",
+    decidedBy: "a",
+    findings: [
+      /^503 by a: the nested calls of such calls were being refused.*\(last gate: c\)/,
+      /version 7/,
+    ],
+  },
   {
     name: "a refusal names the last gate, its reason and its last known state",
     request: "r1",
