Order fewer queued calls where accounts share a gate

Each start of a queued call checked for all of them whether they may start, which reads the load of more urgent calls each time. Now only calls that go before the best one found are checked. The count of the calls ahead ordered the whole queue; calls of other ranks are now counted by their rank, since shares are those within one rank. The order lists calls by rank and account without a text key for each call.

--- a/src/features/gate/common/account_shares.ts
+++ b/src/features/gate/common/account_shares.ts
@@ -108,23 +108,32 @@
     },
     createOrder(calls, now) {
       // The calls of an account start one after the other, so each moves the start of those behind it.
-      const byAccount = new Map<string, QueueableCall[]>();
+      const byRank = new Map<number, Map<string, QueueableCall[]>>();
       for (const call of calls) {
-        const key = `${call.rank}|${nameOf(call)}`;
-        const ofAccount = byAccount.get(key);
+        let byAccount = byRank.get(call.rank);
+        if (byAccount === undefined) {
+          byAccount = new Map();
+          byRank.set(call.rank, byAccount);
+        }
+        const name = nameOf(call);
+        const ofAccount = byAccount.get(name);
         if (ofAccount === undefined) {
-          byAccount.set(key, [call]);
+          byAccount.set(name, [call]);
         } else {
           ofAccount.push(call);
         }
       }
       const starts = new Map<QueueableCall, number>();
-      for (const ofAccount of byAccount.values()) {
-        ofAccount.sort((left, right) => compareCalls(left, right, now));
-        let startsAt = nextStartOf(ofAccount[0]);
-        for (const call of ofAccount) {
-          starts.set(call, startsAt);
-          startsAt += call.expectedMilliseconds;
+      for (const byAccount of byRank.values()) {
+        for (const ofAccount of byAccount.values()) {
+          if (ofAccount.length > 1) {
+            ofAccount.sort((left, right) => compareCalls(left, right, now));
+          }
+          let startsAt = nextStartOf(ofAccount[0]);
+          for (const call of ofAccount) {
+            starts.set(call, startsAt);
+            startsAt += call.expectedMilliseconds;
+          }
         }
       }
       return (left, right) =>
--- a/src/features/gate/common/account_shares_test.ts
+++ b/src/features/gate/common/account_shares_test.ts
@@ -125,6 +125,42 @@
   });
 });
 
+describe("the work of ordering queued calls", () => {
+  // Guards against work that grows with the queue for each call that starts or is offered.
+  test("checks only calls that go before those found until then for whether they may start", () => {
+    const queue = createCallQueue(createAccountShares().createOrder);
+    for (let index = 0; index < 100; index += 1) {
+      queue.enqueue(
+        createCall({ identity: `call-${index}`, objectiveAt: 400 + index }),
+      );
+    }
+    let checked = 0;
+    const next = queue.dequeue(0, () => {
+      checked += 1;
+      return true;
+    });
+    assert.equal(next?.identity, "call-0");
+    assert.equal(checked, 1);
+  });
+
+  test("leaves out calls of other ranks when those ahead of a call are counted", () => {
+    const shares = createAccountShares();
+    let ordered = 0;
+    const queue = createCallQueue((calls, now) => {
+      const listed = [...calls];
+      ordered = listed.length;
+      return shares.createOrder(listed, now);
+    });
+    for (const rank of [0, 0, 0, 1, 2, 2]) {
+      queue.enqueue(createCall({ identity: `${queue.size}`, rank }));
+    }
+    const call = createCall({ identity: "new", rank: 1, objectiveAt: 900 });
+    assert.equal(queue.countAhead(call, 0), 4);
+    assert.equal(queue.countAlikeAhead(call, 0), 1);
+    assert.equal(ordered, 2);
+  });
+});
+
 describe("the state of accounts", () => {
   test("is bounded when calls of many accounts arrive", () => {
     const shares = createAccountShares();
--- a/src/features/gate/common/call_queue.ts
+++ b/src/features/gate/common/call_queue.ts
@@ -29,7 +29,10 @@
 
 export type CallOrder = (left: QueueableCall, right: QueueableCall) => number;
 
-/** Returns the order of these calls: a negative number if the first one starts before the second one. */
+/**
+ * Returns the order of these calls: a negative number if the first one starts before the second one. Calls go by
+ * priority first, and those of other ranks do not change the order within a rank.
+ */
 export type CreateCallOrder = (
   calls: Iterable<QueueableCall>,
   now: Milliseconds,
@@ -90,10 +93,12 @@
     now: Milliseconds,
     isCounted: (other: T) => boolean,
   ): number {
-    const order = createOrder([...calls.values(), call], now);
+    const ofRank = [...calls.values()].filter(({ rank }) => rank === call.rank);
+    const order = createOrder([...ofRank, call], now);
     let ahead = 0;
     for (const other of calls.values()) {
-      if (isCounted(other) && order(other, call) <= 0) {
+      const difference = other.rank - call.rank || order(other, call);
+      if (difference <= 0 && isCounted(other)) {
         ahead += 1;
       }
     }
@@ -115,7 +120,7 @@
       let next: T | undefined;
       for (const call of calls.values()) {
         if (
-          mayStart(call) && (next === undefined || order(call, next) < 0)
+          (next === undefined || order(call, next) < 0) && mayStart(call)
         ) {
           next = call;
         }
