Start calls in free slots that calls ahead may not use

Calls without time to wait were refused as full beside the free slot, since the estimate counted the calls ahead. A call that may use a free slot now starts if no queued call ahead may use it.

Ruled out: leaving out the calls ahead also for a call that may not start itself.

Without accounts nothing changes: the estimate is used as before.

--- a/src/features/gate/common/call_queue.ts
+++ b/src/features/gate/common/call_queue.ts
@@ -61,8 +61,12 @@
       alikeAhead: number,
     ) => Milliseconds,
   ): T[];
-  /** Counts the queued calls that would start before this one. */
-  countAhead(call: QueueableCall, now: Milliseconds): number;
+  /** Counts the queued calls that would start before this one, of those that the predicate holds for. */
+  countAhead(
+    call: QueueableCall,
+    now: Milliseconds,
+    isCounted?: (other: T) => boolean,
+  ): number;
   /** Counts those of them that have the same priority. */
   countAlikeAhead(call: QueueableCall, now: Milliseconds): number;
   /** Counts the accounts that have queued calls. */
@@ -159,7 +163,8 @@
       }
       return unmeetable;
     },
-    countAhead: (call, now) => countAheadWhere(call, now, () => true),
+    countAhead: (call, now, isCounted = () => true) =>
+      countAheadWhere(call, now, isCounted),
     countAlikeAhead: (call, now) =>
       countAheadWhere(
         call,
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -167,7 +167,7 @@
     if (isShared) {
       sharedRoom.recordOffered(call, now);
     }
-    const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
+    const ahead = countAhead(call, now);
     const decision = decideAdmission(
       call,
       describeLoad(
@@ -208,6 +208,17 @@
     return { cancel: () => cancel(call) };
   }
 
+  /** Counts the queued calls before this one; 0 if it may use a free slot and none of them may. */
+  function countAhead(call: GateCall, now: Milliseconds): number {
+    const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
+    const hasFreeSlot = dispatch().running.size < condition.limit;
+    return ahead > 0 && sharesByAccount() && hasFreeSlot &&
+        mayStart(call, now) &&
+        queue.countAhead(call, now, (other) => mayStart(other, now)) === 0
+      ? 0
+      : ahead;
+  }
+
   function findRefusalReason(request: GateRequest): RefusalReason | undefined {
     const { instance } = condition.tracker;
     if (instance === undefined) {
