--- a/src/features/gate/common/gate_call_state.ts
+++ b/src/features/gate/common/gate_call_state.ts
@@ -27,6 +27,8 @@
   /** When a running call is aborted. */
   readonly abortAt: Milliseconds;
   startedAt: Milliseconds;
+  /** The calls at the instance when this one started, including it; 0 before. */
+  runningAtStart: number;
   timer: Disposable | undefined;
   /** The connection on which the call is sent. */
   connection: Disposable | undefined;
@@ -48,6 +50,7 @@
     identity: request.identity,
     isNested: request.isNested,
     rank: request.rank,
+    account: request.account,
     objectiveAt: now + request.objectiveInMilliseconds,
     deadlineAt: now + timeLimitOf(request),
     expectedMilliseconds,
@@ -59,6 +62,7 @@
     wasNestedRefused: false,
     abortAt: now + request.deadlineInMilliseconds,
     startedAt: now,
+    runningAtStart: 0,
     timer: undefined,
     connection: undefined,
     instance: undefined,
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -7,7 +7,7 @@
 
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { CallRecord, Gate, ParentCall } from "../common/gate.ts";
-import type { GateLoadReport } from "../common/gate_call.ts";
+import type { GateLoadReport, RefusalReason } from "../common/gate_call.ts";
 import { isOverdue } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
 import type { ReportOutcome } from "../common/instance_tracker.ts";
@@ -24,6 +24,7 @@
   const { tracker, rateLimit } = condition;
   const changed = createEmitter<void>();
   const callCompleted = createEmitter<CallRecord>();
+  const callRefused = createEmitter<RefusalReason>();
   let wasServing = false;
 
   const admission: CallAdmission = createCallAdmission(options, {
@@ -40,6 +41,7 @@
   const dispatch: CallDispatch = createCallDispatch(options, {
     condition,
     evaluation,
+    onEnded: admission.recordEnd,
     onFinished: admission.startQueued,
   });
 
@@ -106,6 +108,7 @@
         mean: Math.round(condition.meanServiceTime),
         pace: condition.relativeServiceTime.current(now).toFixed(2),
         failurePart: condition.failureRate.current(now).toFixed(2),
+        ...admission.describeSharing(),
       });
     }
   }
@@ -180,6 +183,7 @@
     },
     onChanged: changed.event,
     onCallCompleted: callCompleted.event,
+    onCallRefused: callRefused.event,
     onRateLimitChanged: rateLimit.onChanged,
     applyReport,
     applyDeparture(departure) {
@@ -198,13 +202,20 @@
     restoreRateLimit: (restored) =>
       rateLimit.restore(restored, tracker.instance, clock.now()),
     findParent,
-    offer: admission.offer,
+    offer: (request, settle) =>
+      admission.offer(request, (outcome) => {
+        settle(outcome);
+        if (outcome.type === "refused") {
+          callRefused.fire(outcome.reason);
+        }
+      }),
     dispose() {
       servingTimer.dispose();
       admission.dispose();
       dispatch.dispose();
       changed.dispose();
       callCompleted.dispose();
+      callRefused.dispose();
       rateLimit.dispose();
     },
   };
