Decide the rate of a cold instance

A cold instance was known as slow only: nothing bounded its requests, and it crashes well above the rate that its service names. The rate is now a pure decision (cold_start_rate.ts): it counts the requests that have started in the last second and in the last quarter of one, also those from before the instance became cold. A token bucket was ruled out for that: it starts without knowing them. After the cold time the limit doubles every 0.5 s for 2 s. Before a configuration is known, 4 a second are allowed, which any limit allows.

An instance that becomes cold again says so with its next heartbeat. Until then its service times tell (service_time_jump.ts): the geometric mean of 16 calls against a slow baseline. A cumulative sum was no better in the tail. An alarm bounds to 1.5 times the limit only, until the next report: on a busy machine it bounded a warm instance beside the cold one, whose calls it got (traced by gate.cold-limit, cause=slow). The time for which responses may have waited in the daemon is deducted.

Tests fail with these lines disabled: the limit itself (13 tests), the count of earlier starts (4), the limit before a configuration (2), the ramp (3), the hold after a jump (3), counting a lasting rise once (1), the lower of two limits (1).

--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -8,7 +8,12 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
-import type { RouteName } from "../../../world/common/names.ts";
+import type { RouteName, ServiceName } from "../../../world/common/names.ts";
+import {
+  type ColdStartRate,
+  createColdStartRate,
+  type KnownColdStartLimit,
+} from "./cold_start_rate.ts";
 import { createFailureRate, type FailureRate } from "./failure_rate.ts";
 import type { GateRequest } from "./gate_call.ts";
 import {
@@ -24,6 +29,8 @@
   createRelativeServiceTime,
   type RelativeServiceTime,
 } from "./relative_service_time.ts";
+import type { RequestRate } from "./request_rate.ts";
+import { createServiceTimeJump } from "./service_time_jump.ts";
 
 /** The assumed service time before any call has completed. */
 const INITIAL_MEAN_MS: Milliseconds = 50;
@@ -36,6 +43,9 @@
 export interface InstanceCondition {
   readonly tracker: InstanceTracker;
   readonly rateLimit: InstanceRateLimit;
+  readonly coldStart: ColdStartRate;
+  /** The limit that the instance names and the bound of a cold one together; the lower one holds. */
+  readonly requestRate: Omit<RequestRate, "setLimit">;
   readonly relativeServiceTime: RelativeServiceTime;
   readonly failureRate: FailureRate;
   readonly meanServiceTime: Milliseconds;
@@ -63,13 +73,47 @@
 }
 
 export function createInstanceCondition(
-  { clock, heartbeatMilliseconds }: {
+  {
+    clock,
+    heartbeatMilliseconds,
+    readColdStartLimit = () => undefined,
+    loopDelay = () => 0,
+  }: {
     readonly clock: Clock;
     readonly heartbeatMilliseconds: Milliseconds;
+    /** How long a response that is read now may have waited. */
+    readonly loopDelay?: () => Milliseconds;
+    readonly readColdStartLimit?: (
+      service: ServiceName,
+    ) => KnownColdStartLimit;
   },
 ): InstanceCondition {
   const tracker = createInstanceTracker();
   const rateLimit = createInstanceRateLimit();
+  const coldStart = createColdStartRate(() =>
+    tracker.instance === undefined
+      ? undefined
+      : readColdStartLimit(tracker.instance.service)
+  );
+  const requestRate: Omit<RequestRate, "setLimit"> = {
+    get limit() {
+      const named = rateLimit.rate.limit;
+      const cold = coldStart.limitAt(clock.now());
+      return named === undefined || cold === undefined
+        ? named ?? cold
+        : Math.min(named, cold);
+    },
+    record(now) {
+      rateLimit.rate.record(now);
+      coldStart.record(now);
+    },
+    timeUntil: (requests, now) =>
+      Math.max(
+        rateLimit.rate.timeUntil(requests, now),
+        coldStart.timeUntil(requests, now),
+      ),
+  };
+  let serviceTimeJump = createServiceTimeJump();
   const serviceTimes = createMovingAverages();
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
   let relativeServiceTime = createRelativeServiceTime();
@@ -85,6 +129,8 @@
   return {
     tracker,
     rateLimit,
+    coldStart,
+    requestRate,
     get relativeServiceTime() {
       return relativeServiceTime;
     },
@@ -110,10 +156,10 @@
       return limit();
     },
     get capacity() {
-      const { rate } = rateLimit;
-      return rate.limit === undefined
+      const perSecond = requestRate.limit;
+      return perSecond === undefined
         ? limit()
-        : Math.min(limit(), rate.limit * meanServiceTime / 1_000);
+        : Math.min(limit(), perSecond * meanServiceTime / 1_000);
     },
     expectServiceTime: ({ route, meanServiceMilliseconds }, now) =>
       serviceTimes.averageOf(
@@ -128,16 +174,29 @@
         meanServiceMilliseconds,
         now,
       );
+      if (
+        // The response has waited for the event loop of this process.
+        serviceTimeJump.record(
+          duration - loopDelay(),
+          meanServiceMilliseconds,
+        ) &&
+        coldStart.phase(now) === "warm"
+      ) {
+        coldStart.holdUntilReport("slow");
+      }
     },
     recordReport(report, now) {
       lastReportAt = now;
       coldUntil = now + report.coldForMilliseconds;
+      coldStart.recordReport(report.coldForMilliseconds, now);
     },
     handleNewInstance(report, now) {
       unreachableUntil = -Infinity;
       relativeServiceTime = createRelativeServiceTime();
       failureRate = createFailureRate();
       rateLimit.handleNewInstance(report, now);
+      serviceTimeJump = createServiceTimeJump();
+      coldStart.handleNewInstance(report.coldForMilliseconds, now);
     },
     markUnreachable(now) {
       unreachableUntil = now + UNREACHABLE_MS;
--- a/src/features/gate/node/call_dispatch.ts
+++ b/src/features/gate/node/call_dispatch.ts
@@ -66,7 +66,7 @@
     call.startedAt = now;
     call.instance = instance;
     running.add(call);
-    condition.rateLimit.rate.record(now);
+    condition.requestRate.record(now);
     const timeLeft = call.abortAt - now;
     call.timer = clock.schedule(timeLeft, () => {
       call.isDeadlineExceeded = true;
