Bound cold instances and empty evacuated failure domains at their gates

All calls to an instance pass the gate on its host, so both are decided there: no offer that was on its way can avoid it, and no other daemon has to know.

Cold instances: the limit of the service comes from the configuration (cold_s, cold_per_s; off when absent or 0). The load report carries it as capacity and the change is announced at once, since regular statuses are seconds apart in large fleets. Log event gate.cold-limit at the begin and the end.

Evacuation: records evacuate/DOMAIN are decoded ({} begins, empty ends, anything else is logged as invalid and changes nothing). The gates of the domain report that they do not serve, refuse queued and later calls as not run (reason evacuated) and let running ones end; candidates leave the domain out. Daemons of the domain stay ready. Taken back, an instance whose service has a cold start limit is bound until its next report and then ramps up, since it may have become cold meanwhile. Log events evacuation.started and evacuation.ended, at warn with the reason if no other domain can serve or the domain is unknown.

Tests fail with these lines disabled: the limit (3 of the platform, 2 of the gate), the announcement (2), the hold after an evacuation (1), refusing queued calls (1), refusing offers (1), leaving out candidates (1).

--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -13,7 +13,12 @@
   InstanceReport,
 } from "../../../world/common/mesh_instance.ts";
 import type { AccountName, RouteName } from "../../../world/common/names.ts";
-import type { GateLoadReport, GateOutcome, GateRequest } from "./gate_call.ts";
+import type {
+  GateLoadReport,
+  GateOutcome,
+  GateRequest,
+  RefusalReason,
+} from "./gate_call.ts";
 import type { NamedRateLimit } from "./named_rate_limit.ts";
 import type { ReportOutcome } from "./instance_tracker.ts";
 
@@ -54,6 +59,8 @@
   readonly activeCalls: number;
   /** The requests per second that the instance takes, if it names a limit. */
   readonly rateLimit: number | undefined;
+  /** The requests per second to which the instance is bound while it is cold and shortly after. */
+  readonly coldLimit: number | undefined;
   /** Whether the instance can currently receive calls. */
   readonly isServing: boolean;
   /** The remaining time of the instance's cold start, during which it is slow. */
@@ -66,6 +73,10 @@
   readonly overdueCalls: readonly OverdueCall[];
   /** Fires after each call that the instance may have run. */
   readonly onCallCompleted: Event<CallRecord>;
+  /** Fires for each call that the gate refuses. */
+  readonly onRefused: Event<RefusalReason>;
+  /** Refuses the queued calls of an instance that gets no more calls, or lets it get calls again. */
+  handleEvacuation(isActive: boolean): void;
   applyReport(report: InstanceReport): ReportOutcome;
   applyDeparture(departure: InstanceDeparture): ReportOutcome;
   /** Restores the departures that a peer has kept, after this daemon has restarted. */
--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -75,6 +75,7 @@
   | "no-instance"
   | "other-service"
   | "leaving"
+  | "evacuated"
   | "full"
   | "hopeless"
   | "unreachable"
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -28,9 +28,15 @@
 import { type CallDispatch, runStep } from "./call_dispatch.ts";
 import type { GateOptions } from "./gate_options.ts";
 
+/** An evacuation lasts seconds at least; its calls are served in other failure domains if there are any. */
+const EVACUATED_RETRY_MS: Milliseconds = 1_000;
 /** The interval of the checks for queued calls that can no longer meet their deadline. */
 const SWEEP_INTERVAL_MS: Milliseconds = 40;
 
+function retryAfterOf(reason: RefusalReason): Milliseconds {
+  return reason === "evacuated" ? EVACUATED_RETRY_MS : 0;
+}
+
 export interface CallAdmission extends Disposable {
   /** The number of queued calls. */
   readonly waiting: number;
@@ -48,15 +54,16 @@
 }
 
 export function createCallAdmission(
-  { clock, log, afterStall }: GateOptions,
-  { condition, dispatch }: {
+  { clock, log, afterStall, isEvacuated = () => false }: GateOptions,
+  { condition, dispatch, onRefused }: {
     readonly condition: InstanceCondition;
     readonly dispatch: () => CallDispatch;
+    readonly onRefused: (reason: RefusalReason) => void;
   },
 ): CallAdmission {
   const queue = createCallQueue<GateCall>();
   const priorityLoad = createPriorityLoad();
-  const requestRate = condition.rateLimit.rate;
+  const { requestRate } = condition;
   let sweepTimer: Disposable | undefined;
   let rateTimer: Disposable | undefined;
   let refusedCount = 0;
@@ -112,7 +119,7 @@
     });
     const refusalReason = findRefusalReason(request);
     if (refusalReason !== undefined) {
-      refuse(call, refusalReason);
+      refuse(call, refusalReason, retryAfterOf(refusalReason));
       return { cancel() {} };
     }
     const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
@@ -145,6 +152,10 @@
   }
 
   function findRefusalReason(request: GateRequest): RefusalReason | undefined {
+    // Before all else, so that the reason tells why the instance gets no calls.
+    if (isEvacuated()) {
+      return "evacuated";
+    }
     const { instance } = condition.tracker;
     if (instance === undefined) {
       return "no-instance";
@@ -200,6 +211,7 @@
   ): void {
     call.timer?.dispose();
     call.state = "ended";
+    onRefused(reason);
     runStep(log, call, () =>
       call.settle({
         type: "refused",
@@ -211,7 +223,7 @@
 
   function refuseQueued(reason: RefusalReason): void {
     for (const call of queue.removeAll()) {
-      refuse(call, reason);
+      refuse(call, reason, retryAfterOf(reason));
     }
   }
 
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -7,7 +7,8 @@
 
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { CallRecord, Gate, ParentCall } from "../common/gate.ts";
-import type { GateLoadReport } from "../common/gate_call.ts";
+import type { ColdPhase } from "../common/cold_start_rate.ts";
+import type { GateLoadReport, RefusalReason } from "../common/gate_call.ts";
 import { isOverdue } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
 import type { ReportOutcome } from "../common/instance_tracker.ts";
@@ -19,16 +20,19 @@
 import { isSameEndpoint } from "./idle_connections.ts";
 
 export function createGate(options: GateOptions): Gate {
-  const { clock, log } = options;
+  const { clock, log, isEvacuated = () => false } = options;
   const condition = createInstanceCondition(options);
-  const { tracker, rateLimit } = condition;
+  const { tracker, rateLimit, coldStart, requestRate } = condition;
   const changed = createEmitter<void>();
   const callCompleted = createEmitter<CallRecord>();
+  const refused = createEmitter<RefusalReason>();
   let wasServing = false;
+  let coldPhase: ColdPhase = "warm";
 
   const admission: CallAdmission = createCallAdmission(options, {
     condition,
     dispatch: () => dispatch,
+    onRefused: refused.fire,
   });
   const evaluation = createExchangeEvaluation(options, {
     condition,
@@ -40,11 +44,38 @@
   const dispatch: CallDispatch = createCallDispatch(options, {
     condition,
     evaluation,
-    onFinished: admission.startQueued,
+    onFinished() {
+      updateColdPhase();
+      admission.startQueued();
+    },
   });
 
+  function isServing(): boolean {
+    return condition.isServing && !isEvacuated();
+  }
+
+  /** Tells callers at once what the instance takes, since regular statuses are seconds apart in large fleets. */
+  function updateColdPhase(): void {
+    const now = clock.now();
+    const before = coldPhase;
+    coldPhase = coldStart.phase(now);
+    if (coldPhase === before) {
+      return;
+    }
+    if (coldPhase !== "ramping") {
+      log.write("info", "gate.cold-limit", {
+        instance: tracker.instance?.identity,
+        perSecond: coldStart.limitAt(now),
+        cause: coldPhase === "warm"
+          ? undefined
+          : coldStart.heldFor ?? "reported",
+      });
+    }
+    fireChanged();
+  }
+
   function fireChanged(): void {
-    wasServing = condition.isServing;
+    wasServing = isServing();
     changed.fire();
   }
 
@@ -57,9 +88,10 @@
     log.write("info", "gate.rate-limit", { instance, perSecond })
   );
   const servingTimer = clock.repeat(options.heartbeatMilliseconds / 4, () => {
-    if (condition.isServing !== wasServing) {
+    updateColdPhase();
+    if (isServing() !== wasServing) {
       log.write("info", "gate.serving-changed", {
-        serving: condition.isServing,
+        serving: isServing(),
         instance: tracker.instance?.identity,
         sinceHeartbeat: Math.round(clock.now() - condition.lastReportAt),
       });
@@ -88,6 +120,7 @@
     } else {
       admission.refuseQueued("leaving");
     }
+    updateColdPhase();
     if (outcome.type !== "unchanged") {
       fireChanged();
     }
@@ -112,7 +145,7 @@
 
   function describeLoad(): GateLoadReport {
     const now = clock.now();
-    const isRateExhausted = rateLimit.rate.timeUntil(1, now) > 0;
+    const isRateExhausted = requestRate.timeUntil(1, now) > 0;
     const running = dispatch.running.size;
     return {
       // Callers send no call that would have to wait for the rate limit while another gate has room.
@@ -161,8 +194,11 @@
     get rateLimit() {
       return rateLimit.rate.limit;
     },
+    get coldLimit() {
+      return coldStart.limitAt(clock.now());
+    },
     get isServing() {
-      return condition.isServing;
+      return isServing();
     },
     get overdueCalls() {
       const now = clock.now();
@@ -181,6 +217,19 @@
     onChanged: changed.event,
     onCallCompleted: callCompleted.event,
     onRateLimitChanged: rateLimit.onChanged,
+    onRefused: refused.event,
+    handleEvacuation(isActive) {
+      if (isActive) {
+        admission.refuseQueued("evacuated");
+      } else {
+        // It may have become cold since its last report.
+        coldStart.holdUntilReport("restored");
+      }
+      updateColdPhase();
+      if (isServing() !== wasServing) {
+        fireChanged();
+      }
+    },
     applyReport,
     applyDeparture(departure) {
       const outcome = tracker.applyDeparture(departure);
@@ -205,6 +254,7 @@
       dispatch.dispose();
       changed.dispose();
       callCompleted.dispose();
+      refused.dispose();
       rateLimit.dispose();
     },
   };
--- a/src/features/gate/node/gate_options.ts
+++ b/src/features/gate/node/gate_options.ts
@@ -7,6 +7,8 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { ServiceName } from "../../../world/common/names.ts";
+import type { KnownColdStartLimit } from "../common/cold_start_rate.ts";
 import type { InstanceNotices } from "../common/instance_notices.ts";
 import type { MeshHeaders } from "../common/mesh_headers.ts";
 
@@ -16,6 +18,12 @@
   readonly headers: MeshHeaders;
   readonly heartbeatMilliseconds: Milliseconds;
   readonly readNotices: (rawHeaders: readonly string[]) => InstanceNotices;
+  /** How long a response that is read now may have waited for the event loop of this process; 0 when absent. */
+  readonly loopDelay?: () => Milliseconds;
+  /** What a cold instance of a service takes; absent if the rate is not bounded. */
+  readonly readColdStartLimit?: (service: ServiceName) => KnownColdStartLimit;
+  /** Whether no calls may be sent to the instance because its failure domain is evacuated. */
+  readonly isEvacuated?: () => boolean;
   /** Calls back immediately, or after an event loop stall once the input that arrived in it is processed. */
   readonly afterStall: (callback: () => void) => void;
 }
--- a/src/features/placement/common/candidates.ts
+++ b/src/features/placement/common/candidates.ts
@@ -35,14 +35,25 @@
   readonly fleet: Pick<Fleet, "members">;
   readonly network: Pick<PeerNetwork, "getOverdueTime">;
   readonly hostDelays: Pick<HostDelays, "current">;
+  /** Whether no calls may be sent to the instances of a failure domain. */
+  readonly isEvacuated: (failureDomain: FailureDomainName) => boolean;
   /** How long received frames may have waited for the event loop of this process. */
   readonly loopDelay: Milliseconds;
 }
 
 export function listCandidates(
   service: ServiceName,
-  { self, clock, gate, gates, fleet, network, hostDelays, loopDelay }:
-    CandidateSources,
+  {
+    self,
+    clock,
+    gate,
+    gates,
+    fleet,
+    network,
+    hostDelays,
+    isEvacuated,
+    loopDelay,
+  }: CandidateSources,
 ): VersionedCandidate[] {
   const candidates: VersionedCandidate[] = [];
   if (gate.isServing && gate.instance?.service === service) {
@@ -60,7 +71,10 @@
     const { host, failureDomain, status, load, coldUntil } of fleet.members
   ) {
     const { instance, isStopping } = status;
-    if (instance?.service === service && instance.isServing && !isStopping) {
+    if (
+      instance?.service === service && instance.isServing && !isStopping &&
+      !isEvacuated(failureDomain)
+    ) {
       candidates.push({
         host,
         failureDomain,
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -50,6 +50,7 @@
 import { formatProcess, type HostIdentity } from "../../world/common/host.ts";
 import { parseEndpoint } from "../../base/common/endpoint.ts";
 import type { MeshSettings } from "../common/mesh_settings.ts";
+import { createEvacuationControl } from "./evacuation_control.ts";
 import { createMeshMetrics } from "./mesh_metrics.ts";
 import { createMeshState } from "./mesh_state.ts";
 import type { MeshPlatform } from "./mesh_platform.ts";
@@ -120,6 +121,9 @@
     throw listening.val;
   }
   const loopDelay = disposables.add(createLoopDelay(clock));
+  const state = createMeshState({ log, platform });
+  const { evacuations } = state;
+  disposables.add(evacuations);
   const gate = disposables.add(
     createGate({
       clock,
@@ -127,6 +131,12 @@
       headers: platform.headers,
       readNotices: platform.readNotices,
       heartbeatMilliseconds: settings.heartbeatSeconds * 1_000,
+      loopDelay: () => loopDelay.current,
+      readColdStartLimit: (service) =>
+        state.configuration === undefined
+          ? "unknown"
+          : state.configuration.services.get(service)?.coldStart,
+      isEvacuated: () => evacuations.isEvacuated(settings.failureDomain),
       afterStall: (callback) => deferAfterStall(loopDelay.current, callback),
     }),
   );
@@ -190,7 +200,6 @@
     });
   }
 
-  const state = createMeshState({ log, platform });
   const rollouts = disposables.add(
     createRolloutControl({
       self: location,
@@ -237,6 +246,14 @@
       rollouts.addOrder(order, { offset, mayPredateStart: isFirst });
     }
   }));
+  disposables.add(createEvacuationControl({
+    failureDomain: settings.failureDomain,
+    evacuations,
+    gate,
+    fleet,
+    log,
+    knowsFleet: () => clock.now() - startedAt > PEER_WAIT_MS,
+  }));
   disposables.add(sync.onPositionChanged(() => fleet.announceStatus()));
   disposables.add(sync.onReachabilityChanged(() => fleet.broadcastStatus()));
   disposables.add(gate.onChanged(() => fleet.broadcastStatus()));
@@ -280,6 +297,7 @@
         fleet,
         network,
         hostDelays,
+        isEvacuated: evacuations.isEvacuated,
         loopDelay: loopDelay.current,
       }),
     hostDelays,
--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -11,6 +11,7 @@
   createMetrics,
   type Labels,
 } from "../../features/administration/common/metrics.ts";
+import type { RefusalReason } from "../../features/gate/common/gate_call.ts";
 import type { Gate } from "../../features/gate/common/gate.ts";
 import type {
   CallResult,
@@ -32,7 +33,12 @@
   readonly ingress: Pick<Ingress, "activeCalls" | "onCallEnded">;
   readonly gate: Pick<
     Gate,
-    "load" | "rateLimit" | "onCallCompleted" | "isServing"
+    | "load"
+    | "rateLimit"
+    | "coldLimit"
+    | "onCallCompleted"
+    | "onRefused"
+    | "isServing"
   >;
   readonly network: Pick<PeerNetwork, "peers">;
   readonly sync: Pick<
@@ -40,7 +46,7 @@
     "position" | "reachesStore" | "isReading"
   >;
   readonly loopDelay: Pick<LoopDelay, "current" | "isOverloaded">;
-  readonly state: Pick<MeshState, "configuration">;
+  readonly state: Pick<MeshState, "configuration" | "evacuations">;
 }
 
 export interface MeshMetrics {
@@ -68,6 +74,11 @@
     "guavarun_instance_call_duration_microseconds",
     "Time for which the instance on this host worked on a call",
   );
+  const refusals = metrics.counter(
+    "guavarun_gate_refusals_total",
+    "Calls that the gate of this host has refused as not run, by reason",
+  );
+  const refusalLabels = new Map<RefusalReason, Labels>();
   const callLabels = new Map<string, Labels>();
   const kindLabels = new Map<string, Labels>();
 
@@ -92,6 +103,12 @@
     instanceCallDurations.record(duration * MICROSECONDS_PER_MS);
   });
 
+  gate.onRefused((reason) => {
+    const labels = refusalLabels.get(reason) ?? { reason };
+    refusalLabels.set(reason, labels);
+    refusals.add(1, labels);
+  });
+
   const gauges: readonly (readonly [string, string, () => number])[] = [
     [
       "loop_delay_milliseconds",
@@ -112,6 +129,16 @@
       "Requests per second that the instance takes; 0 when it names no limit",
       () => gate.rateLimit ?? 0,
     ],
+    [
+      "gate_cold_limit",
+      "Requests per second to which a cold instance is bound; 0 when it is warm",
+      () => gate.coldLimit ?? 0,
+    ],
+    [
+      "evacuations_active",
+      "Failure domains that the operator has evacuated",
+      () => state.evacuations.active.size,
+    ],
     [
       "gate_pace_ratio",
       "Time of the instance for calls relative to what is usual",
--- a/src/programs/node/mesh_state.ts
+++ b/src/programs/node/mesh_state.ts
@@ -1,6 +1,6 @@
 /**
  * The configuration in force on this daemon. A version is applied as a whole, and only when it is
- * newer than the current one.
+ * newer than the current one. Keeps the failure domains that are evacuated, too.
  *
  * @module
  */
@@ -15,6 +15,10 @@
   type AccountDirectory,
   buildAccountDirectory,
 } from "../../features/account/common/account_directory.ts";
+import {
+  createEvacuationRegister,
+  type EvacuationRegister,
+} from "../../features/evacuation/common/evacuation_register.ts";
 import type { OperatorRecord } from "../../features/operator/common/operator_records.ts";
 import {
   buildHostRoutes,
@@ -33,6 +37,7 @@
   /** Undefined if callers need no key. */
   readonly accounts: AccountDirectory | undefined;
   readonly onConfiguration: Event<MeshConfiguration>;
+  readonly evacuations: EvacuationRegister;
   /** Applies records of the operator and returns the rollout orders among them. */
   apply(records: readonly OperatorRecord[]): readonly ReceivedOrder[];
 }
@@ -43,6 +48,7 @@
     readonly platform: Pick<MeshPlatform, "decodeRecord">;
   },
 ): MeshState {
+  const evacuations = createEvacuationRegister();
   const configurationEmitter = createEmitter<MeshConfiguration>();
   let configuration: MeshConfiguration | undefined;
   let routes: HostRoutes | undefined;
@@ -76,6 +82,9 @@
         return undefined;
       case "rollout":
         return { order: document.order, offset };
+      case "evacuation":
+        evacuations.apply(document.order);
+        return undefined;
       case "invalid":
         log.write("error", "operator.record-invalid", {
           key,
@@ -100,6 +109,7 @@
       return accounts;
     },
     onConfiguration: configurationEmitter.event,
+    evacuations,
     apply: (records) =>
       records.map(applyRecord).filter((placed) => placed !== undefined),
   };
