--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -59,6 +59,8 @@
   readonly activeCalls: number;
   /** The requests per second that the instance takes, if it names a limit. */
   readonly rateLimit: number | undefined;
+  /** The requests per second to which the instance is bound while it is cold and shortly after. */
+  readonly coldLimit: number | undefined;
   /** Whether the instance can currently receive calls. */
   readonly isServing: boolean;
   /** The remaining time of the instance's cold start, during which it is slow. */
@@ -73,6 +75,8 @@
   readonly onCallCompleted: Event<CallRecord>;
   /** Fires with the reason after each call that was refused. */
   readonly onCallRefused: Event<RefusalReason>;
+  /** Refuses the queued calls of an instance that gets no more calls, or lets it get calls again. */
+  handleEvacuation(isActive: boolean): void;
   applyReport(report: InstanceReport): ReportOutcome;
   applyDeparture(departure: InstanceDeparture): ReportOutcome;
   /** Restores the departures that a peer has kept, after this daemon has restarted. */
--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -75,6 +75,7 @@
   | "no-instance"
   | "other-service"
   | "leaving"
+  | "evacuated"
   | "full"
   | "hopeless"
   /** No capacity in time for an account that has used more than its share; there may be for others. */
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -38,9 +38,15 @@
 import { type CallDispatch, runStep } from "./call_dispatch.ts";
 import type { GateOptions } from "./gate_options.ts";
 
+/** An evacuation lasts seconds at least; its calls are served in other failure domains if there are any. */
+const EVACUATED_RETRY_MS: Milliseconds = 1_000;
 /** The interval of the checks for queued calls that can no longer meet their deadline. */
 const SWEEP_INTERVAL_MS: Milliseconds = 40;
 
+function retryAfterOf(reason: RefusalReason): Milliseconds {
+  return reason === "evacuated" ? EVACUATED_RETRY_MS : 0;
+}
+
 export interface CallAdmission extends Disposable {
   /** The number of queued calls. */
   readonly waiting: number;
@@ -65,7 +71,13 @@
 }
 
 export function createCallAdmission(
-  { clock, log, afterStall, sharesByAccount = () => false }: GateOptions,
+  {
+    clock,
+    log,
+    afterStall,
+    sharesByAccount = () => false,
+    isEvacuated = () => false,
+  }: GateOptions,
   { condition, dispatch }: {
     readonly condition: InstanceCondition;
     readonly dispatch: () => CallDispatch;
@@ -79,7 +91,7 @@
       : (left, right) => compareCalls(left, right, now)
   );
   const priorityLoad = createPriorityLoad();
-  const requestRate = condition.rateLimit.rate;
+  const { requestRate } = condition;
   let sweepTimer: Disposable | undefined;
   let rateTimer: Disposable | undefined;
   let refusedCount = 0;
@@ -156,7 +168,7 @@
     });
     const refusalReason = findRefusalReason(request);
     if (refusalReason !== undefined) {
-      refuse(call, refusalReason);
+      refuse(call, refusalReason, retryAfterOf(refusalReason));
       return { cancel() {} };
     }
     const isShared = sharesByAccount();
@@ -220,6 +232,10 @@
   }
 
   function findRefusalReason(request: GateRequest): RefusalReason | undefined {
+    // Before all else, so that the reason tells why the instance gets no calls.
+    if (isEvacuated()) {
+      return "evacuated";
+    }
     const { instance } = condition.tracker;
     if (instance === undefined) {
       return "no-instance";
@@ -302,7 +318,7 @@
 
   function refuseQueued(reason: RefusalReason): void {
     for (const call of queue.removeAll()) {
-      refuse(call, reason);
+      refuse(call, reason, retryAfterOf(reason));
     }
   }
 
--- a/src/features/gate/node/call_dispatch.ts
+++ b/src/features/gate/node/call_dispatch.ts
@@ -69,7 +69,7 @@
     call.instance = instance;
     running.add(call);
     call.runningAtStart = running.size;
-    condition.rateLimit.rate.record(now);
+    condition.requestRate.record(now);
     const timeLeft = call.abortAt - now;
     call.timer = clock.schedule(timeLeft, () => {
       call.isDeadlineExceeded = true;
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -7,6 +7,7 @@
 
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { CallRecord, Gate, ParentCall } from "../common/gate.ts";
+import type { ColdPhase } from "../common/cold_start_rate.ts";
 import type { GateLoadReport, RefusalReason } from "../common/gate_call.ts";
 import { isOverdue } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
@@ -19,13 +20,14 @@
 import { isSameEndpoint } from "./idle_connections.ts";
 
 export function createGate(options: GateOptions): Gate {
-  const { clock, log } = options;
+  const { clock, log, isEvacuated = () => false } = options;
   const condition = createInstanceCondition(options);
-  const { tracker, rateLimit } = condition;
+  const { tracker, rateLimit, coldStart, requestRate } = condition;
   const changed = createEmitter<void>();
   const callCompleted = createEmitter<CallRecord>();
   const callRefused = createEmitter<RefusalReason>();
   let wasServing = false;
+  let coldPhase: ColdPhase = "warm";
 
   const admission: CallAdmission = createCallAdmission(options, {
     condition,
@@ -42,11 +44,38 @@
     condition,
     evaluation,
     onEnded: admission.recordEnd,
-    onFinished: admission.startQueued,
+    onFinished() {
+      updateColdPhase();
+      admission.startQueued();
+    },
   });
 
+  function isServing(): boolean {
+    return condition.isServing && !isEvacuated();
+  }
+
+  /** Tells callers at once what the instance takes, since regular statuses are seconds apart in large fleets. */
+  function updateColdPhase(): void {
+    const now = clock.now();
+    const before = coldPhase;
+    coldPhase = coldStart.phase(now);
+    if (coldPhase === before) {
+      return;
+    }
+    if (coldPhase !== "ramping") {
+      log.write("info", "gate.cold-limit", {
+        instance: tracker.instance?.identity,
+        perSecond: coldStart.limitAt(now),
+        cause: coldPhase === "warm"
+          ? undefined
+          : coldStart.heldFor ?? "reported",
+      });
+    }
+    fireChanged();
+  }
+
   function fireChanged(): void {
-    wasServing = condition.isServing;
+    wasServing = isServing();
     changed.fire();
   }
 
@@ -59,9 +88,10 @@
     log.write("info", "gate.rate-limit", { instance, perSecond })
   );
   const servingTimer = clock.repeat(options.heartbeatMilliseconds / 4, () => {
-    if (condition.isServing !== wasServing) {
+    updateColdPhase();
+    if (isServing() !== wasServing) {
       log.write("info", "gate.serving-changed", {
-        serving: condition.isServing,
+        serving: isServing(),
         instance: tracker.instance?.identity,
         sinceHeartbeat: Math.round(clock.now() - condition.lastReportAt),
       });
@@ -90,6 +120,7 @@
     } else {
       admission.refuseQueued("leaving");
     }
+    updateColdPhase();
     if (outcome.type !== "unchanged") {
       fireChanged();
     }
@@ -115,7 +146,7 @@
 
   function describeLoad(): GateLoadReport {
     const now = clock.now();
-    const isRateExhausted = rateLimit.rate.timeUntil(1, now) > 0;
+    const isRateExhausted = requestRate.timeUntil(1, now) > 0;
     const running = dispatch.running.size;
     return {
       // Callers send no call that would have to wait for the rate limit while another gate has room.
@@ -164,8 +195,11 @@
     get rateLimit() {
       return rateLimit.rate.limit;
     },
+    get coldLimit() {
+      return coldStart.limitAt(clock.now());
+    },
     get isServing() {
-      return condition.isServing;
+      return isServing();
     },
     get overdueCalls() {
       const now = clock.now();
@@ -185,6 +219,18 @@
     onCallCompleted: callCompleted.event,
     onCallRefused: callRefused.event,
     onRateLimitChanged: rateLimit.onChanged,
+    handleEvacuation(isActive) {
+      if (isActive) {
+        admission.refuseQueued("evacuated");
+      } else {
+        // It may have become cold since its last report.
+        coldStart.holdUntilReport("restored");
+      }
+      updateColdPhase();
+      if (isServing() !== wasServing) {
+        fireChanged();
+      }
+    },
     applyReport,
     applyDeparture(departure) {
       const outcome = tracker.applyDeparture(departure);
--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -11,8 +11,8 @@
   createMetrics,
   type Labels,
 } from "../../features/administration/common/metrics.ts";
-import type { Gate } from "../../features/gate/common/gate.ts";
 import type { RefusalReason } from "../../features/gate/common/gate_call.ts";
+import type { Gate } from "../../features/gate/common/gate.ts";
 import type {
   CallResult,
   Ingress,
@@ -33,7 +33,12 @@
   readonly ingress: Pick<Ingress, "activeCalls" | "onCallEnded">;
   readonly gate: Pick<
     Gate,
-    "load" | "rateLimit" | "onCallCompleted" | "onCallRefused" | "isServing"
+    | "load"
+    | "rateLimit"
+    | "coldLimit"
+    | "onCallCompleted"
+    | "onCallRefused"
+    | "isServing"
   >;
   readonly network: Pick<PeerNetwork, "peers">;
   readonly sync: Pick<
@@ -41,7 +46,7 @@
     "position" | "reachesStore" | "isReading"
   >;
   readonly loopDelay: Pick<LoopDelay, "current" | "isOverloaded">;
-  readonly state: Pick<MeshState, "configuration">;
+  readonly state: Pick<MeshState, "configuration" | "evacuations">;
 }
 
 export interface MeshMetrics {
@@ -71,7 +76,7 @@
   );
   const refusals = metrics.counter(
     "guavarun_gate_refusals_total",
-    "Calls that the gate of this host has refused, by reason",
+    "Calls that the gate of this host has refused as not run, by reason",
   );
   const refusalLabels = new Map<RefusalReason, Labels>();
   const callLabels = new Map<string, Labels>();
@@ -124,6 +129,16 @@
       "Requests per second that the instance takes; 0 when it names no limit",
       () => gate.rateLimit ?? 0,
     ],
+    [
+      "gate_cold_limit",
+      "Requests per second to which a cold instance is bound; 0 when it is warm",
+      () => gate.coldLimit ?? 0,
+    ],
+    [
+      "evacuations_active",
+      "Failure domains that the operator has evacuated",
+      () => state.evacuations.active.size,
+    ],
     [
       "gate_pace_ratio",
       "Time of the instance for calls relative to what is usual",
--- a/src/programs/node/mesh_metrics_test.ts
+++ b/src/programs/node/mesh_metrics_test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { createEmitter } from "../../base/common/emitter.ts";
 import type { RefusalReason } from "../../features/gate/common/gate_call.ts";
+import { createEvacuationRegister } from "../../features/evacuation/common/evacuation_register.ts";
 import type { CallRecord } from "../../features/gate/common/gate.ts";
 import type { EndedCall } from "../../features/ingress/node/ingress_options.ts";
 import { createMeshMetrics } from "./mesh_metrics.ts";
@@ -24,6 +25,7 @@
         failureRate: 0,
       },
       rateLimit: undefined,
+      coldLimit: undefined,
       isServing: true,
       onCallCompleted: createEmitter<CallRecord>().event,
       onCallRefused: refused.event,
@@ -31,7 +33,10 @@
     network: { peers: [] },
     sync: { position: 0, reachesStore: true, isReading: false },
     loopDelay: { current: 0, isOverloaded: false },
-    state: { configuration: undefined },
+    state: {
+      configuration: undefined,
+      evacuations: createEvacuationRegister(),
+    },
   });
   for (const reason of ["full", "full", "nested-refused"] as const) {
     refused.fire(reason);
