Weigh accounts by their limits where they share a gate

Callers of large accounts were refused first: with equal shares an account with a quarter of all calls was always above twice the mean, so it left the last free slot to others whenever anyone had been refused. An account is now above its share by what the others use for their weight, which also holds for two accounts. The limit of an account is its weight; one without a limit has the mean.

--- a/src/features/account/common/account_test.ts
+++ b/src/features/account/common/account_test.ts
@@ -112,3 +112,34 @@
   assert.deepEqual([...inOrder].sort((left, right) => left - right), inOrder);
   assert.equal(new Set(inOrder).size, inOrder.length);
 });
+
+describe("the weight of an account", () => {
+  const limited = (name: string, requestsPerSecond: number): ClientAccount => ({
+    name,
+    keys: [],
+    limit: { requestsPerSecond, burst: 1 },
+  });
+  const directory = buildAccountDirectory({
+    accounts: new Map(
+      [
+        limited("large", 380),
+        limited("small", 2),
+        limited("tiny", 0.001),
+        PRESS,
+      ].map((account) => [account.name, account]),
+    ),
+  });
+  const mean = (380 + 2 + 0.001) / 3;
+  const cases: readonly [string | undefined, number][] = [
+    ["large", 380],
+    ["small", 2],
+    ["tiny", 0.1],
+    ["press", mean],
+    ["unknown", mean],
+    [undefined, mean],
+  ];
+  for (const [account, weight] of cases) {
+    test(`of ${account}`, () =>
+      assert.equal(directory?.weigh(account), weight));
+  }
+});
--- a/src/features/gate/common/account_shares.ts
+++ b/src/features/gate/common/account_shares.ts
@@ -1,19 +1,21 @@
 /**
- * Shares the slot time of an instance among accounts (start-time fair queueing with equal weights).
+ * Shares the slot time of an instance among accounts (start-time fair queueing, weighted by their limits).
  *
  * Load pattern: one account sends five times its usual number of calls. In order of due times it fills the
  * queue and pushes out the calls of all others. Here each start of a call moves the virtual time of its
  * account by the slot time that the call is expected to take, and the account that is behind goes first.
  * An account that was idle gets no credit for that time. The shares are those within one rank: more
- * urgent calls go first whoever makes them.
+ * urgent calls go first whoever makes them. Accounts differ in size by two orders of magnitude, so the share of
+ * each follows its limit: with equal shares the usual calls of a large account would be refused first.
  *
- * Calls whose objective leaves no time to wait never enter the queue. For these, an account that has used
- * more than twice the mean of the active accounts counts as above its share (`isAboveShare`).
+ * Calls whose objective leaves no time to wait never enter the queue. For these, an account that has used more
+ * than twice what the other active accounts use for their weight counts as above its share (`isAboveShare`).
  *
  * @module
  */
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { AccountName } from "../../../world/common/names.ts";
 import {
   compareCalls,
   comparePriority,
@@ -32,6 +34,7 @@
 const TOLERATED_DEVIATIONS = 2;
 
 interface AccountShare {
+  readonly weight: number;
   /** The virtual time at which the next call of the account starts. */
   finishesAt: number;
   running: number;
@@ -46,6 +49,8 @@
   /** Decayed slot time of all accounts as of the last start. */
   used: Milliseconds;
   lastStartAt: Milliseconds;
+  /** The sum of the weights of the accounts. */
+  weight: number;
   /** In the order of their last start. */
   readonly accounts: Map<string, AccountShare>;
 }
@@ -68,7 +73,12 @@
   recordEnd(call: QueueableCall, duration: Milliseconds): void;
 }
 
-export function createAccountShares(): AccountShares {
+/** The share of each account is in proportion to its weight, which must be positive. */
+export type AccountWeights = (account: AccountName | undefined) => number;
+
+export function createAccountShares(
+  weightOf: AccountWeights = () => 1,
+): AccountShares {
   const ranks = new Map<number, RankShares>();
   /** The calls whose start was recorded and whose end was not. */
   const running = new Set<QueueableCall>();
@@ -83,6 +93,7 @@
         virtualTime: 0,
         used: 0,
         lastStartAt: now,
+        weight: 0,
         accounts: new Map(),
       };
       ranks.set(rank, shares);
@@ -129,10 +140,11 @@
           if (ofAccount.length > 1) {
             ofAccount.sort((left, right) => compareCalls(left, right, now));
           }
+          const weight = weightOf(ofAccount[0].account);
           let startsAt = nextStartOf(ofAccount[0]);
           for (const call of ofAccount) {
             starts.set(call, startsAt);
-            startsAt += call.expectedMilliseconds;
+            startsAt += call.expectedMilliseconds / weight;
           }
         }
       }
@@ -148,21 +160,31 @@
         return false;
       }
       forgetIdle(shares, now);
-      const { size } = shares.accounts;
-      const mean = decay(shares, now) / size;
+      const own = decay(share, now);
+      const otherWeight = shares.weight - share.weight;
+      if (otherWeight <= 0) {
+        return false;
+      }
+      const fair = Math.max(0, decay(shares, now) - own) * share.weight /
+        otherWeight;
       // The number of calls of an account varies by its square root.
-      const deviation = Math.sqrt(mean * call.expectedMilliseconds);
-      return size > 1 &&
-        decay(share, now) >
-          ABOVE_SHARE_FACTOR * mean + TOLERATED_DEVIATIONS * deviation;
+      const deviation = Math.sqrt(fair * call.expectedMilliseconds);
+      return own > ABOVE_SHARE_FACTOR * fair + TOLERATED_DEVIATIONS * deviation;
     },
     recordStart(call, now) {
       const shares = sharesOf(call.rank, now);
       const name = nameOf(call);
       const startsAt = nextStartOf(call);
-      const share = shares.accounts.get(name) ??
-        { finishesAt: 0, running: 0, lastStartAt: now, used: 0 };
-      share.finishesAt = startsAt + call.expectedMilliseconds;
+      const known = shares.accounts.get(name);
+      const share: AccountShare = known ?? {
+        weight: weightOf(call.account),
+        finishesAt: 0,
+        running: 0,
+        lastStartAt: now,
+        used: 0,
+      };
+      shares.weight += known === undefined ? share.weight : 0;
+      share.finishesAt = startsAt + call.expectedMilliseconds / share.weight;
       share.running += 1;
       shares.virtualTime = startsAt;
       for (const entry of [share, shares]) {
@@ -181,7 +203,8 @@
       const share = ranks.get(call.rank)?.accounts.get(nameOf(call));
       if (share !== undefined) {
         share.running = Math.max(0, share.running - 1);
-        share.finishesAt += duration - call.expectedMilliseconds;
+        share.finishesAt += (duration - call.expectedMilliseconds) /
+          share.weight;
       }
     },
   };
@@ -200,14 +223,16 @@
 }
 
 /** Forgets the accounts without calls; each is forgotten once, so a call causes little work. */
-function forgetIdle({ accounts }: RankShares, now: Milliseconds): void {
-  for (const [name, { running, lastStartAt }] of accounts) {
+function forgetIdle(shares: RankShares, now: Milliseconds): void {
+  const { accounts } = shares;
+  for (const [name, { running, lastStartAt, weight }] of accounts) {
     if (accounts.size <= MAXIMUM_ACCOUNTS && now - lastStartAt < IDLE_MS) {
       return;
     }
     // Few accounts have running calls, at most one for each slot.
     if (running === 0) {
       accounts.delete(name);
+      shares.weight -= weight;
     }
   }
 }
--- a/src/features/gate/common/account_shares_test.ts
+++ b/src/features/gate/common/account_shares_test.ts
@@ -344,3 +344,59 @@
     );
   });
 });
+
+// Guards against usual calls of a large account that are refused as if it took the room of the small ones.
+describe("an account whose limit is a hundred times that of another", () => {
+  const WEIGHTS: Readonly<Record<string, number>> = { large: 100, small: 1 };
+  const weightOf = (account: string | undefined) => WEIGHTS[account ?? ""] ?? 1;
+  const cases = [
+    { name: "both at their limits", large: 1_000, small: 10, isAbove: [] },
+    {
+      name: "the large one idle but for a few calls",
+      large: 20,
+      small: 10,
+      isAbove: ["small"],
+    },
+    {
+      name: "the large one far above",
+      large: 4_000,
+      small: 2,
+      isAbove: ["large"],
+    },
+  ];
+  for (const { name, large, small, isAbove } of cases) {
+    test(`${name}: above its share is ${isAbove.join() || "none"}`, () => {
+      const shares = createAccountShares(weightOf);
+      for (const [account, count] of Object.entries({ large, small })) {
+        for (let index = 0; index < count; index += 1) {
+          shares.recordStart(createCall({ account }), 0);
+        }
+      }
+      assert.deepEqual(
+        ["large", "small"].filter((account) =>
+          shares.isAboveShare(createCall({ account }), 0)
+        ),
+        isAbove,
+      );
+    });
+  }
+
+  test("starts a hundred of its queued calls for each of the other's", () => {
+    const shares = createAccountShares(weightOf);
+    const queue = createCallQueue(shares.createOrder);
+    for (let index = 0; index < 300; index += 1) {
+      for (const account of ["large", "small"]) {
+        queue.enqueue(
+          createCall({ account, identity: `${account}-${index}` }),
+        );
+      }
+    }
+    let small = 0;
+    for (let index = 0; index < 202; index += 1) {
+      const call = queue.dequeue(0)!;
+      shares.recordStart(call, 0);
+      small += call.account === "small" ? 1 : 0;
+    }
+    assert.ok(small >= 2 && small <= 4, `${small} of 202`);
+  });
+});
--- a/src/features/gate/common/shared_room.ts
+++ b/src/features/gate/common/shared_room.ts
@@ -9,7 +9,11 @@
  */
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
-import { type AccountShares, createAccountShares } from "./account_shares.ts";
+import {
+  type AccountShares,
+  type AccountWeights,
+  createAccountShares,
+} from "./account_shares.ts";
 import type { GateLoad } from "./admission_decision.ts";
 import { comparePriority, type QueueableCall } from "./call_queue.ts";
 import { countUsableSlots } from "./slot_reservation.ts";
@@ -60,9 +64,9 @@
   ): GateLoad;
 }
 
-export function createSharedRoom(): SharedRoom {
+export function createSharedRoom(weightOf?: AccountWeights): SharedRoom {
   const work = createUrgentWork();
-  const shares = createAccountShares();
+  const shares = createAccountShares(weightOf);
   let reservedSlots = 0;
   /** When a call of an account within its share was last refused, by rank. */
   const refusedAt = new Map<number, Milliseconds>();
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -76,6 +76,7 @@
     log,
     afterStall,
     sharesByAccount = () => false,
+    weighAccount,
     isEvacuated = () => false,
   }: GateOptions,
   { condition, dispatch }: {
@@ -83,7 +84,7 @@
     readonly dispatch: () => CallDispatch;
   },
 ): CallAdmission {
-  const sharedRoom = createSharedRoom();
+  const sharedRoom = createSharedRoom(weighAccount);
   const nestedRefusals = createNestedRefusals();
   const queue = createCallQueue<GateCall>((calls, now) =>
     sharesByAccount()
--- a/src/features/gate/node/gate_options.ts
+++ b/src/features/gate/node/gate_options.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { ServiceName } from "../../../world/common/names.ts";
 import type { KnownColdStartLimit } from "../common/cold_start_rate.ts";
+import type { AccountWeights } from "../common/account_shares.ts";
 import type { InstanceNotices } from "../common/instance_notices.ts";
 import type { MeshHeaders } from "../common/mesh_headers.ts";
 
@@ -20,6 +21,8 @@
   readonly readNotices: (rawHeaders: readonly string[]) => InstanceNotices;
   /** Whether client accounts share the room of the instance; absent means that they don't. */
   readonly sharesByAccount?: () => boolean;
+  /** The weight of an account where accounts share the room; absent if all are equal. */
+  readonly weighAccount?: AccountWeights;
   /** How long a response that is read now may have waited for the event loop of this process; 0 when absent. */
   readonly loopDelay?: () => Milliseconds;
   /** What a cold instance of a service takes; absent if the rate is not bounded. */
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -139,6 +139,7 @@
       isEvacuated: () => evacuations.isEvacuated(settings.failureDomain),
       afterStall: (callback) => deferAfterStall(loopDelay.current, callback),
       sharesByAccount: () => state.accounts !== undefined,
+      weighAccount: (account) => state.accounts?.weigh(account) ?? 1,
     }),
   );
   disposables.add(
