Order the positions of the store over its eras

Cause: the store may come back from a copy that is some seconds old. It then gives out offsets again, answers 410 to a read from an offset that it does not have, and raises the number in its era header. Offsets were compared as if they only grew: what is written again has a lower offset than what is known, and is ignored; a status whose condition names a reused offset is written; a response that was sent before is taken for the newest state.

Change: the client reads the era of each response. A response of an older era than a known one counts as failed, a read of an offset of an older era is expired, newest records on several pages are read again from the first page when the era rises between them, and an append under a condition of an older era is a conflict, without a call once the new era is known.

Ruled out: a position of two fields, which daemons of the release before could neither read nor compare.

--- a/src/features/operator/common/mesh_store.ts
+++ b/src/features/operator/common/mesh_store.ts
@@ -26,7 +26,18 @@
   readonly position: number;
 }
 
-/** `expired`: the log no longer contains the position; the newest records must be read instead. */
+/**
+ * Where a position lies in the store. The era rises when the store comes back from an older copy of itself, and gives
+ * out the offsets again that it had given out since. A position of a later era is always the greater one.
+ */
+export interface StoreLocation {
+  readonly era: number;
+  readonly offset: number;
+}
+
+/**
+ * `expired`: the log no longer contains the position, or the era has risen; the newest records must be read instead.
+ */
 export type ReadOutcome = RecordBatch | "expired";
 
 export interface RolloutStatus {
@@ -51,6 +62,11 @@
 
 /** Errors name the failed step; their outcome is `not-run` if the store reported that nothing was done. */
 export abstract class MeshStore {
+  abstract locate(position: number): StoreLocation;
+
+  /** Whether a key never counts as removed, such as that of the configuration. */
+  abstract isPermanent(key: string): boolean;
+
   /** Reads the newest record of each key that the operator has written. */
   abstract readNewestRecords(): Promise<Result<RecordBatch, StepError>>;
 
@@ -72,6 +88,12 @@
     update: DepartureUpdate,
   ): Promise<Result<void, StepError>>;
 
+  /** Writes the address and the departures of a host again, in one step, after the store may have lost them. */
+  abstract rewriteHost(
+    target: LinkTarget,
+    departed: readonly DepartedInstance[],
+  ): Promise<Result<void, StepError>>;
+
   abstract readRolloutStatuses(): Promise<
     Result<
       {
@@ -84,7 +106,7 @@
 
   /**
    * Writes a status unless another record was written since `position`, in which case it returns
-   * `conflict`.
+   * `conflict`. It does so as well if the era of `position` is over; the status may then have been written.
    */
   abstract writeRolloutStatus(
     status: RolloutStatus,
