Read the operator's records again when the era of the store rises

Cause: a daemon kept its position in the older era of a store that had come back from an older copy. It ignored the records that were written again as older ones, and when it read the copy, records that later ones had replaced or removed took effect again. Also without a rewind, a key that was removed while a daemon did not read stayed in force, since the newest records only list keys that exist.

Change: `RecordSync` reads the newest records again, logs store.era-changed and operator.records-read-again, and fires `onEraChanged`. A complete read reports missing keys as removed, the configuration excepted. Such a removal lies halfway before the position of the read: at the position itself it would have the offset of the next record, which would then be ignored, and deltas name their base by its offset. A daemon that answers a fetch adds removals of those keys that the other one holds and it lacks. Records of the copy that are known to have been replaced are kept, since they are what the store has, but do not take effect. A range of an older era than the own position changes nothing.

Existing tests: the stores of operator_test, record_sync_test and the spread fixture got `locate` and `isPermanent`; no check was changed.

--- a/src/features/operator/common/operator_test.ts
+++ b/src/features/operator/common/operator_test.ts
@@ -38,7 +38,10 @@
   ];
   for (const { name, ranges, position } of cases) {
     test(name, () => {
-      const records = createOperatorRecords();
+      const records = createOperatorRecords({
+        locate: (position) => ({ era: 0, offset: position }),
+        isPermanent: () => false,
+      });
       for (const range of ranges) {
         records.apply(range);
       }
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -16,23 +16,23 @@
   FailureDomainName,
   HostName,
 } from "../../../world/common/names.ts";
-import { HEARTBEAT_TOLERANCE_MS } from "../../link/common/link_rules.ts";
 import type {
   LinkMessage,
   PeerNetwork,
 } from "../../link/common/peer_network.ts";
 import type { MeshStore } from "./mesh_store.ts";
 import {
+  type ApplyOptions,
   createOperatorRecords,
   NO_POSITION,
   type OperatorRecord,
   type RecordRange,
 } from "./operator_records.ts";
 import {
-  chooseFetchSource,
-  computeFetchRetryDelay,
-  type FetchSource,
-} from "./fetch_choice.ts";
+  createRecordFetcher,
+  FETCH_KIND,
+  type FetchMessage,
+} from "./record_fetcher.ts";
 import { chooseReaders, type ReaderCandidate } from "./reader_choice.ts";
 import {
   type Compression,
@@ -50,8 +50,6 @@
 const OVERDUE_POLL_MS: Milliseconds = 500;
 /** The pause after a read, so that records written in quick succession are read as one batch. */
 const BATCH_DELAY_MS: Milliseconds = 150;
-/** How long another daemon may have newer records before they are fetched from it. */
-const FETCH_DELAY_MS: Milliseconds = 250;
 /** The backoff of retries while the store is unreachable. */
 const STORE_BACKOFF = { baseMilliseconds: 200, capMilliseconds: 1_500 };
 /**
@@ -64,16 +62,9 @@
 
 const STORE_SOURCE = "store";
 const UPDATE_KIND = "operator.update";
-const FETCH_KIND = "operator.fetch";
 
 interface UpdateMessage extends LinkMessage, PackedRange {}
 
-interface FetchMessage extends LinkMessage {
-  readonly after: number;
-  /** The offset of the stored record of each key. */
-  readonly held: Readonly<Record<string, number>>;
-}
-
 export interface RecordSyncOptions {
   readonly self: {
     readonly host: HostName;
@@ -91,7 +82,7 @@
 
 export interface ReceivedRecords {
   readonly records: readonly OperatorRecord[];
-  /** Whether these are the first records since the start of the daemon; they may be old. */
+  /** Whether these are the first records since the start of the daemon, or of an era; they may be old. */
   readonly isFirst: boolean;
 }
 
@@ -105,6 +96,8 @@
   readonly onPositionChanged: Event<void>;
   /** Fires when the store becomes reachable or unreachable. */
   readonly onReachabilityChanged: Event<void>;
+  /** Fires after the records of a later era of the store were read for the first time. */
+  readonly onEraChanged: Event<void>;
   /** Records the position that a peer has reported. */
   updatePeerPosition(host: HostName, position: number): void;
   start(): void;
@@ -112,11 +105,12 @@
 
 export function createRecordSync(options: RecordSyncOptions): RecordSync {
   const { clock, log, network, self, store } = options;
-  const records = createOperatorRecords();
+  const records = createOperatorRecords(store);
   const packer = createRecordPacker(options.compression);
   const received = createEmitter<ReceivedRecords>();
   const positionChanged = createEmitter<void>();
   const reachabilityChanged = createEmitter<void>();
+  const eraChanged = createEmitter<void>();
   let reachesStore = true;
   let isReading = false;
   let failures = 0;
@@ -124,59 +118,57 @@
   let storeCheckAt: Milliseconds = 0;
   let disposed = false;
   let polling: AbortController | undefined;
-  let fetchTimer: Disposable | undefined;
-  /** The positions of peers that have reported a later position than this daemon's. */
-  const peersAhead = new Map<HostName, number>();
-  let behindSince: Milliseconds = 0;
-  let fetchAttempts = 0;
-  let lastSource: HostName | undefined;
+  const fetcher = createRecordFetcher({
+    ownFailureDomain: self.failureDomain,
+    clock,
+    random: options.random,
+    log,
+    network,
+    records,
+    // A poll that has not returned records that another daemon has read may be on a dead connection.
+    onRequested: () => polling?.abort(),
+  });
 
-  function apply(range: RecordRange, source: string): void {
+  function apply(
+    range: RecordRange,
+    source: string,
+    applyOptions?: ApplyOptions,
+  ): void {
     const before = records.position;
-    const newRecords = records.apply(range);
+    const newRecords = records.apply(range, applyOptions);
+    const eraBefore = store.locate(before).era;
+    const era = store.locate(records.position).era;
+    const isEraChanged = before !== NO_POSITION && era !== eraBefore;
+    if (isEraChanged) {
+      log.write("warn", "store.era-changed", { from: eraBefore, to: era });
+    }
+    if (applyOptions?.isComplete && before !== NO_POSITION) {
+      log.write("info", "operator.records-read-again", {
+        position: records.position,
+        count: newRecords.length,
+        removed: newRecords.filter(({ value }) => value.length === 0).length,
+      });
+    }
     if (newRecords.length > 0) {
       log.write("info", "operator.records-applied", {
         source,
         count: newRecords.length,
         position: records.position,
       });
-      received.fire({ records: newRecords, isFirst: before === NO_POSITION });
+      received.fire({
+        records: newRecords,
+        isFirst: before === NO_POSITION || isEraChanged,
+      });
     }
-    removeCaughtUpPeers();
+    fetcher.removeCaughtUpPeers();
     if (records.position !== before) {
       positionChanged.fire();
     }
-    if (range.position > records.position && source !== STORE_SOURCE) {
-      updatePeerPosition(source, range.position);
-    }
-  }
-
-  function updatePeerPosition(host: HostName, position: number): void {
-    if (position <= records.position) {
-      return;
-    }
-    if (peersAhead.size === 0) {
-      behindSince = clock.now();
-    }
-    peersAhead.set(host, position);
-    if (records.position === NO_POSITION && fetchAttempts === 0) {
-      fetchMissingRecords();
-    } else {
-      scheduleFetch(behindSince + FETCH_DELAY_MS - clock.now());
-    }
-  }
-
-  function removeCaughtUpPeers(): void {
-    for (const [host, position] of peersAhead) {
-      if (position <= records.position) {
-        peersAhead.delete(host);
-      }
+    if (isEraChanged) {
+      eraChanged.fire();
     }
-    if (peersAhead.size === 0) {
-      fetchAttempts = 0;
-      lastSource = undefined;
-      fetchTimer?.dispose();
-      fetchTimer = undefined;
+    if (range.position > records.position && source !== STORE_SOURCE) {
+      fetcher.updatePeerPosition(source, range.position);
     }
   }
 
@@ -246,7 +238,9 @@
     const read = await store.readNewestRecords();
     if (read.ok) {
       setReachesStore(true);
-      apply({ ...read.val, from: NO_POSITION }, STORE_SOURCE);
+      apply({ ...read.val, from: NO_POSITION }, STORE_SOURCE, {
+        isComplete: true,
+      });
       return;
     }
     setReachesStore(false, read.val.message);
@@ -308,54 +302,6 @@
     }
   }
 
-  function scheduleFetch(delay: Milliseconds): void {
-    fetchTimer ??= clock.schedule(Math.max(0, delay) + 1, () => {
-      fetchTimer = undefined;
-      fetchMissingRecords();
-    });
-  }
-
-  function chooseSource(): FetchSource | undefined {
-    return chooseFetchSource(
-      [...peersAhead.keys()].map((host) => ({
-        host,
-        failureDomain: network.findPeer(host)?.failureDomain,
-        isOverdue: network.getOverdueTime(host) > HEARTBEAT_TOLERANCE_MS,
-      })),
-      { ownFailureDomain: self.failureDomain, lastSource },
-      options.random,
-    );
-  }
-
-  /** Fetches records from another daemon when this failure domain's reader has not sent them. */
-  function fetchMissingRecords(): void {
-    removeCaughtUpPeers();
-    const message: FetchMessage = {
-      kind: FETCH_KIND,
-      after: records.position,
-      held: records.offsets,
-    };
-    let source = chooseSource();
-    while (source !== undefined && !network.send(source.host, message)) {
-      peersAhead.delete(source.host);
-      source = chooseSource();
-    }
-    if (source === undefined) {
-      return;
-    }
-    log.write("info", "operator.behind", {
-      peer: source.host,
-      position: records.position,
-      theirs: peersAhead.get(source.host),
-      behind: Math.round(clock.now() - behindSince),
-    });
-    // A poll that has not returned records that another daemon has read may be on a dead connection.
-    polling?.abort();
-    lastSource = source.host;
-    fetchAttempts += 1;
-    scheduleFetch(computeFetchRetryDelay(fetchAttempts));
-  }
-
   const registrations = [
     network.onMessage(UPDATE_KIND, (peer, message) => {
       const update = message as UpdateMessage;
@@ -374,7 +320,7 @@
           position: records.position,
           theirs: update.position,
         });
-        updatePeerPosition(peer.process.host, update.position);
+        fetcher.updatePeerPosition(peer.process.host, update.position);
         return;
       }
       apply(range, peer.process.host);
@@ -382,7 +328,7 @@
     network.onMessage(FETCH_KIND, (peer, message) => {
       const { after, held } = message as FetchMessage;
       const range = {
-        records: records.listSince(after),
+        records: [...records.listSince(after), ...records.listRemovals(held)],
         from: after,
         position: records.position,
       };
@@ -412,7 +358,8 @@
     onRecords: received.event,
     onPositionChanged: positionChanged.event,
     onReachabilityChanged: reachabilityChanged.event,
-    updatePeerPosition,
+    onEraChanged: eraChanged.event,
+    updatePeerPosition: fetcher.updatePeerPosition,
     start() {
       run().catch((error) =>
         log.write("error", "operator.sync-failed", { error: String(error) })
@@ -420,7 +367,7 @@
     },
     dispose() {
       disposed = true;
-      fetchTimer?.dispose();
+      fetcher.dispose();
       polling?.abort();
       for (const registration of registrations) {
         registration.dispose();
@@ -428,6 +375,7 @@
       received.dispose();
       positionChanged.dispose();
       reachabilityChanged.dispose();
+      eraChanged.dispose();
     },
   };
 }
--- a/src/features/operator/common/record_sync_test.ts
+++ b/src/features/operator/common/record_sync_test.ts
@@ -66,6 +66,8 @@
     log: SILENT_LOG,
     network,
     store: {
+      locate: (position: number) => ({ era: 0, offset: position }),
+      isPermanent: () => false,
       readNewestRecords: () =>
         Promise.resolve(Ok({ records: [], position: 0 })),
       readRecords: () => new Promise(() => {}),
--- a/src/programs/node/spread_fixture.ts
+++ b/src/programs/node/spread_fixture.ts
@@ -12,8 +12,7 @@
 import { registerHandler } from "../../base/common/handler_map.ts";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import { createRandomSource } from "../../base/common/random_source.ts";
-import { Err, Ok, type Result } from "../../base/common/result.ts";
-import { StepError } from "../../base/common/step_error.ts";
+import { Ok } from "../../base/common/result.ts";
 import { createLoopDelay, type LoopDelay } from "../../base/node/loop_delay.ts";
 import { listCoordinators } from "../../features/fleet/common/coordinators.ts";
 import { createFleet, type Fleet } from "../../features/fleet/common/fleet.ts";
@@ -23,23 +22,21 @@
   Peer,
   PeerNetwork,
 } from "../../features/link/common/peer_network.ts";
-import type {
-  MeshStore,
-  ReadOptions,
-  ReadOutcome,
-} from "../../features/operator/common/mesh_store.ts";
 import {
   createRecordSync,
   type RecordSync,
 } from "../../features/operator/common/record_sync.ts";
 import type { HostName } from "../../world/common/names.ts";
+import {
+  createSpreadStore,
+  STORE_MS,
+  STORE_TIMEOUT_MS,
+  type StoreAccess,
+} from "./spread_store.ts";
 
 const HEARTBEAT_MS: Milliseconds = 500;
 const MISSED_HEARTBEATS = 3;
 const TRANSIT_MS: Milliseconds = 1;
-const STORE_MS: Milliseconds = 4;
-/** How long a call of the store waits for a response. */
-const STORE_TIMEOUT_MS: Milliseconds = 2_000;
 /** The processor time that a daemon of usual speed needs for a message; charged on slow hosts only. */
 const EVENT_MS: Milliseconds = 0.2;
 /** The processor time that a daemon of usual speed needs for a version with hundreds of routes. */
@@ -47,19 +44,16 @@
 /** How long a process is down when it is restarted. */
 const RESTART_MS: Milliseconds = 700;
 const STEP_MS: Milliseconds = 5;
+const CONFIGURATION_KEY = "config";
 
 /** A fault of one host. */
-export interface HostFault {
+export interface HostFault extends StoreAccess {
   /** How many times longer than usual everything takes. */
   readonly slowdown?: number;
   /** No event is handled. */
   readonly isPaused?: boolean;
   /** No message passes between the host and the other ones. */
   readonly isCutOff?: boolean;
-  /** The store does not respond to the host. */
-  readonly isStoreSilent?: boolean;
-  /** The store refuses each call of the host. */
-  readonly isStoreRefusing?: boolean;
 }
 
 interface Host {
@@ -71,6 +65,11 @@
   loopDelay: LoopDelay;
   /** When each position took effect. */
   readonly appliedAt: Map<number, Milliseconds>;
+  /** The values of all keys but the configuration. */
+  readonly values: Map<string, string>;
+  /** The version of the configuration in force. */
+  version: number;
+  eraChanges: number;
   lastStoreReadAt: Milliseconds;
   sentMessages: number;
   storeCalls: number;
@@ -154,10 +153,21 @@
   /** The daemons that wait for a response of the store. */
   listReaders(): readonly HostName[];
   setFault(host: HostName, fault: HostFault): void;
+  /** Opens the links of a host to all others again. */
+  reconnect(host: HostName): void;
   /** Kills the process of a host and starts it again. */
   restart(host: HostName): void;
-  /** Writes a version of the configuration; returns its position. */
+  /** Writes the next version of the configuration; returns its position. */
   publish(): number;
+  /** Writes a record; an empty value removes the key. Returns its position. */
+  write(key: string, value: string): number;
+  /** Lets the store come back from a copy that is this old. */
+  rewind(duration: Milliseconds): void;
+  /** The version of the configuration in force on a host; 0 if there is none. */
+  versionOf(host: HostName): number;
+  valueOf(host: HostName, key: string): string | undefined;
+  /** How often a host has found that the era of the store has risen. */
+  countEraChanges(host: HostName): number;
   advance(duration: Milliseconds): Promise<void>;
   /** The calls of the store that a host has made. */
   countStoreCalls(host: HostName): number;
@@ -179,8 +189,8 @@
   const clock = new VirtualClock();
   const hosts = new Map<HostName, Host>();
   const interval = computeHeartbeatInterval(HEARTBEAT_MS, hostCount - 1);
-  const versions: string[] = [];
-  const waiting = new Set<() => void>();
+  const store = createSpreadStore(clock);
+  let version = 0;
 
   function isConnected(from: Host, to: Host): boolean {
     return !from.fault.isCutOff && !to.fault.isCutOff;
@@ -270,75 +280,21 @@
     };
   }
 
-  function createStore(host: Host): MeshStore {
-    /** Resolves with the response of the store, or with an error when it does not respond in time. */
-    function call<T>(
-      wait: Milliseconds,
-      isReady: () => boolean,
-      respond: () => T,
-      signal?: AbortSignal,
-    ): Promise<Result<T, StepError>> {
-      host.storeCalls += 1;
-      return new Promise((resolve) => {
-        const finish = (result: Result<T, StepError>) => {
-          timeout.dispose();
-          host.clock.handle(() => resolve(result));
-        };
-        const fail = (reason: string) =>
-          finish(Err(new StepError("store", reason, { outcome: "not-run" })));
-        const timeout = clock.schedule(
-          wait + STORE_TIMEOUT_MS,
-          () => fail("the request timed out"),
-        );
-        signal?.addEventListener("abort", () => fail("aborted"));
-        const answer = () => {
-          if (!waiting.delete(wake) || host.fault.isStoreSilent) {
-            return;
-          }
-          clock.schedule(STORE_MS, () => finish(Ok(respond())));
-        };
-        const wake = () => {
-          if (host.fault.isStoreRefusing) {
-            waiting.delete(wake);
-            fail("the store refused the call");
-          } else if (isReady()) {
-            answer();
-          }
-        };
-        waiting.add(wake);
-        clock.schedule(STORE_MS, wake);
-        clock.schedule(STORE_MS + wait, answer);
-      });
-    }
-    const recordsFrom = (position: number) => ({
-      records: versions.length <= position ? [] : [{
-        key: "config",
-        offset: versions.length - 1,
-        value: Buffer.from(versions.at(-1)!),
-      }],
-      position: versions.length,
-    });
-    return {
-      readNewestRecords: () => call(0, () => true, () => recordsFrom(0)),
-      readRecords(
-        position: number,
-        { waitMilliseconds, signal }: ReadOptions,
-      ): Promise<Result<ReadOutcome, StepError>> {
-        host.lastStoreReadAt = clock.now();
-        return call(
-          waitMilliseconds,
-          () => versions.length > position,
-          () => recordsFrom(position),
-          signal,
-        );
-      },
-    } as unknown as MeshStore;
-  }
-
   function isAvailable({ sync, loopDelay }: Host): boolean {
     return sync.reachesStore && !loopDelay.isOverloaded;
   }
 
+  /** Applies a record as a daemon does: the version decides on the configuration, other keys have the latest value. */
+  function applyRecord(host: Host, key: string, text: string): void {
+    if (key === CONFIGURATION_KEY) {
+      host.version = Math.max(host.version, JSON.parse(text).version);
+    } else if (text === "") {
+      host.values.delete(key);
+    } else {
+      host.values.set(key, text);
+    }
+  }
+
   function start(host: Host): void {
     const { peer } = host;
     const location = {
@@ -353,7 +309,14 @@
       random: createRandomSource(hosts.size + 1),
       log: SILENT_LOG,
       network,
-      store: createStore(host),
+      store: store.connect({
+        access: () => host.fault,
+        handle: (event) => host.clock.handle(event),
+        onCall(isPoll) {
+          host.storeCalls += 1;
+          host.lastStoreReadAt = isPoll ? clock.now() : host.lastStoreReadAt;
+        },
+      }),
       compression: {
         compress: (value) => value,
         decompress: (value) => Ok(value),
@@ -396,8 +359,17 @@
     host.sync.onPositionChanged(() => host.fleet.announceStatus());
     host.sync.onReachabilityChanged(() => host.fleet.broadcastStatus());
     host.loopDelay.onOverloadedChanged(() => host.fleet.broadcastStatus());
+    host.values.clear();
+    host.version = 0;
+    host.sync.onEraChanged(() => {
+      host.eraChanges += 1;
+    });
     host.sync.onRecords(({ records }) => {
-      host.appliedAt.set(records[0].offset + 1, host.clock.spend(TABLE_MS));
+      const appliedAt = host.clock.spend(TABLE_MS);
+      for (const { key, offset, value } of records) {
+        host.appliedAt.set(offset + 1, appliedAt);
+        applyRecord(host, key, Buffer.from(value).toString());
+      }
     });
     const heartbeats = host.clock.repeat(0.75 * interval, () => {
       for (const name of host.links.keys()) {
@@ -431,6 +403,9 @@
       clock: new HostClock(clock, () => host.fault),
       fault: {},
       appliedAt: new Map(),
+      values: new Map(),
+      version: 0,
+      eraChanges: 0,
       lastStoreReadAt: -Infinity,
       sentMessages: 0,
       storeCalls: 0,
@@ -463,6 +438,17 @@
       host.fault = fault;
       host.clock.resume();
     },
+    reconnect(name) {
+      const host = hosts.get(name)!;
+      for (const other of hosts.values()) {
+        if (other !== host) {
+          closeLink(host, other);
+          closeLink(other, host);
+          openLink(host, other);
+          openLink(other, host);
+        }
+      }
+    },
     restart(name) {
       const host = hosts.get(name)!;
       const others = [...hosts.values()].filter((other) => other !== host);
@@ -480,12 +466,14 @@
       });
     },
     publish() {
-      versions.push(JSON.stringify({ version: versions.length }));
-      for (const wake of [...waiting]) {
-        wake();
-      }
-      return versions.length;
+      version += 1;
+      return store.write(CONFIGURATION_KEY, JSON.stringify({ version }));
     },
+    write: store.write,
+    rewind: store.rewind,
+    versionOf: (name) => hosts.get(name)!.version,
+    valueOf: (name, key) => hosts.get(name)!.values.get(key),
+    countEraChanges: (name) => hosts.get(name)!.eraChanges,
     async advance(duration) {
       for (let elapsed = 0; elapsed < duration; elapsed += STEP_MS) {
         clock.advance(STEP_MS);
