Keep rollouts and their statuses over a rewind of the store

Cause: the offset of an order is its identity. When the store came back from an older copy, the same order had another offset: a running or finished rollout started again, and a final status that the store had lost was never written again, because it was known to be stored.

Change: an order with the same content in a later era is the same order; its progress moves to the new offset and counts as not stored. Progress of the same rollout is merged over eras as that of one order; progress of another version from another era is ignored, since its sender may have an older order from the copy, and a new one comes as a record. What other daemons report of an order in the new era does not count as recorded (recorded_orders.ts), so that the leader reads the statuses once for each rollout and writes at most one for it.

Existing tests: the stores of rollout_control_test and rollout_pause_test got `locate`; no check was changed.

--- a/src/features/rollout/common/rollout_registry.ts
+++ b/src/features/rollout/common/rollout_registry.ts
@@ -71,6 +71,8 @@
 interface Rollout {
   progress: RolloutProgress;
   duration: Milliseconds;
+  /** Whether the order was read, and not only the progress of another daemon. */
+  isOrderKnown: boolean;
   /** When the first daemon that is known to have read the order did so. */
   orderedAt: Milliseconds;
   /** When this daemon took the current step. */
@@ -82,7 +84,10 @@
   readonly progress: readonly RolloutProgress[];
   /** The progress as it is sent to other daemons. */
   listProgress(now: Milliseconds): readonly RolloutProgress[];
-  /** Adds an order; returns false if it or a later one is already known. */
+  /**
+   * Adds an order; returns false if it or a later one is already known. An order that is written again in a later era of
+   * the store is the same order.
+   */
   addOrder(order: RolloutOrder, offset: number, now: Milliseconds): boolean;
   /** Merges the progress from another daemon or the store; returns whether anything changed. */
   mergeProgress(progress: RolloutProgress, now: Milliseconds): boolean;
@@ -105,19 +110,54 @@
 /** Used while only the progress of a rollout is known and its order is not. */
 const DEFAULT_DURATION_MS: Milliseconds = 12_000;
 
-export function createRolloutRegistry(): RolloutRegistry {
+export interface RolloutRegistryOptions {
+  /** The era of the store in which an order was written. */
+  readonly getEra: (orderOffset: number) => number;
+}
+
+export function createRolloutRegistry(
+  { getEra }: RolloutRegistryOptions = { getEra: () => 0 },
+): RolloutRegistry {
   const rollouts = new Map<ServiceName, Rollout>();
 
+  function isSameOrderInLaterEra(
+    { progress, duration, isOrderKnown }: Rollout,
+    order: RolloutOrder,
+    offset: number,
+  ): boolean {
+    return getEra(offset) > getEra(progress.orderOffset) &&
+      order.targetVersion === progress.targetVersion &&
+      (!isOrderKnown || order.durationMilliseconds === duration);
+  }
+
+  /**
+   * Moves progress to the offset at which its order was written again. The store may have lost the status that was
+   * written for it before.
+   */
+  function moveToOffset(
+    progress: RolloutProgress,
+    orderOffset: number,
+  ): RolloutProgress {
+    return progress.orderOffset === orderOffset
+      ? progress
+      : { ...progress, orderOffset, isStored: false };
+  }
+
   function addOrder(
-    { service, targetVersion, durationMilliseconds }: RolloutOrder,
+    order: RolloutOrder,
     offset: number,
     now: Milliseconds,
   ): boolean {
+    const { service, targetVersion, durationMilliseconds } = order;
     const known = rollouts.get(service);
+    if (known !== undefined && isSameOrderInLaterEra(known, order, offset)) {
+      known.progress = moveToOffset(known.progress, offset);
+    }
     if (known !== undefined && known.progress.orderOffset >= offset) {
-      known.duration = known.progress.orderOffset === offset
-        ? durationMilliseconds
-        : known.duration;
+      if (known.progress.orderOffset === offset) {
+        known.duration = durationMilliseconds;
+        known.isOrderKnown = true;
+      }
       return false;
     }
     rollouts.set(service, {
@@ -131,6 +171,7 @@
         isStored: false,
       },
       duration: durationMilliseconds,
+      isOrderKnown: true,
       orderedAt: now,
       stepSince: now,
       fullShareSince: undefined,
@@ -148,13 +189,27 @@
       rollouts.set(received.service, {
         progress: received,
         duration: DEFAULT_DURATION_MS,
+        isOrderKnown: false,
         orderedAt,
         stepSince: now,
         fullShareSince: received.step === LAST_STEP ? now : undefined,
       });
       return true;
     }
-    const merged = mergeProgress(known.progress, received);
+    const isOtherEra =
+      getEra(known.progress.orderOffset) !== getEra(received.orderOffset);
+    if (isOtherEra && known.progress.targetVersion !== received.targetVersion) {
+      // The sender may have an older order from the store's copy. An order that replaces this one comes as a record.
+      return false;
+    }
+    const offset = Math.max(known.progress.orderOffset, received.orderOffset);
+    if (isOtherEra) {
+      known.progress = moveToOffset(known.progress, offset);
+    }
+    const merged = mergeProgress(
+      known.progress,
+      isOtherEra ? moveToOffset(received, offset) : received,
+    );
     const isChanged = !isSameProgress(merged, known.progress);
     if (merged.orderOffset !== known.progress.orderOffset) {
       known.orderedAt = orderedAt;
--- /dev/null
+++ b/src/programs/node/recorded_orders.ts
@@ -0,0 +1,53 @@
+/**
+ * The rollout orders that are known to have a status in the store.
+ *
+ * @module
+ */
+
+import { NO_STEP } from "../../features/rollout/common/rollout_plan.ts";
+import {
+  isFinal,
+  type RolloutProgress,
+} from "../../features/rollout/common/rollout_progress.ts";
+
+export interface RecordedOrders {
+  has(orderOffset: number): boolean;
+  /** Adds an order whose status this daemon has read or written. */
+  add(orderOffset: number): void;
+  /** Adds the order of progress from another daemon if this progress required a status. */
+  addReported(progress: RolloutProgress): void;
+  /**
+   * Must be called before an order replaces the known one. If it is of a later era, the store may have lost the status,
+   * so that what other daemons report of the order does not count.
+   */
+  noteOrder(known: RolloutProgress | undefined, orderOffset: number): void;
+}
+
+export function createRecordedOrders(
+  getEra: (orderOffset: number) => number,
+): RecordedOrders {
+  const recorded = new Set<number>();
+  const ordersOfLaterEra = new Set<number>();
+  return {
+    has: (orderOffset) => recorded.has(orderOffset),
+    add(orderOffset) {
+      recorded.add(orderOffset);
+    },
+    addReported(progress) {
+      const { orderOffset, step } = progress;
+      if (
+        (isFinal(progress) || step > NO_STEP) &&
+        !ordersOfLaterEra.has(orderOffset)
+      ) {
+        recorded.add(orderOffset);
+      }
+    },
+    noteOrder(known, orderOffset) {
+      if (
+        known !== undefined && getEra(known.orderOffset) < getEra(orderOffset)
+      ) {
+        ordersOfLaterEra.add(orderOffset);
+      }
+    },
+  };
+}
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -32,7 +32,6 @@
   chooseEvaluators,
   chooseLeader,
 } from "../../features/rollout/common/rollout_evaluators.ts";
-import { NO_STEP } from "../../features/rollout/common/rollout_plan.ts";
 import {
   isFinal,
   type RolloutProgress,
@@ -41,6 +40,7 @@
   HostEvidence,
   RouteEvidence,
 } from "../../features/rollout/common/version_evidence.ts";
+import { createRecordedOrders } from "./recorded_orders.ts";
 
 const STEP_INTERVAL_MS: Milliseconds = 200;
 const WRITE_RETRY_MS: Milliseconds = 400;
@@ -91,10 +91,10 @@
   options: RolloutControlOptions,
 ): RolloutControl {
   const { clock, gate, log, store } = options;
-  const registry = createRolloutRegistry();
+  const getEra = (orderOffset: number) => store.locate(orderOffset).era;
+  const registry = createRolloutRegistry({ getEra });
   const evidence = new Map<RouteName, RouteEvidence>();
-  /** Offsets of the orders that are known to have a status in the store. */
-  const recordedOrders = new Set<number>();
+  const recordedOrders = createRecordedOrders(getEra);
   /**
    * Services whose order may already have a status in the store, written before this daemon started
    * or by another daemon.
@@ -333,6 +333,7 @@
       return listEvaluators();
     },
     addOrder(order, { offset, mayPredateStart }) {
+      recordedOrders.noteOrder(registry.find(order.service), offset);
       const isNew = registry.addOrder(order, offset, clock.now());
       // `isNew` is also false when a peer reported the rollout before its order was read.
       if (mayPredateStart) {
@@ -355,11 +356,13 @@
     mergeProgress(progress) {
       let isChanged = false;
       for (const received of progress) {
+        recordedOrders.noteOrder(
+          registry.find(received.service),
+          received.orderOffset,
+        );
         if (registry.mergeProgress(received, clock.now())) {
           isChanged = true;
-          if (isFinal(received) || received.step > NO_STEP) {
-            recordedOrders.add(received.orderOffset);
-          }
+          recordedOrders.addReported(received);
           log.write("info", "rollout.progress-taken", {
             service: received.service,
             step: received.step,
--- a/src/programs/node/rollout_control_test.ts
+++ b/src/programs/node/rollout_control_test.ts
@@ -51,6 +51,7 @@
     clock,
     log: SILENT_LOG,
     store: {
+      locate: (position: number) => ({ era: 0, offset: position }),
       readRolloutStatuses: () =>
         Promise.resolve(Ok({ statuses: stored, position: stored.length })),
       writeRolloutStatus(status: RolloutStatus) {
--- a/src/programs/node/rollout_pause_test.ts
+++ b/src/programs/node/rollout_pause_test.ts
@@ -77,6 +77,7 @@
         clock,
         log: SILENT_LOG,
         store: {
+          locate: (position: number) => ({ era: 0, offset: position }),
           readRolloutStatuses: () =>
             Promise.resolve(Ok({ statuses: [], position: 0 })),
           writeRolloutStatus({ state }: { readonly state: string }) {
