Write host addresses and departures again after a rewind

Cause: the address of a daemon and the acknowledged departures from its host are written once. A store that came back from an older copy may lack them, so that a restarted daemon finds no peers, or takes a late heartbeat of an instance that left for that of a ready one.

A read to find out whether they are lost would cost as much as the append.

--- a/src/features/gate/common/departure_records.ts
+++ b/src/features/gate/common/departure_records.ts
@@ -48,6 +48,8 @@
 type WriteOutcome = "done" | "not-done" | "unknown" | "no-response";
 
 export interface DepartureRecords {
+  /** The departures that the store has been seen to have, the oldest first. */
+  readonly stored: readonly DepartedInstance[];
   /** Records the departures that the store had when it was read, the oldest first. */
   restore(departed: readonly DepartedInstance[]): void;
   /** Stores a departure; resolves with whether the store has it while the instance still waits for it. */
@@ -96,6 +98,9 @@
   }
 
   return {
+    get stored() {
+      return stored;
+    },
     restore,
     async save(departure) {
       if (isStored(departure)) {
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -54,6 +54,7 @@
 import { createMeshState } from "./mesh_state.ts";
 import type { MeshPlatform } from "./mesh_platform.ts";
 import { registerHost } from "./host_registration.ts";
+import { createHostRewrite } from "./host_rewrite.ts";
 import { createRolloutControl } from "./rollout_control.ts";
 
 /** A link without traffic for three intervals counts as lost; large fleets allow a longer time. */
@@ -300,6 +301,17 @@
         departed
       ),
   });
+  const rewriteHost = createHostRewrite({
+    clock,
+    random,
+    log,
+    store: platform.store,
+    target: linkTarget,
+    countHosts: () => fleet.members.length + 1,
+    departed: () => departureRecords.stored,
+    isStopped: () => isDisposed,
+  });
+  disposables.add(sync.onEraChanged(rewriteHost));
   const reportHold = disposables.add(
     createReadyReportHold({
       clock,
