Give lost configurations to daemons that start after a rewind

Cause: daemons that run keep the newest configuration when the copy of the store has an older one. A daemon that started then read the copy, and was back at the older version, with its withdrawn keys, until the operator had written its configuration again.

Change: a daemon keeps the record that the copy has replaced until the next one of its key is read. A daemon that has started in an era after the first asks the first two peers that report their status. What it gets is not part of its copy of the store's records, so that deltas and positions are not affected; the version of the configuration decides. Without eras nothing is asked. Daemons of the release before drop messages of unknown kinds.

Ruled out: putting the kept record into the copy of the records. Two daemons could hold different values at the same offset, by which deltas name their base.

Checked by disabling: the answer to a request (1 of 10 red in retained_records_test), `retained.delete` (1), the comparison of values (1), `era !== firstEra` (2), `era === 0` (3), `asked.has` (1); in store_rewind_test `notePeer` (3 of 18) and `noteReplaced` (3). All pass with them (10 and 18).

--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -39,6 +39,7 @@
   createRecordPacker,
   type PackedRange,
 } from "./record_compression.ts";
+import { createRetainedRecords } from "./retained_records.ts";
 import { decodeDeltas, type DeltaRange, encodeDeltas } from "./record_delta.ts";
 
 /**
@@ -129,12 +130,23 @@
     onRequested: () => polling?.abort(),
   });
 
+  const retained = createRetainedRecords({
+    log,
+    network,
+    records,
+    rules: store,
+    packer,
+    onReceived: (retainedRecords) =>
+      received.fire({ records: retainedRecords, isFirst: true }),
+  });
+
   function apply(
     range: RecordRange,
     source: string,
     applyOptions?: ApplyOptions,
   ): void {
     const before = records.position;
+    retained.noteReplaced(range.records);
     const newRecords = records.apply(range, applyOptions);
     const eraBefore = store.locate(before).era;
     const era = store.locate(records.position).era;
@@ -161,6 +173,7 @@
       });
     }
     fetcher.removeCaughtUpPeers();
+    retained.requestRecords();
     if (records.position !== before) {
       positionChanged.fire();
     }
@@ -359,7 +372,10 @@
     onPositionChanged: positionChanged.event,
     onReachabilityChanged: reachabilityChanged.event,
     onEraChanged: eraChanged.event,
-    updatePeerPosition: fetcher.updatePeerPosition,
+    updatePeerPosition(host, position) {
+      retained.notePeer(host);
+      fetcher.updatePeerPosition(host, position);
+    },
     start() {
       run().catch((error) =>
         log.write("error", "operator.sync-failed", { error: String(error) })
@@ -368,6 +384,7 @@
     dispose() {
       disposed = true;
       fetcher.dispose();
+      retained.dispose();
       polling?.abort();
       for (const registration of registrations) {
         registration.dispose();
--- a/src/programs/node/store_rewind_test.ts
+++ b/src/programs/node/store_rewind_test.ts
@@ -132,6 +132,8 @@
         for (const host of running) {
           assert.equal(fleet.countEraChanges(host), 1, host);
         }
+        // Configurations never go back, also on the host that has started since.
+        assertVersion(fleet, fleet.hosts, change.version);
         change.writeAgain(fleet);
         await fleet.advance(BOUND_MS);
         assertValues(fleet, fleet.hosts, change.expected);
