Tell records of a rewound store from those before the last but one

Cause: only one earlier record of a key was kept. If a key was replaced twice in the seconds that the store lost, its first record took effect again, since it was not known to have been replaced.

Change: the last 8 replaced records of each key are kept; those of permanent keys are not, since the version decides on configurations, which are large.

--- a/src/features/operator/common/operator_records.ts
+++ b/src/features/operator/common/operator_records.ts
@@ -31,6 +31,9 @@
 /** The position before any record has been read. */
 export const NO_POSITION = -1;
 
+/** How many earlier records of a key are told from new ones; the copy of the store lacks a few seconds. */
+const MAXIMUM_REPLACED_RECORDS = 8;
+
 /**
  * A removal that was not read from the log, but found by a missing key, lies halfway before the position of the read:
  * after all records that the read contains, before the next one, and at the offset of none. Deltas name their base by
@@ -74,6 +77,8 @@
   const byKey = new Map<string, OperatorRecord>();
   /** The record of each key before the newest one. */
   const previous = new Map<string, OperatorRecord>();
+  /** The last records of each key that others have replaced; not of permanent keys, which can be large. */
+  const replaced = new Map<string, readonly OperatorRecord[]>();
   /** Keys whose newest record was replaced in an older era, and has come back with the copy of the store. */
   const supersededKeys = new Set<string>();
   let position = NO_POSITION;
@@ -96,8 +101,9 @@
     if (isSameRecord(record, stored)) {
       return supersededKeys.has(record.key);
     }
-    const replaced = previous.get(record.key);
-    return replaced !== undefined && isSameRecord(record, replaced);
+    return replaced.get(record.key)?.some((each) =>
+      isSameRecord(record, each)
+    ) ?? false;
   }
 
   function createRemoval(key: string, readTo: number): OperatorRecord {
@@ -126,6 +132,13 @@
     byKey.set(record.key, record);
     if (stored !== undefined) {
       previous.set(record.key, stored);
+      if (!isPermanent(record.key)) {
+        replaced.set(
+          record.key,
+          [...replaced.get(record.key) ?? [], stored]
+            .slice(-MAXIMUM_REPLACED_RECORDS),
+        );
+      }
     }
   }
 
--- a/src/programs/node/store_rewind_test.ts
+++ b/src/programs/node/store_rewind_test.ts
@@ -18,7 +18,7 @@
 interface Change {
   readonly name: string;
   /** What the operator writes shortly before the store is rewound. */
-  readonly write: (fleet: SpreadFleet) => void;
+  readonly write: (fleet: SpreadFleet) => unknown;
   /** What the operator writes again afterwards. */
   readonly writeAgain: (fleet: SpreadFleet) => void;
   /** What holds on a host that has seen the change, from the rewind on. */
@@ -61,6 +61,19 @@
     expected: { [ROLLOUT]: "v2", [EVACUATION]: "order" },
     version: 1,
   },
+  {
+    name: "a second new value of a key",
+    async write(fleet) {
+      fleet.write(EVACUATION, "second order");
+      // Long enough for the second order to be read by itself.
+      await fleet.advance(400);
+      fleet.write(EVACUATION, "third order");
+    },
+    writeAgain: (fleet) => fleet.write(EVACUATION, "third order"),
+    kept: { [EVACUATION]: "third order" },
+    expected: { [EVACUATION]: "third order" },
+    version: 1,
+  },
   {
     name: "a new key, whose offset another record gets",
     write: (fleet) => fleet.write(NEW_EVACUATION, "order"),
@@ -116,7 +129,7 @@
     for (const change of CHANGES) {
       test(`${rewind} ms old, after which ${change.name} was written`, async () => {
         const fleet = await startFleet(9, 3);
-        change.write(fleet);
+        await change.write(fleet);
         await fleet.advance(rewind / 2);
         const running = fleet.hosts.slice(1);
         assertValues(fleet, running, change.kept);
