Look up writes of addresses and statuses whose response was lost

Cause: a write of the address of a host, or of a rollout status, was repeated and reported as failed when its response was lost, although the store may have it.

Change: a write whose outcome is unknown is repeated only after a read has shown that the store does not have it (confirmed_write.ts); a read that fails is repeated first. The leader reads the statuses before each write anyway; now it takes a status that equals the one whose write had no response as written. The log names the outcome `unknown` in place of an error message as outcome.

Ruled out: an append with a producer number, which the store answers again. It has to be kept across restarts, and the status needs its condition as well.

Existing tests: the store of host_rewrite_test got `readHosts`; no check was changed.

--- a/src/programs/node/host_registration.ts
+++ b/src/programs/node/host_registration.ts
@@ -14,6 +14,7 @@
 import type { RandomSource } from "../../base/common/random_source.ts";
 import type { Result } from "../../base/common/result.ts";
 import type { StepError } from "../../base/common/step_error.ts";
+import { createConfirmedWrite } from "./confirmed_write.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import type { LinkTarget } from "../../features/link/common/peer_network.ts";
 import type { DepartedInstance } from "../../world/common/mesh_instance.ts";
@@ -37,7 +38,16 @@
   options: RegistrationOptions,
 ): Promise<void> {
   const { store, fleet, target } = options;
-  await retry(options, () => store.announceHost(target));
+  await retry(
+    options,
+    createConfirmedWrite({
+      write: () => store.announceHost(target),
+      isStored: async () =>
+        (await store.readHosts(target.host)).map(({ targets }) =>
+          targets.some((each) => isSameTarget(each, target))
+        ),
+    }),
+  );
   const hosts = await retry(options, () => store.readHosts(target.host));
   if (hosts !== undefined) {
     options.onDepartedRead(hosts.departed);
@@ -45,6 +55,11 @@
   }
 }
 
+export function isSameTarget(left: LinkTarget, right: LinkTarget): boolean {
+  return left.host === right.host && left.address === right.address &&
+    left.port === right.port;
+}
+
 async function retry<T>(
   { clock, random, log, isStopped }: RegistrationOptions,
   attempt: () => Promise<Result<T, StepError>>,
--- a/src/programs/node/host_rewrite.ts
+++ b/src/programs/node/host_rewrite.ts
@@ -14,9 +14,14 @@
 import type { EventLog } from "../../base/common/event_log.ts";
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import type { RandomSource } from "../../base/common/random_source.ts";
+import { createConfirmedWrite } from "./confirmed_write.ts";
+import { isSameTarget } from "./host_registration.ts";
 import type { MeshStore } from "../../features/operator/common/mesh_store.ts";
 import type { LinkTarget } from "../../features/link/common/peer_network.ts";
-import type { DepartedInstance } from "../../world/common/mesh_instance.ts";
+import {
+  type DepartedInstance,
+  isSameDeparture,
+} from "../../world/common/mesh_instance.ts";
 
 /** The rate of the appends of all daemons together. */
 export const WRITES_PER_SECOND = 20;
@@ -31,7 +36,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
-  readonly store: Pick<MeshStore, "rewriteHost">;
+  readonly store: Pick<MeshStore, "rewriteHost" | "readHosts">;
   readonly target: LinkTarget;
   /** The number of daemons. */
   readonly countHosts: () => number;
@@ -46,17 +51,36 @@
   const { clock, random, log, store, target } = options;
   let eras = 0;
 
+  function createWrite() {
+    let departed = options.departed();
+    return createConfirmedWrite({
+      write() {
+        departed = options.departed();
+        return store.rewriteHost(target, departed);
+      },
+      isStored: async () =>
+        (await store.readHosts(target.host)).map((stored) =>
+          stored.targets.some((each) => isSameTarget(each, target)) &&
+          departed.every((each) =>
+            stored.departed.some((other) => isSameDeparture(each, other))
+          )
+        ),
+    });
+  }
+
   return async () => {
     eras += 1;
     const era = eras;
     const isOver = () => options.isStopped() || era !== eras;
     const period = options.countHosts() * 1_000 / WRITES_PER_SECOND;
     await clock.sleep(START_DELAY_MS + random.nextFraction() * period);
+    const write = createWrite();
     for (let attempts = 1; !isOver(); attempts += 1) {
-      const departed = options.departed();
-      const written = await store.rewriteHost(target, departed);
+      const written = await write();
       if (written.ok) {
-        log.write("info", "host.written-again", { departed: departed.length });
+        log.write("info", "host.written-again", {
+          departed: options.departed().length,
+        });
         return;
       }
       log.write("warn", "host.not-written-again", {
--- a/src/programs/node/host_rewrite_test.ts
+++ b/src/programs/node/host_rewrite_test.ts
@@ -36,6 +36,7 @@
         random: createRandomSource(index + 1),
         log: SILENT_LOG,
         store: {
+          readHosts: () => Promise.resolve(Ok({ targets: [], departed: [] })),
           rewriteHost(target, departures) {
             writes.push({ target, departed: departures, at: clock.now() });
             return Promise.resolve(
--- a/src/programs/node/recorded_orders.ts
+++ b/src/programs/node/recorded_orders.ts
@@ -14,6 +14,10 @@
   has(orderOffset: number): boolean;
   /** Adds an order whose status this daemon has read or written. */
   add(orderOffset: number): void;
+  /** Notes that a status of the order may have been written, although there was no response. */
+  addUnanswered(orderOffset: number): void;
+  /** Adds an order whose write has had no response, as the store has its status; returns whether it is such an order. */
+  confirm(orderOffset: number): boolean;
   /** Adds the order of progress from another daemon if this progress required a status. */
   addReported(progress: RolloutProgress): void;
   /**
@@ -28,11 +32,22 @@
 ): RecordedOrders {
   const recorded = new Set<number>();
   const ordersOfLaterEra = new Set<number>();
+  const unanswered = new Set<number>();
   return {
     has: (orderOffset) => recorded.has(orderOffset),
     add(orderOffset) {
       recorded.add(orderOffset);
     },
+    addUnanswered(orderOffset) {
+      unanswered.add(orderOffset);
+    },
+    confirm(orderOffset) {
+      const isUnanswered = unanswered.delete(orderOffset);
+      if (isUnanswered) {
+        recorded.add(orderOffset);
+      }
+      return isUnanswered;
+    },
     addReported(progress) {
       const { orderOffset, step } = progress;
       if (
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -296,6 +296,12 @@
       options.onProgress();
       return;
     }
+    if (
+      storedStatus?.state === state && recordedOrders.confirm(orderOffset)
+    ) {
+      log.write("info", "rollout.status-confirmed", { service, state });
+      return;
+    }
     const writeResult = await store.writeRolloutStatus(
       { service, targetVersion, state },
       readResult.val.position,
@@ -304,8 +310,12 @@
       service,
       targetVersion,
       state,
-      outcome: writeResult.ok ? writeResult.val : writeResult.val.message,
+      outcome: writeResult.ok ? writeResult.val : writeResult.val.outcome,
+      error: writeResult.err ? writeResult.val.message : undefined,
     });
+    if (writeResult.err && writeResult.val.outcome !== "not-run") {
+      recordedOrders.addUnanswered(orderOffset);
+    }
     if (!writeResult.ok || writeResult.val === "conflict") {
       // Another daemon may have written the status of this order concurrently.
       servicesWithPriorStatus.add(service);
