Decide whether the store responds by the complete read after an expired position

Cause: a read from an offset of an older era is expired without a call, and counted as a response. While the store refused the complete read that follows, a daemon reported the store as regained and lost again at each attempt, with a status to all others, and the delay between attempts never grew.

Change: after an expired position only the complete read decides. With a store without eras this differs in one case, a 410 followed by a complete read that fails while the store counts as lost: it stays lost, and the delay grows.

Test, red before: record_sync_test, 20 s of refused complete reads.

--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -298,12 +298,13 @@
       );
       return;
     }
-    setReachesStore(true);
     if (read.val === "expired") {
       log.write("info", "operator.position-expired", { position });
+      // Whether the store responds is decided by this read: an offset of an older era is expired without a call.
       await readNewest();
       return;
     }
+    setReachesStore(true);
     const range = { ...read.val, from: position };
     if (range.records.length > 0 && listReaders()[0] === self.host) {
       // Before the records are applied, which takes long on a slow host.
--- a/src/features/operator/common/record_sync_test.ts
+++ b/src/features/operator/common/record_sync_test.ts
@@ -3,7 +3,8 @@
 import { VirtualClock } from "../../../base/common/clock.ts";
 import { SILENT_LOG } from "../../../base/common/event_log.ts";
 import { createRandomSource } from "../../../base/common/random_source.ts";
-import { Ok } from "../../../base/common/result.ts";
+import { Err, Ok } from "../../../base/common/result.ts";
+import { StepError } from "../../../base/common/step_error.ts";
 import type {
   LinkMessage,
   Peer,
@@ -187,3 +188,32 @@
   assert.ok("compressed" in record);
   sync.dispose();
 });
+
+// Guards against a daemon that reports the store as regained and lost again several times a second, to all others, and
+// never waits longer: a read from an offset of an older era is expired without a call.
+test("a store that fails each complete read after the position has expired stays lost", async () => {
+  let reads = 0;
+  const { clock, sync, settle } = await startSync({}, {
+    readNewestRecords: () => {
+      reads += 1;
+      return Promise.resolve(
+        reads === 1
+          ? Ok({ records: [], position: 0 })
+          : Err(new StepError("read", "refused", { outcome: "not-run" })),
+      );
+    },
+    readRecords: () => Promise.resolve(Ok("expired" as const)),
+  });
+  const changes: boolean[] = [];
+  sync.onReachabilityChanged(() => changes.push(sync.reachesStore));
+  for (let elapsed = 0; elapsed < 20_000; elapsed += 50) {
+    await settle();
+    clock.advance(50);
+  }
+  assert.equal(sync.reachesStore, false);
+  // It was lost before `onReachabilityChanged` was subscribed to.
+  assert.deepEqual(changes, []);
+  // The backoff of 1.5 s at most is taken half on average, twice for each attempt.
+  assert.ok(reads < 25, `${reads} reads in 20 s`);
+  sync.dispose();
+});
