Keep the newest configuration over two rewinds in a row

Cause: only the record that the last copy had replaced was kept. If the store was rewound again to a copy with an even older configuration before the operator wrote one, the first copy's configuration displaced the newest one, and daemons that started then got the older one.

Change: up to 4 replaced records of a key are kept until the next one is read; the receiver decides by the version.

--- a/src/features/operator/common/retained_records.ts
+++ b/src/features/operator/common/retained_records.ts
@@ -26,6 +26,8 @@
 
 /** A peer may have started in the same era; a configuration is large. */
 const MAXIMUM_REQUESTS = 2;
+/** Bounds the memory: one record is added for each rewind until the next record of the key is read. */
+const MAXIMUM_RECORDS_PER_KEY = 4;
 
 const REQUEST_KIND = "operator.retained-request";
 const RETAINED_KIND = "operator.retained";
@@ -54,13 +56,26 @@
   { log, network, records, rules, packer, onReceived }: RetainedRecordsOptions,
 ): RetainedRecords {
   const { locate, isPermanent } = rules;
-  /** By key, the record of an older era that a record of the copy has replaced. */
-  const retained = new Map<string, OperatorRecord>();
+  /**
+   * By key, the records of older eras that a record of the copy has replaced. After several rewinds the newest version
+   * can be any of them.
+   */
+  const retained = new Map<string, readonly OperatorRecord[]>();
   /** Peers to ask, and those that were asked. */
   const peers = new Set<HostName>();
   const asked = new Set<HostName>();
   let firstEra: number | undefined;
 
+  function retain(record: OperatorRecord): void {
+    const known = retained.get(record.key) ?? [];
+    if (known.every(({ value }) => Buffer.compare(value, record.value) !== 0)) {
+      retained.set(
+        record.key,
+        [...known, record].slice(-MAXIMUM_RECORDS_PER_KEY),
+      );
+    }
+  }
+
   function noteReplacement(record: OperatorRecord): void {
     const held = records.find(record.key);
     if (
@@ -72,7 +87,7 @@
     if (locate(record.offset).era === locate(held.offset).era) {
       retained.delete(record.key);
     } else if (Buffer.compare(record.value, held.value) !== 0) {
-      retained.set(record.key, held);
+      retain(held);
     }
   }
 
@@ -99,7 +114,7 @@
         const message: RetainedMessage = {
           kind: RETAINED_KIND,
           ...packer.pack({
-            records: [...retained.values()],
+            records: [...retained.values()].flat(),
             from: records.position,
             position: records.position,
           }),
@@ -116,9 +131,7 @@
         peer: peer.process.host,
         count: received.length,
       });
-      for (const record of received) {
-        retained.set(record.key, record);
-      }
+      received.forEach(retain);
       onReceived(received);
     }),
   ];
--- a/src/features/operator/common/retained_records_test.ts
+++ b/src/features/operator/common/retained_records_test.ts
@@ -113,6 +113,22 @@
     assert.deepEqual(holder.sent, []);
   });
 
+  // Guards against the newest configuration being dropped for the one that the first copy had.
+  test("is still given after a second rewind to an even older copy", () => {
+    const holder = createHolder();
+    holder.read(2 * OFFSETS_PER_ERA + 1, "oldest");
+    holder.receive({ kind: REQUEST_KIND });
+    const starting = createDaemon();
+    starting.read(2 * OFFSETS_PER_ERA + 1, "oldest");
+    starting.receive(holder.sent.at(-1)!.message);
+    assert.deepEqual(
+      starting.received.map(({ value }) => Buffer.from(value).toString()),
+      ["new", "old"],
+    );
+    starting.receive({ kind: REQUEST_KIND });
+    assert.deepEqual(starting.sent.at(-1), holder.sent.at(-1));
+  });
+
   test("is not assumed if the copy has the same one", () => {
     const holder = createDaemon();
     holder.read(3, "new");
