Keep a running rollout when the store has an earlier rollout's status again

Cause: when an order is read in a later era, a final status of its version in the store counted as its own, as after a start of the daemon. If the store had lost the status `running` of a second rollout to the same version, it had the `reverted` or `complete` of the first one again, and the running rollout ended at once on all daemons.

Change: an order that was known in the older era does not take a status for its own just because the era has risen; the leader writes the status that it knows. A final status that another leader wrote in the older era without reaching this daemon is therefore overwritten until that daemon's progress arrives, which is adopted from any daemon.

--- a/src/programs/node/recorded_orders.ts
+++ b/src/programs/node/recorded_orders.ts
@@ -25,6 +25,8 @@
    * so that what other daemons report of the order does not count.
    */
   noteOrder(known: RolloutProgress | undefined, orderOffset: number): void;
+  /** Whether the order replaced one of an older era, which may be the same order. */
+  isOfLaterEra(orderOffset: number): boolean;
 }
 
 export function createRecordedOrders(
@@ -64,5 +66,6 @@
         ordersOfLaterEra.add(orderOffset);
       }
     },
+    isOfLaterEra: (orderOffset) => ordersOfLaterEra.has(orderOffset),
   };
 }
--- a/src/programs/node/rollout_control.ts
+++ b/src/programs/node/rollout_control.ts
@@ -345,8 +345,10 @@
     addOrder(order, { offset, mayPredateStart }) {
       recordedOrders.noteOrder(registry.find(order.service), offset);
       const isNew = registry.addOrder(order, offset, clock.now());
+      // The order was known before the era rose: a final status in the copy may be that of an earlier rollout.
+      const isKnownFromOlderEra = !isNew && recordedOrders.isOfLaterEra(offset);
       // `isNew` is also false when a peer reported the rollout before its order was read.
-      if (mayPredateStart) {
+      if (mayPredateStart && !isKnownFromOlderEra) {
         servicesWithPriorStatus.add(order.service);
       } else if (isNew) {
         servicesWithPriorStatus.delete(order.service);
--- a/src/programs/node/rollout_rewind_test.ts
+++ b/src/programs/node/rollout_rewind_test.ts
@@ -165,6 +165,30 @@
   }
 });
 
+// Guards against a rollout that ends at once because the store lost its first status and has that of an earlier rollout to
+// the same version again.
+for (const isReportedFirst of [false, true]) {
+  test(`a running rollout does not take the final status of an earlier one from the copy${isReportedFirst ? ", reported first" : ""}`, async () => {
+    const earlier = [
+      { service: "booking", targetVersion: "v2", state: "reverted" },
+    ] as const;
+    const statuses: RolloutStatus[] = [...earlier];
+    const { control, run } = startLeader(statuses);
+    control.addOrder(ORDER, { offset: OLD_OFFSET, mayPredateStart: false });
+    await run();
+    assert.equal(statuses[0].state, "running");
+    statuses.splice(0, statuses.length, ...earlier);
+    if (isReportedFirst) {
+      control.mergeProgress([{ ...PROGRESS, orderOffset: NEW_OFFSET }]);
+    }
+    control.addOrder(ORDER, { offset: NEW_OFFSET, mayPredateStart: true });
+    await run();
+    assert.equal(control.registry.find("booking")?.state, "running");
+    assert.equal(statuses[0].state, "running");
+    control.dispose();
+  });
+}
+
 describe("progress across eras of the store", () => {
   const cases: readonly {
     readonly name: string;
