Explain refusals of evacuated gates

The explanation of a request named the new reason with its key only, while every other reason of a gate is described for readers who do not know the code.

--- a/src/features/timeline/common/explanation.ts
+++ b/src/features/timeline/common/explanation.ts
@@ -24,6 +24,7 @@
   "no-instance": "no instance of the service was known",
   "other-service": "the instance there belongs to another service or version",
   leaving: "the instance there is leaving",
+  evacuated: "the operator has evacuated the failure domain there",
   unreachable: "the instance or its daemon could not be reached",
   "instance-refused": "the instance reported that it did not run it",
   cancelled: "it was cancelled",
--- a/src/features/timeline/common/explanation_test.ts
+++ b/src/features/timeline/common/explanation_test.ts
@@ -17,6 +17,7 @@
   "time=2026-01-01T00:00:03.100Z level=info event=call.step host=a failureDomain=x request=r4 route=k gate=c outcome=answer status=500 next=deliver reached=1 timeLeft=300",
   'time=2026-01-01T00:00:03.500Z level=info event=call.expired host=a failureDomain=x request=r5 route=k gates="b,c" after=800',
   "time=2026-01-01T00:00:03.600Z level=info event=call.stale host=c failureDomain=x request=r6 delay=640",
+  "time=2026-01-01T00:00:03.700Z level=info event=call.step host=c failureDomain=x request=r7 route=k gate=b outcome=refused reason=evacuated next=refuse reached=0 timeLeft=90",
 ];
 
 const TIMELINE: readonly TimelineEvent[] = mergeTimeline(
@@ -90,6 +91,15 @@
       /^No answer by c: the caller had left .* 640 ms late$/,
     ],
   },
+  {
+    name: "a refusal for an evacuation says that the operator has asked for it",
+    request: "r7",
+    decidedBy: "c",
+    findings: [
+      /^503 by c: the operator has evacuated the failure domain/,
+      /^/,
+    ],
+  },
   {
     name: "a request that no log line names",
     request: "r",
