End an evacuation whose last record the log has lost

A record without a value drops its key in the store, and the log may lose its records at any time. A daemon that had not read the removal by then read all newest records, found no key, and kept the evacuation: its gate refused all calls until it was restarted.

A range with the newest record of every key now removes keys that it lacks. This holds for evacuations only: a copy without the configuration would be passed on to peers, and for rollouts the removal has no meaning. Where no evacuation was ordered, nothing changes.

No platform test trims the log yet.

--- a/src/features/operator/common/operator_records.ts
+++ b/src/features/operator/common/operator_records.ts
@@ -38,17 +38,39 @@
   listSince(offset: number): readonly OperatorRecord[];
 }
 
-export function createOperatorRecords(): OperatorRecords {
+/**
+ * `isRemovable` tells for which keys the removal means something. The log may have lost the record of
+ * the removal, so a range with the newest record of every key that lacks such a key removes it. A record at the end of
+ * the range is kept: the key may have been removed after the range, and the record of that follows.
+ */
+export function createOperatorRecords(
+  isRemovable: (key: string) => boolean = () => false,
+): OperatorRecords {
   const byKey = new Map<string, OperatorRecord>();
   /** The record of each key before the newest one. */
   const previous = new Map<string, OperatorRecord>();
   let position = NO_POSITION;
+
+  function listRemoved({ records, from, position: end }: RecordRange) {
+    if (from !== NO_POSITION) {
+      return [];
+    }
+    const present = new Set(records.map(({ key }) => key));
+    return [...byKey.values()]
+      .filter(({ key, offset, value }) =>
+        value.length > 0 && offset < end - 1 && !present.has(key) &&
+        isRemovable(key)
+      )
+      .map(({ key }) => ({ key, offset: end - 1, value: new Uint8Array() }));
+  }
+
   return {
     get position() {
       return position;
     },
-    apply({ records, from, position: end }) {
-      const newer = records.filter((record) =>
+    apply(range) {
+      const { from, position: end } = range;
+      const newer = [...range.records, ...listRemoved(range)].filter((record) =>
         record.offset > (byKey.get(record.key)?.offset ?? -1)
       );
       for (const record of newer) {
--- a/src/features/operator/common/operator_test.ts
+++ b/src/features/operator/common/operator_test.ts
@@ -56,6 +56,46 @@
   }
 });
 
+// Guards against an evacuation that stands for ever on a daemon whose log has lost the record of its end.
+test("a range of every key removes a key that it lacks, once and only if its removal means something", () => {
+  const records = createOperatorRecords((key) => key === "order");
+  records.apply({
+    records: [record("config", 0), record("order", 1)],
+    from: NO_POSITION,
+    position: 2,
+  });
+  // A removal after the range is in the log behind it.
+  assert.deepEqual(
+    records.apply({ records: [], from: NO_POSITION, position: 2 }),
+    [],
+  );
+  const removed = records.apply({
+    records: [record("other", 7)],
+    from: NO_POSITION,
+    position: 9,
+  });
+  assert.deepEqual(
+    removed.map(({ key, value }) => [key, value.length]),
+    [["other", 1], ["order", 0]],
+  );
+  assert.deepEqual(
+    records.apply({ records: [], from: NO_POSITION, position: 10 }),
+    [],
+  );
+  assert.equal(records.find("config")?.value.length, 1);
+  assert.deepEqual(
+    records.apply({ records: [record("order", 9)], from: 9, position: 10 })
+      .map(({ offset }) => offset),
+    [9],
+    "a later order is in force again",
+  );
+  assert.deepEqual(
+    records.apply({ records: [], from: 10, position: 12 }),
+    [],
+    "a range of new records removes nothing",
+  );
+});
+
 describe("the readers of a failure domain", () => {
   const candidate = (
     host: string,
--- a/src/features/operator/common/record_sync.ts
+++ b/src/features/operator/common/record_sync.ts
@@ -85,6 +85,8 @@
   readonly network: PeerNetwork;
   readonly store: MeshStore;
   readonly compression: Compression;
+  /** Whether the removal of a key means something; never when absent. */
+  readonly isRemovable?: (key: string) => boolean;
   /** This daemon and the daemons that are linked to it. */
   readonly candidates: () => readonly ReaderCandidate[];
 }
@@ -112,7 +114,7 @@
 
 export function createRecordSync(options: RecordSyncOptions): RecordSync {
   const { clock, log, network, self, store } = options;
-  const records = createOperatorRecords();
+  const records = createOperatorRecords(options.isRemovable);
   const packer = createRecordPacker(options.compression);
   const received = createEmitter<ReceivedRecords>();
   const positionChanged = createEmitter<void>();
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -182,6 +182,9 @@
       network,
       store: platform.store,
       compression: { compress, decompress },
+      isRemovable: (key) =>
+        platform.decodeRecord({ key, offset: 0, value: new Uint8Array() })
+          .type === "evacuation",
       candidates: listAllCoordinators,
     }),
   );
