--- a/src/features/timeline/common/explanation_test.ts
+++ b/src/features/timeline/common/explanation_test.ts
@@ -19,6 +19,7 @@
   "time=2026-01-01T00:00:03.600Z level=info event=call.stale host=c failureDomain=x request=r6 delay=640",
   "time=2026-01-01T00:00:03.700Z level=info event=call.step host=a failureDomain=x request=r7 route=k gate=c outcome=refused reason=above-share next=refuse reached=0 timeLeft=600",
   "time=2026-01-01T00:00:03.800Z level=info event=call.step host=a failureDomain=x request=r8 route=k gate=c outcome=refused reason=nested-refused next=refuse reached=0 timeLeft=600",
+  "time=2026-01-01T00:00:03.900Z level=info event=call.step host=c failureDomain=x request=r9 route=k gate=b outcome=refused reason=evacuated next=refuse reached=0 timeLeft=90",
 ];
 
 const TIMELINE: readonly TimelineEvent[] = mergeTimeline(
@@ -110,6 +111,15 @@
       /^No answer by c: the caller had left .* 640 ms late$/,
     ],
   },
+  {
+    name: "a refusal for an evacuation says that the operator has asked for it",
+    request: "r9",
+    decidedBy: "c",
+    findings: [
+      /^503 by c: the operator has evacuated the failure domain/,
+      /^/,
+    ],
+  },
   {
     name: "a request that no log line names",
     request: "r",
