Read the momentary speed of an instance's host

Cause: hosts are slowed in spells of about 600 ms. The relative service time averages over the last calls, so it follows a spell only when the spell is over, and then counts the instance as slow for seconds.

The load report carries it as a sixth figure, which is left out while the instance states none. One line gate.speed-changed at most every 10 s, and a gauge.

Ruled out: a faster moving average of durations. It separates neither a spell from a slow instance nor either from a long call.

--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -59,6 +59,7 @@
   readonly status: HostStatus;
   /** The latest load, from a status or from the outcome of a call. */
   load: GateLoadReport;
+  loadReceivedAt: Milliseconds;
   /** When the cold start of the instance ends. */
   readonly coldUntil: Milliseconds;
   readonly receivedAt: Milliseconds;
@@ -188,6 +189,7 @@
       failureDomain: peer.failureDomain,
       status,
       load: status.load,
+      loadReceivedAt: now,
       coldUntil: now + (status.instance?.coldForMilliseconds ?? 0),
       receivedAt: now,
     });
@@ -311,6 +313,7 @@
       const member = members.get(host);
       if (member !== undefined) {
         member.load = load;
+        member.loadReceivedAt = clock.now();
       }
     },
     broadcastStatus,
--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -63,7 +63,7 @@
   readonly failureRate: number;
   /**
    * How long work takes on the instance's host at this moment, relative to usual; undefined if the instance
-   * does not report it or the report is too old.
+   * does not report it. The older the report, the closer to 1 (`momentary_speed.ts`).
    */
   readonly currentServiceTime?: number;
 }
--- a/src/features/gate/common/gate_messages.ts
+++ b/src/features/gate/common/gate_messages.ts
@@ -47,7 +47,9 @@
 /** The account follows only if the call has one, so that daemons of other releases read other offers. */
 const OFFER_LENGTH_WITH_ACCOUNT = 16;
 const LOAD_LENGTH = 5;
-/** The relative service time and the failure rate are encoded in hundredths. */
+/** The momentary service time follows only if the instance states it, so that daemons of other releases read other loads. */
+const LOAD_LENGTH_WITH_SERVICE_TIME = 6;
+/** Service times and the failure rate are encoded in hundredths. */
 const RATIO_SCALE = 100;
 const OUTCOME_LENGTHS = { answer: 6, refused: 4, failed: 2 } as const;
 
@@ -133,21 +135,32 @@
     load.limit,
     Math.round(load.relativeServiceTime * RATIO_SCALE),
     Math.round(load.failureRate * RATIO_SCALE),
+    ...(load.currentServiceTime === undefined
+      ? []
+      : [Math.round(load.currentServiceTime * RATIO_SCALE)]),
   ];
 }
 
 /** Returns undefined if the row comes from another release. */
 export function decodeLoad(row: unknown): GateLoadReport | undefined {
-  if (!Array.isArray(row) || row.length !== LOAD_LENGTH) {
+  if (
+    !Array.isArray(row) ||
+    (row.length !== LOAD_LENGTH && row.length !== LOAD_LENGTH_WITH_SERVICE_TIME)
+  ) {
     return undefined;
   }
-  const [running, waiting, limit, relativeServiceTime, failureRate] = row;
+  const [running, waiting, limit, relativeServiceTime, failureRate, current] =
+    row;
   return {
     running,
     waiting,
     limit,
     relativeServiceTime: relativeServiceTime / RATIO_SCALE,
     failureRate: failureRate / RATIO_SCALE,
+    // A figure that is not a positive number is not one that this release writes.
+    ...(typeof current === "number" && current > 0
+      ? { currentServiceTime: current / RATIO_SCALE }
+      : {}),
   };
 }
 
--- a/src/features/gate/common/gate_messages_test.ts
+++ b/src/features/gate/common/gate_messages_test.ts
@@ -7,8 +7,10 @@
 import type { LinkMessage } from "../../link/common/peer_network.ts";
 import type { GateOutcome, GateRequest } from "./gate_call.ts";
 import {
+  decodeLoad,
   decodeOffer,
   decodeOutcome,
+  encodeLoad,
   encodeOffer,
   encodeOutcome,
 } from "./gate_messages.ts";
@@ -78,6 +80,29 @@
     });
   }
 
+  // Daemons of the release before read rows of five figures only.
+  for (const [currentServiceTime, length] of [[undefined, 5], [2.5, 6]]) {
+    test(`a load with the momentary service time ${currentServiceTime} has ${length} figures`, () => {
+      const load = {
+        running: 3,
+        waiting: 1,
+        limit: 14,
+        relativeServiceTime: 0.7,
+        failureRate: 0,
+        ...(currentServiceTime === undefined ? {} : { currentServiceTime }),
+      };
+      const row = encodeLoad(load);
+      assert.equal(row.length, length);
+      assert.deepEqual(decodeLoad(row), load);
+    });
+  }
+
+  test("a row with an unusable momentary service time is read without it", () => {
+    const decoded = decodeLoad([3, 1, 14, 70, 0, 0]);
+    assert.equal(decoded?.limit, 14);
+    assert.equal(decoded?.currentServiceTime, undefined);
+  });
+
   const malformed: readonly Record<string, unknown>[] = [
     { kind: "gate.offer" },
     { kind: "gate.offer", row: ["too", "short"], sentAt: 1 },
--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -8,7 +8,6 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
-import type { RouteName } from "../../../world/common/names.ts";
 import { createFailureRate, type FailureRate } from "./failure_rate.ts";
 import type { GateRequest } from "./gate_call.ts";
 import {
@@ -19,6 +18,11 @@
   createInstanceTracker,
   type InstanceTracker,
 } from "./instance_tracker.ts";
+import {
+  createMomentarySpeed,
+  estimateDuration,
+  type MomentarySpeed,
+} from "./momentary_speed.ts";
 import { createMovingAverages } from "./moving_averages.ts";
 import {
   createRelativeServiceTime,
@@ -33,12 +37,22 @@
 /** The number of heartbeats that may be missed before the instance counts as lost. */
 const MAXIMUM_MISSED_HEARTBEATS = 3;
 
+/** When the instance worked on a call. */
+export interface ServicePeriod {
+  readonly startedAt: Milliseconds;
+  readonly now: Milliseconds;
+}
+
 export interface InstanceCondition {
   readonly tracker: InstanceTracker;
   readonly rateLimit: InstanceRateLimit;
   readonly relativeServiceTime: RelativeServiceTime;
+  readonly momentarySpeed: MomentarySpeed;
   readonly failureRate: FailureRate;
+  /** The mean service time at the usual speed of the host. */
   readonly meanServiceTime: Milliseconds;
+  /** The mean service time of calls that start now. */
+  currentMeanServiceTime(now: Milliseconds): Milliseconds;
   /** When the cold start of the instance ends. */
   readonly coldUntil: Milliseconds;
   readonly lastReportAt: Milliseconds;
@@ -49,13 +63,10 @@
   readonly capacity: number;
   /** The expected service time of a call at this instance. */
   expectServiceTime(request: GateRequest, now: Milliseconds): Milliseconds;
-  /** Records the duration of a call that the instance has served. */
-  recordServed(
-    route: RouteName,
-    duration: Milliseconds,
-    meanServiceMilliseconds: Milliseconds,
-    now: Milliseconds,
-  ): void;
+  /** Records a call that the instance has served. */
+  recordServed(request: GateRequest, period: ServicePeriod): void;
+  /** Records a call without a response. */
+  recordUnanswered(request: GateRequest, period: ServicePeriod): void;
   recordReport(report: InstanceReport, now: Milliseconds): void;
   /** Forgets what was measured of the instance before. */
   handleNewInstance(report: InstanceReport, now: Milliseconds): void;
@@ -73,6 +84,7 @@
   const serviceTimes = createMovingAverages();
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
   let relativeServiceTime = createRelativeServiceTime();
+  let momentarySpeed = createMomentarySpeed();
   let failureRate = createFailureRate();
   let lastReportAt = -Infinity;
   let coldUntil: Milliseconds = 0;
@@ -82,18 +94,28 @@
     return tracker.instance?.slots ?? 0;
   }
 
+  /** The duration at the momentary speed of work that takes this long at the usual one. */
+  function adjustToSpeed(work: Milliseconds, now: Milliseconds): Milliseconds {
+    const ratio = momentarySpeed.current(now);
+    return ratio === undefined ? work : estimateDuration(work, { ratio });
+  }
+
   return {
     tracker,
     rateLimit,
     get relativeServiceTime() {
       return relativeServiceTime;
     },
+    get momentarySpeed() {
+      return momentarySpeed;
+    },
     get failureRate() {
       return failureRate;
     },
     get meanServiceTime() {
       return meanServiceTime;
     },
+    currentMeanServiceTime: (now) => adjustToSpeed(meanServiceTime, now),
     get coldUntil() {
       return coldUntil;
     },
@@ -116,15 +138,22 @@
         : Math.min(limit(), rate.limit * meanServiceTime / 1_000);
     },
     expectServiceTime: ({ route, meanServiceMilliseconds }, now) =>
-      serviceTimes.averageOf(
-        route,
-        meanServiceMilliseconds * relativeServiceTime.current(now),
+      adjustToSpeed(
+        serviceTimes.averageOf(
+          route,
+          meanServiceMilliseconds * relativeServiceTime.current(now),
+        ),
+        now,
       ),
-    recordServed(route, duration, meanServiceMilliseconds, now) {
-      serviceTimes.record(route, duration);
-      meanServiceTime += SMOOTHING_FACTOR * (duration - meanServiceTime);
-      relativeServiceTime.recordAnswered(
-        duration,
+    recordServed({ route, meanServiceMilliseconds }, { startedAt, now }) {
+      const usual = momentarySpeed.usualTimeBetween(startedAt, now);
+      serviceTimes.record(route, usual);
+      meanServiceTime += SMOOTHING_FACTOR * (usual - meanServiceTime);
+      relativeServiceTime.recordAnswered(usual, meanServiceMilliseconds, now);
+    },
+    recordUnanswered({ meanServiceMilliseconds }, { startedAt, now }) {
+      relativeServiceTime.recordUnanswered(
+        momentarySpeed.usualTimeBetween(startedAt, now),
         meanServiceMilliseconds,
         now,
       );
@@ -136,6 +165,7 @@
     handleNewInstance(report, now) {
       unreachableUntil = -Infinity;
       relativeServiceTime = createRelativeServiceTime();
+      momentarySpeed = createMomentarySpeed();
       failureRate = createFailureRate();
       rateLimit.handleNewInstance(report, now);
     },
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -64,7 +64,7 @@
   function describeLoad(call: GateCall, ahead: number, now: Milliseconds) {
     return {
       limit: condition.limit,
-      meanMilliseconds: condition.meanServiceTime,
+      meanMilliseconds: condition.currentMeanServiceTime(now),
       running: dispatch().running.size,
       ahead,
       rateWait: requestRate.timeUntil(ahead + 1, now),
@@ -72,7 +72,7 @@
         call,
         {
           limit: condition.capacity,
-          meanMilliseconds: condition.meanServiceTime,
+          meanMilliseconds: condition.currentMeanServiceTime(now),
         },
         now,
       ),
--- a/src/features/gate/node/exchange_evaluation.ts
+++ b/src/features/gate/node/exchange_evaluation.ts
@@ -14,6 +14,7 @@
   isOverdue,
 } from "../common/gate_call_state.ts";
 import type { InstanceCondition } from "../common/instance_condition.ts";
+import { createSpeedChangeLog } from "../common/speed_change_log.ts";
 import type { GateOptions } from "./gate_options.ts";
 import { isSameStart } from "./idle_connections.ts";
 import { type ExchangeOutcome, findHeader } from "./instance_connection.ts";
@@ -49,6 +50,7 @@
     ExchangeEvaluationParts,
 ): ExchangeEvaluation {
   const { tracker, rateLimit } = condition;
+  const speedChanges = createSpeedChangeLog();
   let hasLoggedNoticeProblem = false;
 
   function recordCompletion(
@@ -80,7 +82,8 @@
     if (instance === undefined || !isSameStart(call.instance, instance)) {
       return;
     }
-    const { rateLimit: named, isLeaving, problem } = readNotices(rawHeaders);
+    const notices = readNotices(rawHeaders);
+    const { rateLimit: named, isLeaving, problem } = notices;
     if (problem !== undefined && !hasLoggedNoticeProblem) {
       hasLoggedNoticeProblem = true;
       log.write("warn", "gate.notice-unusable", {
@@ -89,6 +92,9 @@
       });
     }
     rateLimit.applyNotice(named, instance, now);
+    if (notices.currentServiceTime !== undefined) {
+      applySpeed(notices.currentServiceTime, instance.identity, now);
+    }
     if (isLeaving && tracker.markLeaving().type === "changed") {
       log.write("info", "gate.instance-leaving", {
         instance: instance.identity,
@@ -97,6 +103,18 @@
     }
   }
 
+  function applySpeed(
+    ratio: number,
+    instance: string,
+    now: Milliseconds,
+  ): void {
+    condition.momentarySpeed.record(ratio, now);
+    const change = speedChanges.record(ratio, now);
+    if (change !== undefined) {
+      log.write("info", "gate.speed-changed", { instance, ratio, ...change });
+    }
+  }
+
   function evaluate(
     call: GateCall,
     outcome: ExchangeOutcome,
@@ -120,11 +138,10 @@
           condition.failureRate.record(true, now);
         }
         if (call.isCancelled || timedOut) {
-          condition.relativeServiceTime.recordUnanswered(
-            now - call.startedAt,
-            call.request.meanServiceMilliseconds,
+          condition.recordUnanswered(call.request, {
+            startedAt: call.startedAt,
             now,
-          );
+          });
         }
         log.write("info", "gate.exchange-broken", {
           request: call.request.requestIdentity,
@@ -181,12 +198,7 @@
     const duration = now - call.startedAt;
     // Failures are excluded because they can finish faster than any successful call.
     if (status < 500) {
-      condition.recordServed(
-        call.request.route,
-        duration,
-        call.request.meanServiceMilliseconds,
-        now,
-      );
+      condition.recordServed(call.request, { startedAt: call.startedAt, now });
     }
     return {
       type: "answer",
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -114,6 +114,7 @@
     const now = clock.now();
     const isRateExhausted = rateLimit.rate.timeUntil(1, now) > 0;
     const running = dispatch.running.size;
+    const currentServiceTime = condition.momentarySpeed.current(now);
     return {
       // Callers send no call that would have to wait for the rate limit while another gate has room.
       running: isRateExhausted
@@ -123,6 +124,7 @@
       limit: condition.capacity,
       relativeServiceTime: condition.relativeServiceTime.current(now),
       failureRate: condition.failureRate.current(now),
+      ...(currentServiceTime === undefined ? {} : { currentServiceTime }),
     };
   }
 
--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -114,9 +114,14 @@
     ],
     [
       "gate_pace_ratio",
-      "Time of the instance for calls relative to what is usual",
+      "Time of the instance for calls relative to what is usual, without what its host states for this moment",
       () => gate.load.relativeServiceTime,
     ],
+    [
+      "gate_momentary_service_time_ratio",
+      "Time that work takes on this host at this moment relative to usual; 1 when the instance does not state it",
+      () => gate.load.currentServiceTime ?? 1,
+    ],
     [
       "instance_serving",
       "1 when the instance on this host may be sent calls",
