Place calls by momentary speed and by the room of domains

Cause: gates are chosen by reports that are up to 4.4 s old. A host that has just turned slow keeps its part of the calls, a domain at the peak of its wave queues while others have room, and calls leave their domain for a faster instance although they are in time without it.

Change, only where an instance states a momentary speed: gates are sampled by the room they are expected to have (speed_aware_choice.ts), from the last report, the mean of their domain as the report ages (room_of_domains.ts) and the calls offered since. Expected ends use the momentary speed as far as it lasts, and the mean over all calls of the service for the wait, so that a short call is not thought to wait behind short ones. A call leaves its domain only if it would wait for a sixteenth of its objective or end late, for gates with room beyond an eighth that their domain keeps. A gate returns a call that would wait for an eighth of its objective, as full, while its daemon can ask another one (call_return.ts); the permission is an optional part of the offer that is sent only to daemons that report a speed.

With instances that state no speed the former code runs unchanged.

--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -38,6 +38,8 @@
   readonly deadlineInMilliseconds: Milliseconds;
   /** The average service time of the route across all instances. */
   readonly meanServiceMilliseconds: Milliseconds;
+  /** Whether the gate may refuse the call as `full` instead of queueing it: its caller can ask other gates. */
+  readonly mayBeReturned?: true;
 }
 
 /** Returns the request with the elapsed time deducted from its objective and deadline. */
--- a/src/features/gate/common/gate_client.ts
+++ b/src/features/gate/common/gate_client.ts
@@ -42,6 +42,8 @@
   offer(host: HostName, options: OfferOptions): CallHandle;
   /** The number of calls of this daemon that are in flight at the gate of a host. */
   countOutstanding(host: HostName): number;
+  /** The number of those that were offered at this instant or later. */
+  countOfferedSince(host: HostName, instant: Milliseconds): number;
   /** Whether a host failed to answer a probe and has sent nothing since. */
   isUnresponsive(host: HostName): boolean;
   /** Fires when a host becomes unresponsive while calls of this daemon are in flight there. */
@@ -69,7 +71,8 @@
 export function createGateClient(options: GateClientOptions): GateClient {
   const { clock, gate, log, network, self } = options;
   const outstanding = new Map<string, OutstandingCall>();
-  const outstandingByHost = new Map<HostName, number>();
+  /** When the calls in flight at each host were offered, in ascending order. */
+  const offeredAtByHost = new Map<HostName, Milliseconds[]>();
   const hostDetector = createUnresponsiveHostDetector({
     clock,
     log,
@@ -78,14 +81,34 @@
     afterPendingEvents: options.afterPendingEvents,
   });
 
-  function adjustOutstanding(host: HostName, change: number): void {
-    outstandingByHost.set(host, (outstandingByHost.get(host) ?? 0) + change);
+  function countOffer(host: HostName, offeredAt: Milliseconds): void {
+    const instants = offeredAtByHost.get(host);
+    if (instants === undefined) {
+      offeredAtByHost.set(host, [offeredAt]);
+    } else {
+      instants.push(offeredAt);
+    }
+  }
+
+  function discountOffer(host: HostName, offeredAt: Milliseconds): void {
+    const instants = offeredAtByHost.get(host) ?? [];
+    instants.splice(instants.indexOf(offeredAt), 1);
+  }
+
+  function countOfferedSince(host: HostName, instant: Milliseconds): number {
+    const instants = offeredAtByHost.get(host) ?? [];
+    let first = instants.length;
+    while (first > 0 && instants[first - 1] >= instant) {
+      first -= 1;
+    }
+    return instants.length - first;
   }
 
   function offerLocally({ request, settle }: OfferOptions): CallHandle {
-    adjustOutstanding(self.host, 1);
+    const offeredAt = clock.now();
+    countOffer(self.host, offeredAt);
     return gate.offer(request, (outcome) => {
-      adjustOutstanding(self.host, -1);
+      discountOffer(self.host, offeredAt);
       settle(outcome);
     });
   }
@@ -115,7 +138,7 @@
       usualMilliseconds: request.meanServiceMilliseconds,
       resumeTimer: undefined,
     });
-    adjustOutstanding(host, 1);
+    countOffer(host, offeredAt);
     hostDetector.handleOffered();
     return {
       cancel() {
@@ -135,7 +158,7 @@
     if (call !== undefined) {
       outstanding.delete(identity);
       call.resumeTimer?.dispose();
-      adjustOutstanding(call.host, -1);
+      discountOffer(call.host, call.offeredAt);
     }
     return call;
   }
@@ -213,7 +236,8 @@
 
   return {
     offer,
-    countOutstanding: (host) => outstandingByHost.get(host) ?? 0,
+    countOutstanding: (host) => offeredAtByHost.get(host)?.length ?? 0,
+    countOfferedSince,
     isUnresponsive: hostDetector.isUnresponsive,
     onUnresponsive: hostDetector.onUnresponsive,
     dispose() {
--- a/src/features/gate/common/gate_messages.ts
+++ b/src/features/gate/common/gate_messages.ts
@@ -44,8 +44,11 @@
 }
 
 const OFFER_LENGTH = 15;
-/** The account follows only if the call has one, so that daemons of other releases read other offers. */
-const OFFER_LENGTH_WITH_ACCOUNT = 16;
+/**
+ * The account follows only if the call has one, and whether the call may be returned, after the account or
+ * null, only if it may, so that daemons of other releases read other offers.
+ */
+const MAXIMUM_OFFER_LENGTH = 17;
 const LOAD_LENGTH = 5;
 /** The momentary service time follows only if the instance states it, so that daemons of other releases read other loads. */
 const LOAD_LENGTH_WITH_SERVICE_TIME = 6;
@@ -75,17 +78,27 @@
       request.objectiveInMilliseconds,
       request.deadlineInMilliseconds,
       request.meanServiceMilliseconds,
-      ...(request.account === undefined ? [] : [request.account]),
+      ...encodeOptionalParts(request),
     ],
   };
 }
 
+function encodeOptionalParts(
+  { account, mayBeReturned }: GateRequest,
+): readonly unknown[] {
+  return mayBeReturned === true
+    ? [account ?? null, true]
+    : account === undefined
+    ? []
+    : [account];
+}
+
 /** Returns undefined if the message comes from another release. */
 export function decodeOffer(message: LinkMessage): DecodedOffer | undefined {
   const { row, sentAt } = message as Partial<OfferMessage>;
   if (
     !Array.isArray(row) ||
-    (row.length !== OFFER_LENGTH && row.length !== OFFER_LENGTH_WITH_ACCOUNT) ||
+    row.length < OFFER_LENGTH || row.length > MAXIMUM_OFFER_LENGTH ||
     typeof sentAt !== "number"
   ) {
     return undefined;
@@ -94,7 +107,7 @@
     row;
   const [target, headerLines, body, callerService, isNested, rank, ...times] =
     rest;
-  const [objective, deadline, usual, account] = times;
+  const [objective, deadline, usual, account, mayBeReturned] = times;
   const request: GateRequest = {
     identity,
     requestIdentity,
@@ -111,7 +124,8 @@
     objectiveInMilliseconds: objective,
     deadlineInMilliseconds: deadline,
     meanServiceMilliseconds: usual,
-    ...(account === undefined ? {} : { account }),
+    ...(typeof account === "string" ? { account } : {}),
+    ...(mayBeReturned === true ? { mayBeReturned } : {}),
   };
   return { request, sentAt };
 }
--- a/src/features/gate/common/gate_messages_test.ts
+++ b/src/features/gate/common/gate_messages_test.ts
@@ -48,6 +48,22 @@
     });
   }
 
+  // Guards against an account and a permission to return that are taken for each other.
+  const optionalParts: readonly (readonly [Partial<GateRequest>, number])[] = [
+    [{}, 15],
+    [{ account: "county" }, 16],
+    [{ mayBeReturned: true }, 17],
+    [{ account: "county", mayBeReturned: true }, 17],
+  ];
+  for (const [parts, length] of optionalParts) {
+    test(`an offer with ${JSON.stringify(parts)} has ${length} parts`, () => {
+      const offer = { request: { ...REQUEST, ...parts }, sentAt: 1 };
+      const message = encodeOffer(offer);
+      assert.equal(message.row.length, length);
+      assert.deepEqual(decodeOffer(transmit(message)), offer);
+    });
+  }
+
   const outcomes: readonly GateOutcome[] = [
     {
       type: "answer",
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -11,6 +11,7 @@
   decideAdmission,
   estimateQueueWait,
 } from "../common/admission_decision.ts";
+import { isReturned } from "../common/call_return.ts";
 import { createCallQueue, isDeadlineUnmeetable } from "../common/call_queue.ts";
 import type { CallHandle } from "../common/gate.ts";
 import type {
@@ -89,9 +90,27 @@
     for (const call of unmeetable) {
       refuse(call, "hopeless", condition.meanServiceTime);
     }
+    for (const call of queue.removeWhere((call) => isToReturn(call, now))) {
+      refuse(call, "full", condition.currentMeanServiceTime(now));
+    }
     scheduleSweep();
   }
 
+  function isToReturn(call: GateCall, now: Milliseconds): boolean {
+    return call.request.mayBeReturned === true && isReturned({
+      waited: now - call.startedAt,
+      // The count includes the call itself while it is queued.
+      expectedWait: estimateQueueWait(
+        describeLoad(
+          call,
+          Math.max(0, queue.countAhead(call, now) - 1),
+          now,
+        ),
+      ),
+      objective: call.request.objectiveInMilliseconds,
+    });
+  }
+
   /** The timer runs only while calls are queued, so that it doesn't wake an idle process. */
   function scheduleSweep(): void {
     if (queue.size > 0) {
@@ -116,11 +135,19 @@
       return { cancel() {} };
     }
     const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
-    const decision = decideAdmission(
-      call,
-      describeLoad(call, ahead, now),
-      now,
-    );
+    const load = describeLoad(call, ahead, now);
+    const decision = decideAdmission(call, load, now);
+    const expectedWait = decision.type === "wait" ? estimateQueueWait(load) : 0;
+    if (
+      request.mayBeReturned === true && isReturned({
+        waited: 0,
+        expectedWait,
+        objective: request.objectiveInMilliseconds,
+      })
+    ) {
+      refuse(call, "full", expectedWait);
+      return { cancel() {} };
+    }
     if (decision.type !== "refuse") {
       priorityLoad.record(call, now);
     }
--- a/src/features/ingress/common/next_step.ts
+++ b/src/features/ingress/common/next_step.ts
@@ -52,6 +52,11 @@
     (outcome.reason === "full" || outcome.reason === "hopeless");
 }
 
+/** Whether a gate may return a call that was refused by so many full gates: another one is still asked then. */
+export function mayReturn(fullGateCount: number): boolean {
+  return fullGateCount + 1 < MAXIMUM_FULL_GATES;
+}
+
 export function decideNextStep(
   outcome: GateOutcome,
   state: CallState,
--- a/src/features/ingress/node/call_offers.ts
+++ b/src/features/ingress/node/call_offers.ts
@@ -13,7 +13,6 @@
 } from "../../attempt/common/call_headers.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import type { VersionedCandidate } from "../../placement/common/candidates.ts";
-import type { GatePlacement } from "../../placement/common/gate_choice.ts";
 import { computeHedgeDelay } from "../common/hedge_delay.ts";
 import {
   hasReachedInstance,
@@ -22,7 +21,7 @@
 import type { RouteMeasurements } from "../common/route_measurements.ts";
 import type { ServiceRetryBudgets } from "../common/service_retry_budgets.ts";
 import { type CallEnding, DEFAULT_RETRY_AFTER_MS } from "./call_ending.ts";
-import type { CallPlacement } from "./call_placement.ts";
+import type { CallPlace, CallPlacement } from "./call_placement.ts";
 import type { IngressCall, PendingOffer } from "./ingress_call.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 
@@ -107,7 +106,7 @@
 
   function sendOffer(
     call: IngressCall,
-    { candidate, expectedWait }: GatePlacement<VersionedCandidate>,
+    { candidate, expectedWait, mayBeReturned }: CallPlace,
   ): void {
     const { host, version } = candidate;
     const now = clock.now();
@@ -140,6 +139,7 @@
           call.route.objectiveMilliseconds - now,
         deadlineInMilliseconds: timeLeft,
         meanServiceMilliseconds,
+        ...(mayBeReturned ? { mayBeReturned } : {}),
       },
       resumeTimeout: call.route.kind === "safe"
         ? Math.min(RETRYABLE_RESUME_MS, timeLeft)
--- a/src/features/ingress/node/call_outcomes.ts
+++ b/src/features/ingress/node/call_outcomes.ts
@@ -96,7 +96,7 @@
     host: HostName | undefined,
     outcome: GateOutcome,
   ): void {
-    measurements.recordOutcome(call.route.name, outcome);
+    measurements.recordOutcome(call.route.name, outcome, call.service);
     if (isCapacityRefusal(outcome)) {
       call.fullGateCount += 1;
       if (host !== undefined) {
--- a/src/features/ingress/node/call_placement.ts
+++ b/src/features/ingress/node/call_placement.ts
@@ -4,22 +4,37 @@
  * @module
  */
 
-import type { HostName } from "../../../world/common/names.ts";
+import type { HostName, ServiceName } from "../../../world/common/names.ts";
 import { sampleCandidates } from "../../placement/common/candidate_sample.ts";
 import type { VersionedCandidate } from "../../placement/common/candidates.ts";
 import {
   chooseGate,
   type GatePlacement,
+  type PlacementCall,
 } from "../../placement/common/gate_choice.ts";
+import {
+  createRoomOfDomains,
+  type RoomOfDomains,
+} from "../../placement/common/room_of_domains.ts";
+import {
+  chooseGateBySpeed,
+  knowsSpeeds,
+} from "../../placement/common/speed_aware_choice.ts";
 import { selectCandidates } from "../common/candidate_selection.ts";
 import { createFullGates } from "../common/full_gates.ts";
+import { mayReturn } from "../common/next_step.ts";
 import type { RouteMeasurements } from "../common/route_measurements.ts";
 import type { IngressCall } from "./ingress_call.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 
+export interface CallPlace extends GatePlacement<VersionedCandidate> {
+  /** Whether the gate may return the call instead of queueing it. */
+  readonly mayBeReturned: boolean;
+}
+
 export interface CallPlacement {
   /** Undefined if there is no gate to which the call has not been offered. */
-  placeCall(call: IngressCall): GatePlacement<VersionedCandidate> | undefined;
+  placeCall(call: IngressCall): CallPlace | undefined;
   hasCandidate(call: IngressCall): boolean;
   /** Records that a gate had no capacity for the call. */
   recordFull(call: IngressCall, host: HostName): void;
@@ -31,6 +46,7 @@
 ): CallPlacement {
   const { clock } = options;
   const fullGates = createFullGates();
+  const roomByService = new Map<ServiceName, RoomOfDomains>();
 
   /**
    * Never true for nested calls, since refusing one wastes the work of its parent, nor for the own gate,
@@ -41,8 +57,10 @@
       fullGates.isFull(host, call.rank, clock.now());
   }
 
-  function listCandidates(call: IngressCall): readonly VersionedCandidate[] {
-    const all = options.candidates(call.service);
+  function listCandidates(
+    call: IngressCall,
+    all = options.candidates(call.service),
+  ): readonly VersionedCandidate[] {
     const selectExcept = (isExcluded: (host: HostName) => boolean) =>
       selectCandidates(all, {
         excludedHosts: {
@@ -58,25 +76,62 @@
       : selectExcept(() => false);
   }
 
-  function placeCall(
-    call: IngressCall,
-  ): GatePlacement<VersionedCandidate> | undefined {
+  function placeCall(call: IngressCall): CallPlace | undefined {
     const origin = {
       ownHost: options.host,
       ownFailureDomain: options.failureDomain,
     };
-    const sampled = sampleCandidates(
-      listCandidates(call),
-      origin,
-      options.random,
-    );
-    return chooseGate(sampled, {
+    const all = options.candidates(call.service);
+    const candidates = listCandidates(call, all);
+    const properties = {
       ...origin,
       meanServiceMilliseconds: measurements.meanServiceTime(call.route),
       objectiveMilliseconds: call.route.objectiveMilliseconds,
       transferredBytes: call.body.length +
         measurements.meanResponseBytes(call.route.name),
-    }, options.random);
+    };
+    if (knowsSpeeds(candidates)) {
+      return placeBySpeed(call, properties, { all, candidates });
+    }
+    const sampled = sampleCandidates(candidates, origin, options.random);
+    const placed = chooseGate(sampled, properties, options.random);
+    return placed && { ...placed, mayBeReturned: false };
+  }
+
+  function placeBySpeed(
+    call: IngressCall,
+    properties: PlacementCall,
+    { all, candidates }: {
+      readonly all: readonly VersionedCandidate[];
+      readonly candidates: readonly VersionedCandidate[];
+    },
+  ): CallPlace | undefined {
+    const now = clock.now();
+    const placed = chooseGateBySpeed(candidates, {
+      ...properties,
+      serviceMeanMilliseconds: measurements.meanServiceTimeOf(call.service) ??
+        properties.meanServiceMilliseconds,
+      objectiveLeft: call.arrivedAt + call.route.objectiveMilliseconds - now,
+    }, {
+      random: options.random,
+      utilization: roomOf(call.service).summarize(all, now),
+    });
+    return placed && {
+      ...placed,
+      // A daemon that reports no speed may be of a release that does not read the permission.
+      mayBeReturned: candidates.length > 1 &&
+        placed.candidate.load.currentServiceTime !== undefined &&
+        mayReturn(call.fullGateCount),
+    };
+  }
+
+  function roomOf(service: ServiceName): RoomOfDomains {
+    let room = roomByService.get(service);
+    if (room === undefined) {
+      room = createRoomOfDomains();
+      roomByService.set(service, room);
+    }
+    return room;
   }
 
   return {
--- a/src/features/ingress/node/ingress_fixture.ts
+++ b/src/features/ingress/node/ingress_fixture.ts
@@ -63,6 +63,7 @@
     gates: {
       offer,
       countOutstanding: () => 0,
+      countOfferedSince: () => 0,
       isUnresponsive: () => false,
       onUnresponsive: () => ({ dispose() {} }),
       dispose() {},
--- a/src/features/placement/common/candidates.ts
+++ b/src/features/placement/common/candidates.ts
@@ -15,6 +15,7 @@
 import type { Fleet } from "../../fleet/common/fleet.ts";
 import type { Gate } from "../../gate/common/gate.ts";
 import type { GateClient } from "../../gate/common/gate_client.ts";
+import { fadeServiceTime } from "../../gate/common/momentary_speed.ts";
 import { HEARTBEAT_TOLERANCE_MS } from "../../link/common/link_rules.ts";
 import type { PeerNetwork } from "../../link/common/peer_network.ts";
 import type { GateCandidate } from "./gate_choice.ts";
@@ -31,7 +32,10 @@
   };
   readonly clock: Clock;
   readonly gate: Gate;
-  readonly gates: Pick<GateClient, "countOutstanding" | "isUnresponsive">;
+  readonly gates: Pick<
+    GateClient,
+    "countOutstanding" | "countOfferedSince" | "isUnresponsive"
+  >;
   readonly fleet: Pick<Fleet, "members">;
   readonly network: Pick<PeerNetwork, "getOverdueTime">;
   readonly hostDelays: Pick<HostDelays, "current">;
@@ -45,11 +49,14 @@
     CandidateSources,
 ): VersionedCandidate[] {
   const candidates: VersionedCandidate[] = [];
+  const now = clock.now();
   if (gate.isServing && gate.instance?.service === service) {
+    const { load } = gate;
     candidates.push({
       ...self,
       version: gate.instance.version,
-      load: gate.load,
+      load,
+      currentServiceTime: load.currentServiceTime,
       outstanding: gates.countOutstanding(self.host),
       isCold: gate.coldForMilliseconds > 0,
       isUnresponsive: false,
@@ -57,7 +64,8 @@
     });
   }
   for (
-    const { host, failureDomain, status, load, coldUntil } of fleet.members
+    const { host, failureDomain, status, load, loadReceivedAt, coldUntil }
+      of fleet.members
   ) {
     const { instance, isStopping } = status;
     if (instance?.service === service && instance.isServing && !isStopping) {
@@ -66,11 +74,16 @@
         failureDomain,
         version: instance.version,
         load,
+        currentServiceTime: load.currentServiceTime === undefined
+          ? undefined
+          : fadeServiceTime(load.currentServiceTime, now - loadReceivedAt),
+        loadAge: now - loadReceivedAt,
+        offeredSinceReport: gates.countOfferedSince(host, loadReceivedAt),
         outstanding: gates.countOutstanding(host),
-        isCold: coldUntil > clock.now(),
+        isCold: coldUntil > now,
         isUnresponsive: gates.isUnresponsive(host) ||
           network.getOverdueTime(host) > HEARTBEAT_TOLERANCE_MS + loopDelay,
-        hostDelay: hostDelays.current(host, clock.now()),
+        hostDelay: hostDelays.current(host, now),
       });
     }
   }
--- a/src/features/placement/common/gate_choice.ts
+++ b/src/features/placement/common/gate_choice.ts
@@ -33,10 +33,23 @@
   readonly isUnresponsive: boolean;
   /** Delay of recent calls to the host that queueing and service time do not explain. */
   readonly hostDelay: Milliseconds;
+  /**
+   * How long work takes on the host relative to usual, as it is expected now; undefined if its instance does
+   * not state it.
+   */
+  readonly currentServiceTime?: number | undefined;
+  /** The age of the load report; 0 when absent. */
+  readonly loadAge?: Milliseconds;
+  /** Calls that this daemon has offered to the gate since the load was reported; 0 when absent. */
+  readonly offeredSinceReport?: number;
 }
 
 export interface PlacementCall {
   readonly meanServiceMilliseconds: Milliseconds;
+  /** The mean over all calls of the service, which determines how soon slots become free. */
+  readonly serviceMeanMilliseconds?: Milliseconds;
+  /** The part of the objective that is left; the whole when absent. */
+  readonly objectiveLeft?: Milliseconds;
   /** Latency objective: the time within which a response has its full value. */
   readonly objectiveMilliseconds: Milliseconds;
   /** Size of the request and the expected response, as far as they are known. */
@@ -64,22 +77,22 @@
 /** Minimum gain for leaving the host: a call to another host is processed by two daemons. */
 const REMOTE_HOST_COST_MS: Milliseconds = 15;
 /** A failed call spends its whole objective on the retry, and a call that must not be retried is lost. */
-const FAILURE_COST_IN_OBJECTIVES = 2;
+export const FAILURE_COST_IN_OBJECTIVES = 2;
 /** An unresponsive link counts as lost after about this time; its calls are then retried or fail. */
-const UNRESPONSIVE_COST_MS: Milliseconds = 1_000;
+export const UNRESPONSIVE_COST_MS: Milliseconds = 1_000;
 /** Approximate service time of a cold instance, relative to the mean. */
-const COLD_RELATIVE_SERVICE_TIME = 2;
+export const COLD_RELATIVE_SERVICE_TIME = 2;
 /**
  * Fraction of calls that go to a random gate of the own failure domain with spare capacity. Service
  * times are measured from calls only: an instance that was slow or has just joined would otherwise
  * get no calls and never be measured again.
  */
-const EXPLORATION_PROBABILITY = 0.02;
+export const EXPLORATION_PROBABILITY = 0.02;
 /** Range of the random cost, relative to the mean service time of the call. */
-const JITTER_FRACTION = 0.1;
+export const JITTER_FRACTION = 0.1;
 /** Above this utilization of its limit, an instance tends to slow down. */
-const HIGH_UTILIZATION = 0.75;
-const HIGH_UTILIZATION_SLOWDOWN = 0.5;
+export const HIGH_UTILIZATION = 0.75;
+export const HIGH_UTILIZATION_SLOWDOWN = 0.5;
 
 export function chooseGate<T extends GateCandidate>(
   candidates: readonly T[],
@@ -117,7 +130,7 @@
   return best;
 }
 
-function computeDistanceCost(
+export function computeDistanceCost(
   { host, failureDomain }: GateCandidate,
   call: PlacementCall,
 ): Milliseconds {
