--- a/src/features/placement/common/speed_aware_choice.ts
+++ b/src/features/placement/common/speed_aware_choice.ts
@@ -66,21 +66,31 @@
   const occupied = (candidate: T) =>
     estimateOccupied(candidate, utilization, slotMilliseconds);
   const isExploring = random.nextFraction() < EXPLORATION_PROBABILITY;
+  if (isExploring) {
+    const explorable = own.filter((candidate) =>
+      !candidate.isCold && !candidate.isUnresponsive &&
+      occupied(candidate) < HIGH_UTILIZATION * candidate.load.limit
+    );
+    if (explorable.length > 0) {
+      return {
+        candidate: explorable[random.nextInteger(explorable.length)],
+        expectedWait: 0,
+      };
+    }
+  }
   const sampled = sampleByRoom(own, {
-    count: isExploring ? 1 : SAMPLES_PER_GROUP,
+    count: SAMPLES_PER_GROUP,
     roomOf: (candidate) =>
       (candidate.load.limit - occupied(candidate)) /
       slownessOf(candidate),
     random,
   });
-  const ownCandidate = isExploring
-    ? undefined
-    : own.find(({ host }) => host === call.ownHost);
+  const ownCandidate = own.find(({ host }) => host === call.ownHost);
   if (ownCandidate !== undefined && !sampled.includes(ownCandidate)) {
     sampled.push(ownCandidate);
   }
   const best = findBest(sampled, call, { random, occupied, reserved: 0 });
-  if (best !== undefined && (isExploring || isGoodEnough(best, call))) {
+  if (best !== undefined && isGoodEnough(best, call)) {
     return best.placement;
   }
   const foreign = findBest(
--- a/src/features/placement/common/uneven_load_replay.ts
+++ b/src/features/placement/common/uneven_load_replay.ts
@@ -62,8 +62,6 @@
       readonly utilization: DomainUtilization;
     },
   ): ReplayChoice;
-  /** When a caller whose call was refused is told to come back. */
-  readonly returnAfter?: (wait: Milliseconds) => Milliseconds;
 }
 
 export interface ReplayCandidate extends GateCandidate {
@@ -80,6 +78,8 @@
   /** The fraction of calls that were sent to another failure domain. */
   readonly across: number;
   readonly returnedPerCall: number;
+  /** Refusals that reached a caller. */
+  readonly refusedPerCall: number;
   readonly busiest: number;
 }
 
@@ -165,6 +165,7 @@
     clock.schedule(random.nextFraction() * STATUS_INTERVAL_MS, report);
   });
 
+  let refusals = 0;
   const total = { calls: 0, met: 0, late: 0, across: 0, returned: 0, sent: 0 };
   const parts = new Map<string, { calls: number; met: number }>();
   const count = (part: string, isMet: boolean) => {
@@ -199,9 +200,14 @@
     }
 
     function refuse(wait: Milliseconds): void {
-      const retryAfter = Math.max(20, rule.returnAfter?.(wait) ?? wait);
-      const left = arrivedAt + route.deadline - clock.now();
-      if (route.isNested || hasReturned || retryAfter > left / 3) {
+      refusals += arrivedAt < WARM_UP_MS ? 0 : 1;
+      if (route.isNested || hasReturned) {
+        finish(false);
+        return;
+      }
+      const timeLeft = arrivedAt + route.deadline - clock.now();
+      const retryAfter = Math.max(20, wait);
+      if (retryAfter > timeLeft / 3) {
         finish(false);
         return;
       }
@@ -348,6 +354,7 @@
     worstWindow: worstOf("window"),
     across: total.across / total.sent,
     returnedPerCall: total.returned / total.calls,
+    refusedPerCall: refusals / total.calls,
     busiest: Math.max(...worked) /
       (worked.reduce((sum, one) => sum + one, 0) / worked.length),
   };
