--- a/src/features/placement/common/speed_aware_choice_test.ts
+++ b/src/features/placement/common/speed_aware_choice_test.ts
@@ -91,7 +91,7 @@
   test("does not take what another failure domain keeps for its own demand", () => {
     const nearlyFull = { ...createCandidate("").load, running: 12 };
     const counts = countChoices([
-      createCandidate("a", { load: { ...nearlyFull, running: 14 } }),
+      createCandidate("a", { load: { ...nearlyFull, running: 15 } }),
       createCandidate("b", { load: nearlyFull, failureDomain: "far" }),
     ], 300);
     assert.equal(counts.get("b"), undefined);
