--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -8,6 +8,12 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
+import type { ServiceName } from "../../../world/common/names.ts";
+import {
+  type ColdStartRate,
+  createColdStartRate,
+  type KnownColdStartLimit,
+} from "./cold_start_rate.ts";
 import { createFailureRate, type FailureRate } from "./failure_rate.ts";
 import type { GateRequest } from "./gate_call.ts";
 import {
@@ -18,6 +24,7 @@
   createInstanceTracker,
   type InstanceTracker,
 } from "./instance_tracker.ts";
+import { type BrokenExchange, createLearnedLimit } from "./learned_limit.ts";
 import {
   createMomentarySpeed,
   estimateDuration,
@@ -28,6 +35,8 @@
   createRelativeServiceTime,
   type RelativeServiceTime,
 } from "./relative_service_time.ts";
+import type { RequestRate } from "./request_rate.ts";
+import { createServiceTimeJump } from "./service_time_jump.ts";
 
 /** The assumed service time before any call has completed. */
 const INITIAL_MEAN_MS: Milliseconds = 50;
@@ -46,6 +55,9 @@
 export interface InstanceCondition {
   readonly tracker: InstanceTracker;
   readonly rateLimit: InstanceRateLimit;
+  readonly coldStart: ColdStartRate;
+  /** The limit that the instance names and the bound of a cold one together; the lower one holds. */
+  readonly requestRate: Omit<RequestRate, "setLimit">;
   readonly relativeServiceTime: RelativeServiceTime;
   readonly momentarySpeed: MomentarySpeed;
   readonly failureRate: FailureRate;
@@ -71,27 +83,72 @@
   /** Forgets what was measured of the instance before. */
   handleNewInstance(report: InstanceReport, now: Milliseconds): void;
   markUnreachable(now: Milliseconds): void;
+  /** Records an exchange that the instance has reset. */
+  recordReset(
+    exchange: Omit<BrokenExchange, "announced">,
+    now: Milliseconds,
+  ): void;
 }
 
 export function createInstanceCondition(
-  { clock, heartbeatMilliseconds }: {
+  {
+    clock,
+    heartbeatMilliseconds,
+    readColdStartLimit = () => undefined,
+    loopDelay = () => 0,
+    sharesByAccount = () => false,
+  }: {
     readonly clock: Clock;
     readonly heartbeatMilliseconds: Milliseconds;
+    /** How long a response that is read now may have waited. */
+    readonly loopDelay?: () => Milliseconds;
+    readonly readColdStartLimit?: (
+      service: ServiceName,
+    ) => KnownColdStartLimit;
+    readonly sharesByAccount?: () => boolean;
   },
 ): InstanceCondition {
   const tracker = createInstanceTracker();
   const rateLimit = createInstanceRateLimit();
+  const coldStart = createColdStartRate(() =>
+    tracker.instance === undefined
+      ? undefined
+      : readColdStartLimit(tracker.instance.service)
+  );
+  const requestRate: Omit<RequestRate, "setLimit"> = {
+    get limit() {
+      const named = rateLimit.rate.limit;
+      const cold = coldStart.limitAt(clock.now());
+      return named === undefined || cold === undefined
+        ? named ?? cold
+        : Math.min(named, cold);
+    },
+    record(now) {
+      rateLimit.rate.record(now);
+      coldStart.record(now);
+    },
+    timeUntil: (requests, now) =>
+      Math.max(
+        rateLimit.rate.timeUntil(requests, now),
+        coldStart.timeUntil(requests, now),
+      ),
+  };
+  let serviceTimeJump = createServiceTimeJump();
   const serviceTimes = createMovingAverages();
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
   let relativeServiceTime = createRelativeServiceTime();
   let momentarySpeed = createMomentarySpeed();
   let failureRate = createFailureRate();
+  let learnedLimit = createLearnedLimit();
   let lastReportAt = -Infinity;
   let coldUntil: Milliseconds = 0;
   let unreachableUntil = -Infinity;
 
   function limit(): number {
-    return tracker.instance?.slots ?? 0;
+    const announced = tracker.instance?.slots ?? 0;
+    return sharesByAccount()
+      ? learnedLimit.apply(announced, clock.now())
+      : announced;
   }
 
   /** The duration at the momentary speed of work that takes this long at the usual one. */
@@ -103,6 +160,8 @@
   return {
     tracker,
     rateLimit,
+    coldStart,
+    requestRate,
     get relativeServiceTime() {
       return relativeServiceTime;
     },
@@ -132,10 +191,10 @@
       return limit();
     },
     get capacity() {
-      const { rate } = rateLimit;
-      return rate.limit === undefined
+      const perSecond = requestRate.limit;
+      return perSecond === undefined
         ? limit()
-        : Math.min(limit(), rate.limit * meanServiceTime / 1_000);
+        : Math.min(limit(), perSecond * meanServiceTime / 1_000);
     },
     expectServiceTime: ({ route, meanServiceMilliseconds }, now) =>
       adjustToSpeed(
@@ -150,6 +209,16 @@
       serviceTimes.record(route, usual);
       meanServiceTime += SMOOTHING_FACTOR * (usual - meanServiceTime);
       relativeServiceTime.recordAnswered(usual, meanServiceMilliseconds, now);
+      if (
+        // The response has waited for the event loop of this process.
+        serviceTimeJump.record(
+          usual - loopDelay(),
+          meanServiceMilliseconds,
+        ) &&
+        coldStart.phase(now) === "warm"
+      ) {
+        coldStart.holdUntilReport("slow");
+      }
     },
     recordUnanswered({ meanServiceMilliseconds }, { startedAt, now }) {
       relativeServiceTime.recordUnanswered(
@@ -161,16 +230,24 @@
     recordReport(report, now) {
       lastReportAt = now;
       coldUntil = now + report.coldForMilliseconds;
+      coldStart.recordReport(report.coldForMilliseconds, now);
     },
     handleNewInstance(report, now) {
       unreachableUntil = -Infinity;
       relativeServiceTime = createRelativeServiceTime();
       momentarySpeed = createMomentarySpeed();
       failureRate = createFailureRate();
+      learnedLimit = createLearnedLimit();
       rateLimit.handleNewInstance(report, now);
+      serviceTimeJump = createServiceTimeJump();
+      coldStart.handleNewInstance(report.coldForMilliseconds, now);
     },
     markUnreachable(now) {
       unreachableUntil = now + UNREACHABLE_MS;
     },
+    recordReset(exchange, now) {
+      const announced = tracker.instance?.slots ?? 0;
+      learnedLimit.recordReset({ ...exchange, announced }, now);
+    },
   };
 }
--- a/src/features/gate/node/call_dispatch.ts
+++ b/src/features/gate/node/call_dispatch.ts
@@ -31,6 +31,8 @@
 export interface CallDispatchParts {
   readonly condition: InstanceCondition;
   readonly evaluation: ExchangeEvaluation;
+  /** Called with each call that has left the instance. */
+  readonly onEnded: (call: GateCall, now: Milliseconds) => void;
   /** Called when a slot may be free. */
   readonly onFinished: () => void;
 }
@@ -52,7 +54,7 @@
 
 export function createCallDispatch(
   { clock, log, headers }: GateOptions,
-  { condition, evaluation, onFinished }: CallDispatchParts,
+  { condition, evaluation, onEnded, onFinished }: CallDispatchParts,
 ): CallDispatch {
   const { tracker } = condition;
   const running = new Set<GateCall>();
@@ -66,7 +68,8 @@
     call.startedAt = now;
     call.instance = instance;
     running.add(call);
-    condition.rateLimit.rate.record(now);
+    call.runningAtStart = running.size;
+    condition.requestRate.record(now);
     const timeLeft = call.abortAt - now;
     call.timer = clock.schedule(timeLeft, () => {
       call.isDeadlineExceeded = true;
@@ -117,6 +120,7 @@
     running.delete(call);
     call.timer?.dispose();
     call.state = "ended";
+    runStep(log, call, () => onEnded(call, now));
     let gateOutcome: GateOutcome = {
       type: "failed",
       reason: "the response could not be evaluated",
--- a/src/features/gate/node/exchange_evaluation.ts
+++ b/src/features/gate/node/exchange_evaluation.ts
@@ -17,7 +17,11 @@
 import { createSpeedChangeLog } from "../common/speed_change_log.ts";
 import type { GateOptions } from "./gate_options.ts";
 import { isSameStart } from "./idle_connections.ts";
-import { type ExchangeOutcome, findHeader } from "./instance_connection.ts";
+import {
+  type ExchangeOutcome,
+  findHeader,
+  isResetReason,
+} from "./instance_connection.ts";
 
 export interface ExchangeEvaluation {
   evaluate(
@@ -136,6 +140,12 @@
       case "broken":
         if (!call.isCancelled) {
           condition.failureRate.record(true, now);
+          if (!timedOut && isResetReason(outcome.reason)) {
+            condition.recordReset({
+              elapsed: now - call.startedAt,
+              runningAtStart: call.runningAtStart,
+            }, now);
+          }
         }
         if (call.isCancelled || timedOut) {
           condition.recordUnanswered(call.request, {
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -7,7 +7,8 @@
 
 import { createEmitter } from "../../../base/common/emitter.ts";
 import type { CallRecord, Gate, ParentCall } from "../common/gate.ts";
-import type { GateLoadReport } from "../common/gate_call.ts";
+import type { ColdPhase } from "../common/cold_start_rate.ts";
+import type { GateLoadReport, RefusalReason } from "../common/gate_call.ts";
 import { isOverdue } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
 import type { ReportOutcome } from "../common/instance_tracker.ts";
@@ -19,12 +20,14 @@
 import { isSameEndpoint } from "./idle_connections.ts";
 
 export function createGate(options: GateOptions): Gate {
-  const { clock, log } = options;
+  const { clock, log, isEvacuated = () => false } = options;
   const condition = createInstanceCondition(options);
-  const { tracker, rateLimit } = condition;
+  const { tracker, rateLimit, coldStart, requestRate } = condition;
   const changed = createEmitter<void>();
   const callCompleted = createEmitter<CallRecord>();
+  const callRefused = createEmitter<RefusalReason>();
   let wasServing = false;
+  let coldPhase: ColdPhase = "warm";
 
   const admission: CallAdmission = createCallAdmission(options, {
     condition,
@@ -40,11 +43,39 @@
   const dispatch: CallDispatch = createCallDispatch(options, {
     condition,
     evaluation,
-    onFinished: admission.startQueued,
+    onEnded: admission.recordEnd,
+    onFinished() {
+      updateColdPhase();
+      admission.startQueued();
+    },
   });
 
+  function isServing(): boolean {
+    return condition.isServing && !isEvacuated();
+  }
+
+  /** Tells callers at once what the instance takes, since regular statuses are seconds apart in large fleets. */
+  function updateColdPhase(): void {
+    const now = clock.now();
+    const before = coldPhase;
+    coldPhase = coldStart.phase(now);
+    if (coldPhase === before) {
+      return;
+    }
+    if (coldPhase !== "ramping") {
+      log.write("info", "gate.cold-limit", {
+        instance: tracker.instance?.identity,
+        perSecond: coldStart.limitAt(now),
+        cause: coldPhase === "warm"
+          ? undefined
+          : coldStart.heldFor ?? "reported",
+      });
+    }
+    fireChanged();
+  }
+
   function fireChanged(): void {
-    wasServing = condition.isServing;
+    wasServing = isServing();
     changed.fire();
   }
 
@@ -57,9 +88,10 @@
     log.write("info", "gate.rate-limit", { instance, perSecond })
   );
   const servingTimer = clock.repeat(options.heartbeatMilliseconds / 4, () => {
-    if (condition.isServing !== wasServing) {
+    updateColdPhase();
+    if (isServing() !== wasServing) {
       log.write("info", "gate.serving-changed", {
-        serving: condition.isServing,
+        serving: isServing(),
         instance: tracker.instance?.identity,
         sinceHeartbeat: Math.round(clock.now() - condition.lastReportAt),
       });
@@ -88,6 +120,7 @@
     } else {
       admission.refuseQueued("leaving");
     }
+    updateColdPhase();
     if (outcome.type !== "unchanged") {
       fireChanged();
     }
@@ -106,13 +139,14 @@
         mean: Math.round(condition.meanServiceTime),
         pace: condition.relativeServiceTime.current(now).toFixed(2),
         failurePart: condition.failureRate.current(now).toFixed(2),
+        ...admission.describeSharing(),
       });
     }
   }
 
   function describeLoad(): GateLoadReport {
     const now = clock.now();
-    const isRateExhausted = rateLimit.rate.timeUntil(1, now) > 0;
+    const isRateExhausted = requestRate.timeUntil(1, now) > 0;
     const running = dispatch.running.size;
     const currentServiceTime = condition.momentarySpeed.current(now);
     return {
@@ -163,8 +197,11 @@
     get rateLimit() {
       return rateLimit.rate.limit;
     },
+    get coldLimit() {
+      return coldStart.limitAt(clock.now());
+    },
     get isServing() {
-      return condition.isServing;
+      return isServing();
     },
     get overdueCalls() {
       const now = clock.now();
@@ -182,7 +219,20 @@
     },
     onChanged: changed.event,
     onCallCompleted: callCompleted.event,
+    onCallRefused: callRefused.event,
     onRateLimitChanged: rateLimit.onChanged,
+    handleEvacuation(isActive) {
+      if (isActive) {
+        admission.refuseQueued("evacuated");
+      } else {
+        // It may have become cold since its last report.
+        coldStart.holdUntilReport("restored");
+      }
+      updateColdPhase();
+      if (isServing() !== wasServing) {
+        fireChanged();
+      }
+    },
     applyReport,
     applyDeparture(departure) {
       const outcome = tracker.applyDeparture(departure);
@@ -200,13 +250,20 @@
     restoreRateLimit: (restored) =>
       rateLimit.restore(restored, tracker.instance, clock.now()),
     findParent,
-    offer: admission.offer,
+    offer: (request, settle) =>
+      admission.offer(request, (outcome) => {
+        settle(outcome);
+        if (outcome.type === "refused") {
+          callRefused.fire(outcome.reason);
+        }
+      }),
     dispose() {
       servingTimer.dispose();
       admission.dispose();
       dispatch.dispose();
       changed.dispose();
       callCompleted.dispose();
+      callRefused.dispose();
       rateLimit.dispose();
     },
   };
--- a/src/features/placement/common/candidates_test.ts
+++ b/src/features/placement/common/candidates_test.ts
@@ -39,6 +39,7 @@
     },
     network: { getOverdueTime: () => -1 },
     hostDelays: { current: () => 0 },
+    isEvacuated: () => false,
     loopDelay: 0,
   } as unknown as CandidateSources;
   return listCandidates("booking", sources);
@@ -59,3 +60,39 @@
     assert.equal(listOthers(LOAD, 5_000)[0].currentServiceTime, undefined);
   });
 });
+
+function createMember(host: string, failureDomain: string) {
+  return {
+    host,
+    failureDomain,
+    load: LOAD,
+    coldUntil: 0,
+    status: {
+      instance: { service: "a", version: "v1", isServing: true },
+      isStopping: false,
+    },
+  };
+}
+
+// Guards against offers to a failure domain whose daemons have not heard of its evacuation, or are of an earlier release.
+test("the gates of an evacuated failure domain are no candidates, although they say that they serve", () => {
+  const sources = {
+    self: { host: "own", failureDomain: "north" },
+    clock: new VirtualClock(),
+    gate: { isServing: false },
+    gates: {
+      countOutstanding: () => 0,
+      countOfferedSince: () => 0,
+      isUnresponsive: () => false,
+    },
+    fleet: {
+      members: [createMember("e", "east"), createMember("w", "west")],
+    },
+    network: { getOverdueTime: () => 0 },
+    hostDelays: { current: () => 0 },
+    isEvacuated: (failureDomain: string) => failureDomain === "east",
+    loopDelay: 0,
+  } as unknown as CandidateSources;
+  const hosts = listCandidates("a", sources).map(({ host }) => host);
+  assert.deepEqual(hosts, ["w"]);
+});
