Permit returns only while another gate could take the call

A gate may return a call that it would otherwise queue. The daemon of the caller permitted this whenever it knew a second gate, also where it knew all other gates to be full or where the versions allowed no other gate for a call that comes back. Such a call ended as refused although the first gate could have served it within its objective.

The permission now depends on a gate that would be asked next: not known to be full, and of a version that is preferred for a call that was offered before.

--- a/src/features/ingress/node/call_placement.ts
+++ b/src/features/ingress/node/call_placement.ts
@@ -119,12 +119,23 @@
     return placed && {
       ...placed,
       // A daemon that reports no speed may be of a release that does not read the permission.
-      mayBeReturned: candidates.length > 1 &&
-        placed.candidate.load.currentServiceTime !== undefined &&
-        mayReturn(call.fullGateCount),
+      mayBeReturned: placed.candidate.load.currentServiceTime !== undefined &&
+        mayReturn(call.fullGateCount) &&
+        candidates.some((candidate) =>
+          candidate !== placed.candidate && isNextGate(call, candidate)
+        ),
     };
   }
 
+  /** Whether the call could be offered to this gate next if it came back from another one now. */
+  function isNextGate(
+    call: IngressCall,
+    { host, version }: VersionedCandidate,
+  ): boolean {
+    return call.versionPreference.isPreferredForRetry(version) &&
+      !isKnownFull(call, host);
+  }
+
   function roomOf(service: ServiceName): RoomOfDomains {
     let room = roomByService.get(service);
     if (room === undefined) {
--- a/src/features/ingress/node/call_placement_test.ts
+++ b/src/features/ingress/node/call_placement_test.ts
@@ -124,4 +124,29 @@
     const single = createPlacement(createCandidates(1, () => true));
     assert.equal(single.placeCall(createCall())!.mayBeReturned, false);
   });
+
+  // Guards against calls that come back from a gate that could queue them and are then refused for want of another one.
+  test("permits no return while all other gates are known to be full", () => {
+    const candidates = createCandidates(4, () => true);
+    const placement = createPlacement(candidates);
+    for (const { host } of candidates.slice(1)) {
+      placement.recordFull(createCall(), host);
+    }
+    const oneLeft = placement.placeCall(createCall())!;
+    assert.equal(oneLeft.candidate.host, candidates[0].host);
+    assert.equal(oneLeft.mayBeReturned, false);
+    placement.recordFull(createCall(), candidates[0].host);
+    for (let index = 0; index < 20; index += 1) {
+      assert.equal(placement.placeCall(createCall())!.mayBeReturned, false);
+    }
+  });
+
+  test("permits no return if no version is preferred for a call that comes back", () => {
+    const placement = createPlacement(createCandidates(4, () => true));
+    const call = {
+      ...createCall(),
+      versionPreference: { ...ANY_VERSION, isPreferredForRetry: () => false },
+    };
+    assert.equal(placement.placeCall(call)!.mayBeReturned, false);
+  });
 });
