Let calls leave a failure domain whose instances fail

The choice by speed looked at other failure domains only if a call would wait or end late. Instances that fail half of their calls have room and answer in time, so all calls of their domain stayed with them, while the choice by load compared the cost of failures across domains. The expected cost of failures now counts when a gate of the own domain is judged good enough. The new test failed before the change.

--- a/src/features/placement/common/speed_aware_choice.ts
+++ b/src/features/placement/common/speed_aware_choice.ts
@@ -123,10 +123,19 @@
   call: PlacementCall,
 ): boolean {
   return placement.expectedWait <= WAIT_FRACTION * call.objectiveMilliseconds &&
-    SERVICE_TIME_MARGIN_FACTOR * duration <=
+    SERVICE_TIME_MARGIN_FACTOR * duration +
+          computeFailureCost(placement.candidate, call) <=
       (call.objectiveLeft ?? call.objectiveMilliseconds);
 }
 
+function computeFailureCost(
+  { load }: GateCandidate,
+  call: PlacementCall,
+): Milliseconds {
+  return load.failureRate * FAILURE_COST_IN_OBJECTIVES *
+    call.objectiveMilliseconds;
+}
+
 function slownessOf({ load, currentServiceTime = 1 }: GateCandidate): number {
   return Math.max(0.1, load.relativeServiceTime) * currentServiceTime;
 }
@@ -148,8 +157,7 @@
     const duration = wait + service + candidate.hostDelay +
       (candidate.isUnresponsive ? UNRESPONSIVE_COST_MS : 0);
     const cost = duration + computeDistanceCost(candidate, call) +
-      candidate.load.failureRate * FAILURE_COST_IN_OBJECTIVES *
-        call.objectiveMilliseconds +
+      computeFailureCost(candidate, call) +
       random.nextFraction() * JITTER_FRACTION * call.meanServiceMilliseconds;
     if (best === undefined || cost < best.cost) {
       best = { placement: { candidate, expectedWait: wait }, cost, duration };
--- a/src/features/placement/common/speed_aware_choice_test.ts
+++ b/src/features/placement/common/speed_aware_choice_test.ts
@@ -87,6 +87,17 @@
     assert.ok(counts.get("b")! > 900);
   });
 
+  // Guards against calls that stay with failing instances because these have room and answer in time.
+  test("leaves a failure domain whose instances fail half of the calls", () => {
+    const load = { ...IDLE, failureRate: 0.5 };
+    const counts = countChoices([
+      createCandidate("a", { load }),
+      createCandidate("b", { load }),
+      createCandidate("c", { failureDomain: "far" }),
+    ], 300);
+    assert.ok((counts.get("c") ?? 0) > 900, String(counts.get("c")));
+  });
+
   // Guards against domains that exchange their calls when all are nearly full.
   test("does not take what another failure domain keeps for its own demand", () => {
     const nearlyFull = { ...createCandidate("").load, running: 12 };
