Return queued calls in the order in which they start

The check of the queue judged each call by all calls ahead of it, also by those that it returned in the same pass. When a host turned slow, calls that would have started early enough were returned with the ones ahead of them. Each call also counted and ordered the whole queue again, work that grows with the square of the queue.

The queue is now ordered once, and a returned call does not count as ahead of those after it. The check runs only while the instance states a speed, as callers permit returns only to such gates.

--- a/src/features/gate/common/call_queue.ts
+++ b/src/features/gate/common/call_queue.ts
@@ -61,6 +61,14 @@
       alikeAhead: number,
     ) => Milliseconds,
   ): T[];
+  /**
+   * Removes and returns the calls for which the predicate holds, in the order in which they start; a removed
+   * call does not count as ahead of those after it.
+   */
+  removeInOrder(
+    now: Milliseconds,
+    isRemoved: (call: T, ahead: number, alikeAhead: number) => boolean,
+  ): T[];
   /** Counts the queued calls that would start before this one, of those that the predicate holds for. */
   countAhead(
     call: QueueableCall,
@@ -92,6 +100,33 @@
     return removed;
   }
 
+  function removeInOrder(
+    now: Milliseconds,
+    isRemoved: (call: T, ahead: number, alikeAhead: number) => boolean,
+  ): T[] {
+    const removed: T[] = [];
+    let ahead = 0;
+    let alikeAhead = 0;
+    let previous: T | undefined;
+    const inOrder = [...calls.values()].sort(
+      createOrder(calls.values(), now),
+    );
+    for (const call of inOrder) {
+      if (previous !== undefined && comparePriority(previous, call) !== 0) {
+        alikeAhead = 0;
+      }
+      previous = call;
+      if (isRemoved(call, ahead, alikeAhead)) {
+        removed.push(call);
+        calls.delete(call.identity);
+      } else {
+        ahead += 1;
+        alikeAhead += 1;
+      }
+    }
+    return removed;
+  }
+
   function countAheadWhere(
     call: QueueableCall,
     now: Milliseconds,
@@ -136,33 +171,15 @@
     },
     removeUnmeetable: (now) =>
       removeWhere((call) => isDeadlineUnmeetable(call, now)),
-    removeUnmeetableAfterWait(now, estimateWait) {
-      const unmeetable: T[] = [];
-      let ahead = 0;
-      let alikeAhead = 0;
-      let previous: T | undefined;
-      const inOrder = [...calls.values()].sort(
-        createOrder(calls.values(), now),
-      );
-      for (const call of inOrder) {
-        if (previous !== undefined && comparePriority(previous, call) !== 0) {
-          alikeAhead = 0;
-        }
-        previous = call;
-        const startsAt = now + estimateWait(call, ahead, alikeAhead);
-        if (
-          startsAt + MINIMUM_SERVICE_FRACTION * call.expectedMilliseconds >
-            call.deadlineAt
-        ) {
-          unmeetable.push(call);
-          calls.delete(call.identity);
-        } else {
-          ahead += 1;
-          alikeAhead += 1;
-        }
-      }
-      return unmeetable;
-    },
+    removeUnmeetableAfterWait: (now, estimateWait) =>
+      removeInOrder(
+        now,
+        (call, ahead, alikeAhead) =>
+          now + estimateWait(call, ahead, alikeAhead) +
+              MINIMUM_SERVICE_FRACTION * call.expectedMilliseconds >
+            call.deadlineAt,
+      ),
+    removeInOrder,
     countAhead: (call, now, isCounted = () => true) =>
       countAheadWhere(call, now, isCounted),
     countAlikeAhead: (call, now) =>
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -143,12 +143,9 @@
     for (const call of unmeetable) {
       refuse(call, "hopeless", condition.meanServiceTime);
     }
-    for (const call of queue.removeWhere((call) => isToReturn(call, now))) {
-      refuse(
-        call,
-        refusalReasonOf(call, now),
-        condition.currentMeanServiceTime(now),
-      );
+    // Callers permit returns only to gates that report a speed.
+    if (condition.momentarySpeed.current(now) !== undefined) {
+      returnQueued(now);
     }
     if (sharesByAccount()) {
       // The slots that long calls may use grow when fewer urgent calls arrive.
@@ -157,20 +154,25 @@
     scheduleSweep();
   }
 
-  function isToReturn(call: GateCall, now: Milliseconds): boolean {
-    return call.request.mayBeReturned === true && isReturned({
-      waited: now - call.startedAt,
-      // The count includes the call itself while it is queued.
-      expectedWait: estimateQueueWait(
-        describeLoad(
-          call,
-          Math.max(0, queue.countAhead(call, now) - 1),
-          () => Math.max(0, queue.countAlikeAhead(call, now) - 1),
-          now,
-        ),
-      ),
-      objective: call.request.objectiveInMilliseconds,
-    });
+  function returnQueued(now: Milliseconds): void {
+    const returned = queue.removeInOrder(
+      now,
+      (call, ahead, alikeAhead) =>
+        call.request.mayBeReturned === true && isReturned({
+          waited: now - call.startedAt,
+          expectedWait: estimateQueueWait(
+            describeLoad(call, ahead, () => alikeAhead, now),
+          ),
+          objective: call.request.objectiveInMilliseconds,
+        }),
+    );
+    for (const call of returned) {
+      refuse(
+        call,
+        refusalReasonOf(call, now),
+        condition.currentMeanServiceTime(now),
+      );
+    }
   }
 
   /** The timer runs only while calls are queued, so that it doesn't wake an idle process. */
--- a/src/features/gate/node/shared_admission_test.ts
+++ b/src/features/gate/node/shared_admission_test.ts
@@ -7,7 +7,7 @@
   createFixtureRequest,
   FIXTURE_HEADERS,
 } from "../common/gate_fixture.ts";
-import type { GateRequest } from "../common/gate_call.ts";
+import type { GateOutcome, GateRequest } from "../common/gate_call.ts";
 import type { GateCall } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
 import { NO_NOTICES } from "../common/instance_notices.ts";
@@ -56,9 +56,14 @@
     account: string,
     identity: string,
     fields: Partial<GateRequest> = {},
-  ): void {
+  ): readonly GateOutcome[] {
+    const outcomes: GateOutcome[] = [];
     const request = createFixtureRequest(identity, 60_000);
-    admission.offer({ ...request, account, ...fields }, () => {});
+    admission.offer(
+      { ...request, account, ...fields },
+      (outcome) => outcomes.push(outcome),
+    );
+    return outcomes;
   }
 
   /** Ends the running calls after this time. */
@@ -72,7 +77,7 @@
     admission.startQueued();
   }
 
-  return { admission, started, offer, end };
+  return { admission, clock, condition, started, offer, end };
 }
 
 describe("accounts that are removed from the configuration while a call runs", () => {
@@ -100,6 +105,63 @@
   });
 });
 
+describe("a call that may be returned", () => {
+  // Guards against a gate that callers leave out for all accounts because it returned the call of one of them.
+  test("is returned as above its share if its account has used more than its share", () => {
+    const { admission, offer, end } = createAdmission(1, () => true);
+    for (const account of ["light", "other"]) {
+      offer(account, account);
+      end(20);
+    }
+    for (let index = 0; index < 20; index += 1) {
+      offer("heavy", `heavy-${index}`);
+      end(500);
+    }
+    offer("other", "running");
+    const returnable = {
+      mayBeReturned: true,
+      objectiveInMilliseconds: 150,
+    } as const;
+    const reasons = ["light", "heavy"].map((account) =>
+      offer(account, `${account}-last`, returnable).map((outcome) =>
+        outcome.type === "refused" && outcome.reason
+      )
+    );
+    assert.deepEqual(reasons, [["full"], ["above-share"]]);
+    admission.dispose();
+  });
+
+  // Guards against calls that are returned because of others that leave the queue at the same time.
+  test("stays in the queue if it starts early enough once calls ahead are returned", () => {
+    const { admission, clock, condition, offer } = createAdmission(
+      1,
+      () => false,
+    );
+    offer("a", "running");
+    const ahead = Array.from(
+      { length: 3 },
+      (_, index) =>
+        offer("a", `ahead-${index}`, {
+          mayBeReturned: true,
+          objectiveInMilliseconds: 2_400,
+        }),
+    );
+    const behind = offer("a", "behind", {
+      mayBeReturned: true,
+      objectiveInMilliseconds: 7_000,
+    });
+    assert.equal(admission.waiting, 4);
+    clock.advance(39);
+    // A queued call now waits for half a second for each call ahead.
+    condition.momentarySpeed.record(20, clock.now());
+    clock.advance(1);
+    assert.deepEqual(ahead.map(({ length }) => length), [1, 1, 1]);
+    assert.equal(behind.length, 0);
+    assert.equal(admission.waiting, 1);
+    admission.dispose();
+  });
+});
+
 describe("a slot that is kept from a queued long call", () => {
   // Guards against calls that are refused or wait for the next sweep beside a free slot.
   test("is used at once by a short call that is behind the long one in the queue", () => {
