--- a/src/features/fleet/common/fleet_test.ts
+++ b/src/features/fleet/common/fleet_test.ts
@@ -140,6 +140,19 @@
   }
 });
 
+// Guards against loads of outcomes that count as old as the status before them.
+test("the load of a member is as old as the status or outcome that it came with", () => {
+  const { clock, hosts } = createHosts(2);
+  listHosts(hosts);
+  clock.advance(100);
+  const { fleet } = hosts[0];
+  const [{ host, loadReceivedAt }] = fleet.members;
+  assert.ok(loadReceivedAt > 0 && loadReceivedAt < 100);
+  fleet.updateLoad(host, { ...STATUS.load, running: 2 });
+  assert.equal(fleet.members[0].load.running, 2);
+  assert.equal(fleet.members[0].loadReceivedAt, clock.now());
+});
+
 // Guards against evidence that each daemon sends to all others for as long as a rollout lasts.
 describe("the evidence of a rollout is sent to its evaluators only", () => {
   const DURATION_MS = 6_000;
