Return no calls while the whole service is overloaded

Each refusal costs two daemons work. The daemon of the caller now permits no return while each failure domain that it knows has 1.5 times as many calls as slots.

The new test failed before the change.

--- a/src/features/ingress/node/call_placement.ts
+++ b/src/features/ingress/node/call_placement.ts
@@ -27,6 +27,12 @@
 import type { IngressCall } from "./ingress_call.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 
+/**
+ * No call is returned while each failure domain has more calls than this multiple of its slots: the next gate would
+ * be full as well. A lower bound loses calls within the objective at twice the usual demand.
+ */
+const MAXIMUM_UTILIZATION = 1.5;
+
 export interface CallPlace extends GatePlacement<VersionedCandidate> {
   /** Whether the gate may return the call instead of queueing it. */
   readonly mayBeReturned: boolean;
@@ -107,6 +113,7 @@
     },
   ): CallPlace | undefined {
     const now = clock.now();
+    const utilization = roomOf(call.service).summarize(all, now);
     const placed = chooseGateBySpeed(candidates, {
       ...properties,
       serviceMeanMilliseconds: measurements.meanServiceTimeOf(call.service) ??
@@ -114,13 +121,14 @@
       objectiveLeft: call.arrivedAt + call.route.objectiveMilliseconds - now,
     }, {
       random: options.random,
-      utilization: roomOf(call.service).summarize(all, now),
+      utilization,
     });
     return placed && {
       ...placed,
       // A daemon that reports no speed may be of a release that does not read the permission.
       mayBeReturned: placed.candidate.load.currentServiceTime !== undefined &&
         mayReturn(call.fullGateCount) &&
+        Math.min(...utilization.values()) < MAXIMUM_UTILIZATION &&
         candidates.some((candidate) =>
           candidate !== placed.candidate && isNextGate(call, candidate)
         ),
--- a/src/features/ingress/node/call_placement_test.ts
+++ b/src/features/ingress/node/call_placement_test.ts
@@ -141,6 +141,28 @@
     }
   });
 
+  // Guards against refusals that cost every daemon work while no gate has room for a returned call.
+  test("permits no return while all failure domains have a half more calls than slots", () => {
+    const permits = (waitingInEast: number, waitingInWest: number) =>
+      createPlacement(
+        createCandidates(4, () => true).map((candidate) => ({
+          ...candidate,
+          loadAge: 0,
+          load: {
+            ...candidate.load,
+            running: 10,
+            limit: 10,
+            waiting: candidate.failureDomain === "east"
+              ? waitingInEast
+              : waitingInWest,
+          },
+        })),
+      ).placeCall(createCall())!.mayBeReturned;
+    assert.equal(permits(5, 4), true);
+    assert.equal(permits(4, 5), true);
+    assert.equal(permits(5, 5), false);
+  });
+
   test("permits no return if no version is preferred for a call that comes back", () => {
     const placement = createPlacement(createCandidates(4, () => true));
     const call = {
