--- a/src/features/gate/common/cold_start_replay_test.ts
+++ b/src/features/gate/common/cold_start_replay_test.ts
@@ -80,12 +80,10 @@
     }
     for (const { startedAt, endsAt, isOld } of running) {
       if (endsAt <= now && !isOld) {
-        condition.recordServed(
-          request.route,
-          endsAt - startedAt,
-          replay.workMilliseconds,
-          now,
-        );
+        condition.recordServed({
+          ...request,
+          meanServiceMilliseconds: replay.workMilliseconds,
+        }, { startedAt: now - (endsAt - startedAt), now });
       }
     }
     running = running.filter(({ endsAt }) => endsAt > now);
--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -38,6 +38,8 @@
   readonly deadlineInMilliseconds: Milliseconds;
   /** The average service time of the route across all instances. */
   readonly meanServiceMilliseconds: Milliseconds;
+  /** Whether the gate may refuse the call as `full` instead of queueing it: its caller can ask other gates. */
+  readonly mayBeReturned?: true;
 }
 
 /** Returns the request with the elapsed time deducted from its objective and deadline. */
@@ -63,7 +65,7 @@
   readonly failureRate: number;
   /**
    * How long work takes on the instance's host at this moment, relative to usual; undefined if the instance
-   * does not report it or the report is too old.
+   * does not report it. The older the report, the closer to 1 (`momentary_speed.ts`).
    */
   readonly currentServiceTime?: number;
 }
--- a/src/features/gate/common/gate_messages_test.ts
+++ b/src/features/gate/common/gate_messages_test.ts
@@ -7,8 +7,10 @@
 import type { LinkMessage } from "../../link/common/peer_network.ts";
 import type { GateOutcome, GateRequest } from "./gate_call.ts";
 import {
+  decodeLoad,
   decodeOffer,
   decodeOutcome,
+  encodeLoad,
   encodeOffer,
   encodeOutcome,
 } from "./gate_messages.ts";
@@ -46,6 +48,22 @@
     });
   }
 
+  // Guards against an account and a permission to return that are taken for each other.
+  const optionalParts: readonly (readonly [Partial<GateRequest>, number])[] = [
+    [{}, 15],
+    [{ account: "county" }, 16],
+    [{ mayBeReturned: true }, 17],
+    [{ account: "county", mayBeReturned: true }, 17],
+  ];
+  for (const [parts, length] of optionalParts) {
+    test(`an offer with ${JSON.stringify(parts)} has ${length} parts`, () => {
+      const offer = { request: { ...REQUEST, ...parts }, sentAt: 1 };
+      const message = encodeOffer(offer);
+      assert.equal(message.row.length, length);
+      assert.deepEqual(decodeOffer(transmit(message)), offer);
+    });
+  }
+
   const outcomes: readonly GateOutcome[] = [
     {
       type: "answer",
@@ -78,6 +96,29 @@
     });
   }
 
+  // Daemons of the release before read rows of five figures only.
+  for (const [currentServiceTime, length] of [[undefined, 5], [2.5, 6]]) {
+    test(`a load with the momentary service time ${currentServiceTime} has ${length} figures`, () => {
+      const load = {
+        running: 3,
+        waiting: 1,
+        limit: 14,
+        relativeServiceTime: 0.7,
+        failureRate: 0,
+        ...(currentServiceTime === undefined ? {} : { currentServiceTime }),
+      };
+      const row = encodeLoad(load);
+      assert.equal(row.length, length);
+      assert.deepEqual(decodeLoad(row), load);
+    });
+  }
+
+  test("a row with an unusable momentary service time is read without it", () => {
+    const decoded = decodeLoad([3, 1, 14, 70, 0, 0]);
+    assert.equal(decoded?.limit, 14);
+    assert.equal(decoded?.currentServiceTime, undefined);
+  });
+
   const malformed: readonly Record<string, unknown>[] = [
     { kind: "gate.offer" },
     { kind: "gate.offer", row: ["too", "short"], sentAt: 1 },
--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
-import type { RouteName, ServiceName } from "../../../world/common/names.ts";
+import type { ServiceName } from "../../../world/common/names.ts";
 import {
   type ColdStartRate,
   createColdStartRate,
@@ -25,6 +25,11 @@
   type InstanceTracker,
 } from "./instance_tracker.ts";
 import { type BrokenExchange, createLearnedLimit } from "./learned_limit.ts";
+import {
+  createMomentarySpeed,
+  estimateDuration,
+  type MomentarySpeed,
+} from "./momentary_speed.ts";
 import { createMovingAverages } from "./moving_averages.ts";
 import {
   createRelativeServiceTime,
@@ -41,6 +46,12 @@
 /** The number of heartbeats that may be missed before the instance counts as lost. */
 const MAXIMUM_MISSED_HEARTBEATS = 3;
 
+/** When the instance worked on a call. */
+export interface ServicePeriod {
+  readonly startedAt: Milliseconds;
+  readonly now: Milliseconds;
+}
+
 export interface InstanceCondition {
   readonly tracker: InstanceTracker;
   readonly rateLimit: InstanceRateLimit;
@@ -48,8 +59,12 @@
   /** The limit that the instance names and the bound of a cold one together; the lower one holds. */
   readonly requestRate: Omit<RequestRate, "setLimit">;
   readonly relativeServiceTime: RelativeServiceTime;
+  readonly momentarySpeed: MomentarySpeed;
   readonly failureRate: FailureRate;
+  /** The mean service time at the usual speed of the host. */
   readonly meanServiceTime: Milliseconds;
+  /** The mean service time of calls that start now. */
+  currentMeanServiceTime(now: Milliseconds): Milliseconds;
   /** When the cold start of the instance ends. */
   readonly coldUntil: Milliseconds;
   readonly lastReportAt: Milliseconds;
@@ -60,13 +75,10 @@
   readonly capacity: number;
   /** The expected service time of a call at this instance. */
   expectServiceTime(request: GateRequest, now: Milliseconds): Milliseconds;
-  /** Records the duration of a call that the instance has served. */
-  recordServed(
-    route: RouteName,
-    duration: Milliseconds,
-    meanServiceMilliseconds: Milliseconds,
-    now: Milliseconds,
-  ): void;
+  /** Records a call that the instance has served. */
+  recordServed(request: GateRequest, period: ServicePeriod): void;
+  /** Records a call without a response. */
+  recordUnanswered(request: GateRequest, period: ServicePeriod): void;
   recordReport(report: InstanceReport, now: Milliseconds): void;
   /** Forgets what was measured of the instance before. */
   handleNewInstance(report: InstanceReport, now: Milliseconds): void;
@@ -125,6 +137,7 @@
   const serviceTimes = createMovingAverages();
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
   let relativeServiceTime = createRelativeServiceTime();
+  let momentarySpeed = createMomentarySpeed();
   let failureRate = createFailureRate();
   let learnedLimit = createLearnedLimit();
   let lastReportAt = -Infinity;
@@ -138,6 +151,12 @@
       : announced;
   }
 
+  /** The duration at the momentary speed of work that takes this long at the usual one. */
+  function adjustToSpeed(work: Milliseconds, now: Milliseconds): Milliseconds {
+    const ratio = momentarySpeed.current(now);
+    return ratio === undefined ? work : estimateDuration(work, { ratio });
+  }
+
   return {
     tracker,
     rateLimit,
@@ -146,12 +165,16 @@
     get relativeServiceTime() {
       return relativeServiceTime;
     },
+    get momentarySpeed() {
+      return momentarySpeed;
+    },
     get failureRate() {
       return failureRate;
     },
     get meanServiceTime() {
       return meanServiceTime;
     },
+    currentMeanServiceTime: (now) => adjustToSpeed(meanServiceTime, now),
     get coldUntil() {
       return coldUntil;
     },
@@ -174,22 +197,22 @@
         : Math.min(limit(), perSecond * meanServiceTime / 1_000);
     },
     expectServiceTime: ({ route, meanServiceMilliseconds }, now) =>
-      serviceTimes.averageOf(
-        route,
-        meanServiceMilliseconds * relativeServiceTime.current(now),
-      ),
-    recordServed(route, duration, meanServiceMilliseconds, now) {
-      serviceTimes.record(route, duration);
-      meanServiceTime += SMOOTHING_FACTOR * (duration - meanServiceTime);
-      relativeServiceTime.recordAnswered(
-        duration,
-        meanServiceMilliseconds,
+      adjustToSpeed(
+        serviceTimes.averageOf(
+          route,
+          meanServiceMilliseconds * relativeServiceTime.current(now),
+        ),
         now,
-      );
+      ),
+    recordServed({ route, meanServiceMilliseconds }, { startedAt, now }) {
+      const usual = momentarySpeed.usualTimeBetween(startedAt, now);
+      serviceTimes.record(route, usual);
+      meanServiceTime += SMOOTHING_FACTOR * (usual - meanServiceTime);
+      relativeServiceTime.recordAnswered(usual, meanServiceMilliseconds, now);
       if (
         // The response has waited for the event loop of this process.
         serviceTimeJump.record(
-          duration - loopDelay(),
+          usual - loopDelay(),
           meanServiceMilliseconds,
         ) &&
         coldStart.phase(now) === "warm"
@@ -197,6 +220,13 @@
         coldStart.holdUntilReport("slow");
       }
     },
+    recordUnanswered({ meanServiceMilliseconds }, { startedAt, now }) {
+      relativeServiceTime.recordUnanswered(
+        momentarySpeed.usualTimeBetween(startedAt, now),
+        meanServiceMilliseconds,
+        now,
+      );
+    },
     recordReport(report, now) {
       lastReportAt = now;
       coldUntil = now + report.coldForMilliseconds;
@@ -205,6 +235,7 @@
     handleNewInstance(report, now) {
       unreachableUntil = -Infinity;
       relativeServiceTime = createRelativeServiceTime();
+      momentarySpeed = createMomentarySpeed();
       failureRate = createFailureRate();
       learnedLimit = createLearnedLimit();
       rateLimit.handleNewInstance(report, now);
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -17,6 +17,7 @@
   createCallQueue,
   isDeadlineUnmeetable,
 } from "../common/call_queue.ts";
+import { isReturned } from "../common/call_return.ts";
 import type { CallHandle } from "../common/gate.ts";
 import type {
   GateOutcome,
@@ -110,13 +111,13 @@
         capacity: condition.capacity,
         ahead,
         countAlikeAhead,
-        meanMilliseconds: condition.meanServiceTime,
+        meanMilliseconds: condition.currentMeanServiceTime(now),
         rateWait: requestRate.timeUntil(ahead + 1, now),
       }, now);
     }
     return {
       limit: condition.limit,
-      meanMilliseconds: condition.meanServiceTime,
+      meanMilliseconds: condition.currentMeanServiceTime(now),
       running: dispatch().running.size,
       ahead,
       rateWait: requestRate.timeUntil(ahead + 1, now),
@@ -124,7 +125,7 @@
         call,
         {
           limit: condition.capacity,
-          meanMilliseconds: condition.meanServiceTime,
+          meanMilliseconds: condition.currentMeanServiceTime(now),
         },
         now,
       ),
@@ -142,6 +143,10 @@
     for (const call of unmeetable) {
       refuse(call, "hopeless", condition.meanServiceTime);
     }
+    // Callers permit returns only to gates that report a speed.
+    if (condition.momentarySpeed.current(now) !== undefined) {
+      returnQueued(now);
+    }
     if (sharesByAccount()) {
       // The slots that long calls may use grow when fewer urgent calls arrive.
       startWaiting();
@@ -149,6 +154,27 @@
     scheduleSweep();
   }
 
+  function returnQueued(now: Milliseconds): void {
+    const returned = queue.removeInOrder(
+      now,
+      (call, ahead, alikeAhead) =>
+        call.request.mayBeReturned === true && isReturned({
+          waited: now - call.startedAt,
+          expectedWait: estimateQueueWait(
+            describeLoad(call, ahead, () => alikeAhead, now),
+          ),
+          objective: call.request.objectiveInMilliseconds,
+        }),
+    );
+    for (const call of returned) {
+      refuse(
+        call,
+        refusalReasonOf(call, now),
+        condition.currentMeanServiceTime(now),
+      );
+    }
+  }
+
   /** The timer runs only while calls are queued, so that it doesn't wake an idle process. */
   function scheduleSweep(): void {
     if (queue.size > 0) {
@@ -181,16 +207,24 @@
       sharedRoom.recordOffered(call, now);
     }
     const ahead = countAhead(call, now);
-    const decision = decideAdmission(
+    const load = describeLoad(
       call,
-      describeLoad(
-        call,
-        ahead,
-        () => ahead === 0 ? 0 : queue.countAlikeAhead(call, now),
-        now,
-      ),
+      ahead,
+      () => ahead === 0 ? 0 : queue.countAlikeAhead(call, now),
       now,
     );
+    const decision = decideAdmission(call, load, now);
+    const expectedWait = decision.type === "wait" ? estimateQueueWait(load) : 0;
+    if (
+      request.mayBeReturned === true && isReturned({
+        waited: 0,
+        expectedWait,
+        objective: request.objectiveInMilliseconds,
+      })
+    ) {
+      refuse(call, refusalReasonOf(call, now), expectedWait);
+      return { cancel() {} };
+    }
     if (decision.type !== "refuse") {
       priorityLoad.record(call, now);
       if (isShared) {
@@ -202,7 +236,7 @@
         refusedCount += 1;
         refuse(
           call,
-          isShared ? sharedRoom.recordRefused(call, now) : "full",
+          refusalReasonOf(call, now),
           decision.retryAfter,
         );
         break;
@@ -221,6 +255,11 @@
     return { cancel: () => cancel(call) };
   }
 
+  /** Records that there is no room for the call where accounts share it; returns the reason. */
+  function refusalReasonOf(call: GateCall, now: Milliseconds): RefusalReason {
+    return sharesByAccount() ? sharedRoom.recordRefused(call, now) : "full";
+  }
+
   /** Counts the queued calls before this one; 0 if it may use a free slot and none of them may. */
   function countAhead(call: GateCall, now: Milliseconds): number {
     const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
--- a/src/features/gate/node/room_sharing_replay.ts
+++ b/src/features/gate/node/room_sharing_replay.ts
@@ -212,12 +212,7 @@
         admission.recordEnd(call, now);
         const { request } = call;
         if (!failed) {
-          condition.recordServed(
-            request.route,
-            now - call.startedAt,
-            request.meanServiceMilliseconds,
-            now,
-          );
+          condition.recordServed(request, { startedAt: call.startedAt, now });
         }
         call.settle({
           type: "answer",
--- a/src/features/ingress/common/next_step.ts
+++ b/src/features/ingress/common/next_step.ts
@@ -66,6 +66,11 @@
     outcome.reason !== "above-share";
 }
 
+/** Whether a gate may return a call that was refused by so many full gates: another one is still asked then. */
+export function mayReturn(fullGateCount: number): boolean {
+  return fullGateCount + 1 < MAXIMUM_FULL_GATES;
+}
+
 export function decideNextStep(
   outcome: GateOutcome,
   state: CallState,
