Add limits of client accounts over all hosts (partial)

A configuration gives accounts limits; nothing kept them over all daemons. Not wired into the ingress yet.

--- /dev/null
+++ b/src/features/account/common/account_granter.ts
@@ -0,0 +1,211 @@
+/**
+ * The granter of accounts: keeps the ledgers of the accounts that fall to this daemon and responds to reports.
+ *
+ * Load pattern: the clients of a small account are spread over more hosts than it may admit calls. Hosts without
+ * demand have no rate and would each admit a first call, so all hosts are told when an account becomes limited or
+ * free, in one message for all accounts that do so at a time.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Disposable } from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { AccountLimit } from "../../../world/common/client_account.ts";
+import type { AccountName, HostName } from "../../../world/common/names.ts";
+import {
+  type AccountLedger,
+  computeGrant,
+  createLedger,
+  type GrantingHosts,
+  recordReport,
+  updateLedger,
+} from "./account_granting.ts";
+import {
+  FREE,
+  type GrantRow,
+  LIMITED,
+  type NoticeRow,
+  type ReportRow,
+  roundRate,
+} from "./account_messages.ts";
+
+const UPDATE_MS: Milliseconds = 200;
+/** Notices of a limited account are repeated before daemons take it for free again. */
+const NOTICE_REPEAT_MS: Milliseconds = 2_000;
+/** Collects the notices of accounts that change at about the same time. */
+const NOTICE_BATCH_MS: Milliseconds = 20;
+/** An account without reports for this long is forgotten once its bucket is full. */
+const FORGOTTEN_MS: Milliseconds = 10_000;
+
+export interface AccountGranterOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly limits: () => ReadonlyMap<AccountName, AccountLimit>;
+  readonly hosts: () => GrantingHosts;
+  /** Whether this daemon has been running for long enough to know what was admitted. */
+  readonly isEstablished: () => boolean;
+  readonly announce: (rows: readonly NoticeRow[]) => void;
+}
+
+export interface AccountGranter extends Disposable {
+  readonly ledgers: number;
+  /** Records reports of a daemon and returns what it may admit. */
+  handleReport(host: HostName, rows: readonly ReportRow[]): readonly GrantRow[];
+  /** Forgets the accounts that have no limit any more. */
+  applyLimits(): void;
+}
+
+interface GrantedAccount {
+  ledger: AccountLedger;
+  reportedAt: Milliseconds;
+  noticedAt: Milliseconds;
+}
+
+export function createAccountGranter(
+  { clock, log, limits, hosts, isEstablished, announce }: AccountGranterOptions,
+): AccountGranter {
+  const accounts = new Map<AccountName, GrantedAccount>();
+  const notices = new Map<AccountName, number>();
+  let timer: Disposable | undefined;
+  let noticeTimer: Disposable | undefined;
+
+  /** Brings an account up to date and queues the notice that is due, if any. */
+  function update(
+    name: AccountName,
+    account: GrantedAccount,
+    limit: AccountLimit,
+  ): void {
+    const now = clock.now();
+    const wasLimited = account.noticedAt > -Infinity;
+    account.ledger = updateLedger(account.ledger, limit, hosts(), now);
+    const isLimited = account.ledger.limitedAt !== undefined;
+    if (isLimited !== wasLimited) {
+      log.write("info", isLimited ? "account.limited" : "account.unlimited", {
+        account: name,
+        limit: limit.requestsPerSecond,
+        level: Math.round(account.ledger.bucket.level),
+        reporters: account.ledger.reporters.size,
+      });
+    }
+    if (isLimited && now - account.noticedAt >= NOTICE_REPEAT_MS) {
+      account.noticedAt = now;
+      queueNotice(name, true);
+    } else if (!isLimited && wasLimited) {
+      account.noticedAt = -Infinity;
+      queueNotice(name, false);
+    }
+  }
+
+  function flushNotices(): void {
+    noticeTimer = undefined;
+    announce([...notices]);
+    notices.clear();
+  }
+
+  function queueNotice(name: AccountName, isLimited: boolean): void {
+    notices.set(name, Number(isLimited));
+    noticeTimer ??= clock.schedule(NOTICE_BATCH_MS, flushNotices);
+  }
+
+  function updateAll(): void {
+    timer = undefined;
+    const now = clock.now();
+    for (const [name, account] of accounts) {
+      const limit = limits().get(name);
+      if (limit === undefined) {
+        accounts.delete(name);
+        continue;
+      }
+      update(name, account, limit);
+      const { bucket } = account.ledger;
+      if (
+        now - account.reportedAt > FORGOTTEN_MS && bucket.level >= limit.burst
+      ) {
+        accounts.delete(name);
+      }
+    }
+    scheduleUpdate();
+  }
+
+  function scheduleUpdate(): void {
+    if (timer === undefined && accounts.size > 0) {
+      timer = clock.schedule(UPDATE_MS, updateAll);
+    }
+  }
+
+  function getAccount(name: AccountName, limit: AccountLimit): GrantedAccount {
+    const now = clock.now();
+    let account = accounts.get(name);
+    if (account === undefined) {
+      account = {
+        ledger: createLedger(limit, { now, isEstablished: isEstablished() }),
+        reportedAt: now,
+        // A new granter limits accounts until it knows more, which only daemons with demand need to know.
+        noticedAt: isEstablished() ? -Infinity : now,
+      };
+      accounts.set(name, account);
+    }
+    return account;
+  }
+
+  function clear(): void {
+    accounts.clear();
+    notices.clear();
+    timer?.dispose();
+    noticeTimer?.dispose();
+    timer = undefined;
+    noticeTimer = undefined;
+  }
+
+  return {
+    get ledgers() {
+      return accounts.size;
+    },
+    handleReport(host, rows) {
+      const now = clock.now();
+      const grants: GrantRow[] = [];
+      for (const [name, demand, admitted, heldRate, wasLimited] of rows) {
+        const limit = limits().get(name);
+        if (limit === undefined) {
+          continue;
+        }
+        const account = getAccount(name, limit);
+        account.reportedAt = now;
+        account.ledger = recordReport(
+          updateLedger(account.ledger, limit, hosts(), now),
+          {
+            host,
+            demand,
+            admitted,
+            takeover: heldRate === undefined
+              ? undefined
+              : { heldRate, isLimited: wasLimited === 1 },
+          },
+          now,
+        );
+        update(name, account, limit);
+        const grant = computeGrant(account.ledger, host, limit, hosts(), now);
+        grants.push([
+          name,
+          roundRate(grant.requestsPerSecond),
+          grant.isLimited ? LIMITED : FREE,
+        ]);
+      }
+      scheduleUpdate();
+      return grants;
+    },
+    applyLimits() {
+      for (const name of [...accounts.keys()]) {
+        if (!limits().has(name)) {
+          accounts.delete(name);
+        }
+      }
+      if (accounts.size === 0) {
+        clear();
+      }
+    },
+    dispose: clear,
+  };
+}
--- /dev/null
+++ b/src/features/account/common/account_granting.ts
@@ -0,0 +1,233 @@
+/**
+ * Decides what a granter allows the daemons that report demand for an account.
+ *
+ * Load pattern: the clients of an account may all be on one host, be spread over all of them, or move, and the
+ * account may ask several times its usual within a second. Daemons admit freely while the account is far below
+ * its limit. Each has a rate in proportion to its demand, which it keeps to once the account is limited or the
+ * granter is silent; so the rates sum to the limit, however the clients are spread, also when the daemons and
+ * their granter lose each other.
+ *
+ * @module
+ */
+
+import {
+  type Milliseconds,
+  SECOND_MS,
+} from "../../../base/common/milliseconds.ts";
+import type { AccountLimit } from "../../../world/common/client_account.ts";
+import type { HostName } from "../../../world/common/names.ts";
+import {
+  type AccountBucket,
+  refillBucket,
+  takeFromBucket,
+} from "./account_bucket.ts";
+import { computeFallbackRate } from "./fallback_share.ts";
+
+/**
+ * How long a daemon keeps to its rate without a further response. It bridges the time until a new granter is
+ * known: an unreachable host is known as such after up to 1.5 s in a fleet of 85.
+ */
+export const LEASE_MS: Milliseconds = 3_000;
+/**
+ * A new granter confirms the rates that daemons hold until all of them have reported: a daemon with calls reports
+ * each 200 ms. Proportional rates among the first that report would sum to a multiple of the limit.
+ */
+export const SETTLING_MS: Milliseconds = 500;
+/** Debt is repaid, and unused calls are granted, at this pace; within the 5 s in which limits are measured. */
+const CORRECTION_MS: Milliseconds = 1_000;
+/** Demand of this time ahead counts as admitted: it is what passes until daemons know that they are limited. */
+const REACTION_MS: Milliseconds = 200;
+/** Keeps an account from being limited and freed with each report. */
+const MINIMUM_LIMITED_MS: Milliseconds = 1_000;
+/** An account is not freed above this part of its limit, since it would be limited again at once. */
+const FREE_DEMAND_PART = 0.95;
+/** Debt that random arrival times explain. It is a quarter of what a limit may be exceeded by within 5 s. */
+const TOLERANCE_CALLS = 5;
+const TOLERANCE_SECONDS = 0.025 * 5;
+const TOLERANCE_BURST_PART = 0.025;
+
+export interface Reporter {
+  /** Calls asked for per second. */
+  readonly demand: number;
+  /** Calls per second that it may still use from the granter before; 0 if there was none. */
+  readonly heldRate: number;
+  readonly reportedAt: Milliseconds;
+}
+
+/** What a granter knows of an account. */
+export interface AccountLedger {
+  readonly bucket: AccountBucket;
+  readonly reporters: ReadonlyMap<HostName, Reporter>;
+  /** When the account was limited; undefined while daemons admit freely. */
+  readonly limitedAt: Milliseconds | undefined;
+  readonly settlesAt: Milliseconds;
+}
+
+export interface AccountReport {
+  readonly host: HostName;
+  readonly demand: number;
+  /** Calls admitted since the last report, less those that no instance has run. */
+  readonly admitted: number;
+  /** Present in the first report after another granter. */
+  readonly takeover:
+    | { readonly heldRate: number; readonly isLimited: boolean }
+    | undefined;
+}
+
+/** The hosts among which a limit is divided. */
+export interface GrantingHosts {
+  readonly known: number;
+  readonly unreachable: ReadonlySet<HostName>;
+}
+
+export interface AccountGrant {
+  readonly requestsPerSecond: number;
+  readonly isLimited: boolean;
+}
+
+/** Returns the debt up to which an account is not limited. */
+export function computeTolerance(
+  { requestsPerSecond, burst }: AccountLimit,
+): number {
+  return TOLERANCE_CALLS + TOLERANCE_SECONDS * requestsPerSecond +
+    TOLERANCE_BURST_PART * burst;
+}
+
+/**
+ * Creates the ledger of a granter. Only a granter that has been one for a while knows that an account without
+ * reports has not used its calls; any other begins with an empty bucket, and limits the account until reports
+ * have come.
+ */
+export function createLedger(
+  limit: AccountLimit,
+  { now, isEstablished }: {
+    readonly now: Milliseconds;
+    readonly isEstablished: boolean;
+  },
+): AccountLedger {
+  return {
+    bucket: { level: isEstablished ? limit.burst : 0, updatedAt: now },
+    reporters: new Map(),
+    limitedAt: isEstablished ? undefined : now,
+    settlesAt: isEstablished ? now : now + SETTLING_MS,
+  };
+}
+
+/**
+ * Returns the calls per second that the reachable hosts may use: an unreachable host may use its fallback
+ * share, unless it still holds a rate and counts as a reporter.
+ */
+export function computeReachableRate(
+  { reporters }: Pick<AccountLedger, "reporters">,
+  limit: AccountLimit,
+  hosts: GrantingHosts,
+): number {
+  let sharing = 0;
+  for (const host of hosts.unreachable) {
+    sharing += reporters.has(host) ? 0 : 1;
+  }
+  return limit.requestsPerSecond -
+    computeFallbackRate(limit, Math.max(1, hosts.known)) * sharing;
+}
+
+/** Brings a ledger to the present: refills the bucket, forgets daemons, limits or frees the account. */
+export function updateLedger(
+  ledger: AccountLedger,
+  limit: AccountLimit,
+  hosts: GrantingHosts,
+  now: Milliseconds,
+): AccountLedger {
+  const expired = [...ledger.reporters].filter(([, { reportedAt }]) =>
+    now - reportedAt > LEASE_MS
+  );
+  let { reporters } = ledger;
+  if (expired.length > 0) {
+    const kept = new Map(reporters);
+    expired.forEach(([host]) => kept.delete(host));
+    reporters = kept;
+  }
+  const requestsPerSecond = computeReachableRate({ reporters }, limit, hosts);
+  const bucket = refillBucket(ledger.bucket, {
+    requestsPerSecond,
+    capacity: limit.burst,
+  }, now);
+  const next = { ...ledger, reporters, bucket };
+  const demand = sumDemand(reporters);
+  const tolerance = computeTolerance(limit);
+  if (ledger.limitedAt === undefined) {
+    const growth = (requestsPerSecond - demand) * REACTION_MS / SECOND_MS;
+    const expected = bucket.level + Math.min(0, growth);
+    return expected < -tolerance ? { ...next, limitedAt: now } : next;
+  }
+  const isFree = now - ledger.limitedAt >= MINIMUM_LIMITED_MS &&
+    now >= ledger.settlesAt &&
+    bucket.level >= Math.min(limit.burst / 2, tolerance) &&
+    demand < requestsPerSecond * FREE_DEMAND_PART;
+  return isFree ? { ...next, limitedAt: undefined } : next;
+}
+
+/** Adds a report; the ledger must be up to date. */
+export function recordReport(
+  ledger: AccountLedger,
+  { host, demand, admitted, takeover }: AccountReport,
+  now: Milliseconds,
+): AccountLedger {
+  const reporters = new Map(ledger.reporters);
+  const heldRate = takeover?.heldRate ?? reporters.get(host)?.heldRate ?? 0;
+  if (demand > 0) {
+    reporters.set(host, { demand, heldRate, reportedAt: now });
+  } else {
+    reporters.delete(host);
+  }
+  const bucket = takeFromBucket(ledger.bucket, admitted);
+  if (takeover === undefined) {
+    return { ...ledger, reporters, bucket };
+  }
+  // What other granters have let pass is not known, so nothing of the burst is left.
+  return {
+    ...ledger,
+    reporters,
+    bucket: { ...bucket, level: Math.min(0, bucket.level) },
+    limitedAt: ledger.limitedAt ?? (takeover.isLimited ? now : undefined),
+    settlesAt: now + SETTLING_MS,
+  };
+}
+
+/** Returns what a daemon may admit. Its response reaches it before its next report. */
+export function computeGrant(
+  ledger: AccountLedger,
+  host: HostName,
+  limit: AccountLimit,
+  hosts: GrantingHosts,
+  now: Milliseconds,
+): AccountGrant {
+  const { reporters, bucket, limitedAt, settlesAt } = ledger;
+  const isLimited = limitedAt !== undefined;
+  const reachableRate = computeReachableRate(ledger, limit, hosts);
+  const correction = isLimited ? bucket.level * SECOND_MS / CORRECTION_MS : 0;
+  const rate = Math.max(0, reachableRate + correction);
+  const reporter = reporters.get(host);
+  const demand = sumDemand(reporters);
+  const proportional = reporter === undefined || demand === 0
+    ? 0
+    : rate * reporter.demand / demand;
+  if (now >= settlesAt) {
+    return { requestsPerSecond: proportional, isLimited };
+  }
+  const share = computeFallbackRate(limit, Math.max(1, hosts.known));
+  return {
+    requestsPerSecond: Math.min(
+      proportional,
+      Math.max(share, reporter?.heldRate ?? 0),
+    ),
+    isLimited,
+  };
+}
+
+function sumDemand(reporters: AccountLedger["reporters"]): number {
+  let sum = 0;
+  for (const { demand } of reporters.values()) {
+    sum += demand;
+  }
+  return sum;
+}
--- /dev/null
+++ b/src/features/account/common/account_limits.ts
@@ -0,0 +1,411 @@
+/**
+ * Keeps the limits of client accounts over all hosts: admits calls on this daemon, reports them to the granter of
+ * each account, and is the granter of some accounts itself.
+ *
+ * Load pattern: many accounts of skewed size on many small hosts, where most have no call for seconds. Only accounts
+ * with calls cause messages, one for all accounts of a granter at a time; without accounts in the configuration
+ * there are no timers and no state.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import {
+  createDisposableStore,
+  type Disposable,
+} from "../../../base/common/disposable.ts";
+import type { EventLog } from "../../../base/common/event_log.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import { SECOND_MS } from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type {
+  AccountLimit,
+  ClientAccount,
+} from "../../../world/common/client_account.ts";
+import type {
+  AccountName,
+  FailureDomainName,
+  HostName,
+} from "../../../world/common/names.ts";
+import type { PeerNetwork } from "../../link/common/peer_network.ts";
+import { createAccountGranter } from "./account_granter.ts";
+import {
+  ACCOUNT_GRANT_KIND,
+  ACCOUNT_NOTICE_KIND,
+  ACCOUNT_REPORT_KIND,
+  type AccountGrantMessage,
+  type AccountNoticeMessage,
+  type AccountReportMessage,
+  type GrantRow,
+  isAccountGrant,
+  isAccountNotice,
+  isAccountReport,
+  LIMITED,
+  NOT_GRANTER,
+  type NoticeRow,
+  type ReportRow,
+  roundRate,
+} from "./account_messages.ts";
+import { type AccountShare, createAccountShare } from "./account_share.ts";
+import { type AccountUsage, listUsage } from "./account_usage.ts";
+import { createGranterContacts, type KnownHost } from "./granter_contacts.ts";
+
+const REPORT_MS: Milliseconds = 200;
+const EARLY_REPORT_MS: Milliseconds = 50;
+/** More calls than this part of a report interval's share are reported early; a few calls may be chance. */
+const EARLY_PART = 1.5;
+const EARLY_CALLS = 3;
+/** From then on a daemon has seen the reports of all others, and links to them are open. */
+const ESTABLISHED_MS: Milliseconds = 10_000;
+/** Calls that another granter has let pass count no longer. */
+const TAKEOVER_MS: Milliseconds = 5_000;
+
+export type AccountAdmission =
+  | { readonly type: "admitted"; readonly permit: AccountPermit }
+  | { readonly type: "refused"; readonly retryAfter: Milliseconds };
+
+export interface AccountPermit {
+  /** Gives the permit back: no instance has run the call. */
+  giveBack(): void;
+}
+
+export interface AccountLimits extends Disposable {
+  /** Sets the accounts of the configuration in force; undefined if callers need no key. */
+  setAccounts(
+    accounts: ReadonlyMap<AccountName, ClientAccount> | undefined,
+  ): void;
+  admit(account: AccountName): AccountAdmission;
+  /** The accounts with most demand on this daemon, and all others together. */
+  readonly usage: readonly AccountUsage[];
+}
+
+export interface AccountLimitsOptions {
+  readonly self: {
+    readonly host: HostName;
+    readonly failureDomain: FailureDomainName;
+  };
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly network: PeerNetwork;
+  readonly random: RandomSource;
+  /** This daemon and all known ones. */
+  readonly listHosts: () => readonly KnownHost[];
+}
+
+interface UsedAccount {
+  readonly share: AccountShare;
+  /** The process to which the last report was sent. */
+  granter: string | undefined;
+  reportedAt: Milliseconds;
+}
+
+const UNLIMITED: AccountAdmission = {
+  type: "admitted",
+  permit: { giveBack() {} },
+};
+
+export function createAccountLimits(
+  options: AccountLimitsOptions,
+): AccountLimits {
+  const { clock, log, network, random } = options;
+  const self = options.self.host;
+  const startedAt = clock.now();
+  const used = new Map<AccountName, UsedAccount>();
+  const disposables = createDisposableStore();
+  const contacts = createGranterContacts({
+    self,
+    startedAt,
+    listHosts: options.listHosts,
+  });
+  let limits: ReadonlyMap<AccountName, AccountLimit> = new Map();
+  let timer: Disposable | undefined;
+  let timerDueAt = Infinity;
+  let reportedAt = -Infinity;
+  let sequence = 0;
+
+  const isEstablished = () => clock.now() - startedAt >= ESTABLISHED_MS;
+  const granter = disposables.add(createAccountGranter({
+    clock,
+    log,
+    limits: () => limits,
+    hosts() {
+      contacts.update(clock.now());
+      return contacts.hosts;
+    },
+    isEstablished,
+    announce(rows) {
+      const message: AccountNoticeMessage = { kind: ACCOUNT_NOTICE_KIND, rows };
+      network.sendToAll(
+        network.peers.map(({ process }) => process.host),
+        message,
+      );
+      applyNotices(self, rows);
+    },
+  }));
+
+  function getUsed(name: AccountName, limit: AccountLimit): UsedAccount {
+    let account = used.get(name);
+    if (account === undefined) {
+      account = {
+        share: createAccountShare(limit, { now: clock.now(), random }),
+        granter: undefined,
+        reportedAt: -Infinity,
+      };
+      used.set(name, account);
+    }
+    return account;
+  }
+
+  function isInTouch(name: AccountName, share: AccountShare): boolean {
+    const host = contacts.find(name);
+    if (host === self) {
+      return contacts.isComplete;
+    }
+    return !share.isDisowned && !contacts.isSilent(host, clock.now()) &&
+      (share.isGranted || isEstablished());
+  }
+
+  function admit(name: AccountName): AccountAdmission {
+    const limit = limits.get(name);
+    if (limit === undefined) {
+      return UNLIMITED;
+    }
+    const { share } = getUsed(name, limit);
+    const now = clock.now();
+    contacts.update(now);
+    const decision = share.admit({
+      limit,
+      hosts: contacts.sharingHosts,
+      isInTouch: isInTouch(name, share),
+      now,
+    });
+    const usual = share.heldRate(now) * REPORT_MS / SECOND_MS;
+    const isUrgent = decision.type === "admitted"
+      ? share.unreportedAdmitted >= Math.max(EARLY_CALLS, usual * EARLY_PART)
+      : usual === 0;
+    scheduleReports(isUrgent ? EARLY_REPORT_MS : REPORT_MS);
+    return decision.type === "refused"
+      ? decision
+      : { type: "admitted", permit: createPermit(share) };
+  }
+
+  function createPermit(share: AccountShare): AccountPermit {
+    let isGivenBack = false;
+    return {
+      giveBack() {
+        if (!isGivenBack) {
+          isGivenBack = true;
+          share.giveBack();
+          scheduleReports(REPORT_MS);
+        }
+      },
+    };
+  }
+
+  /** Sends reports once this time has passed since the last ones. */
+  function scheduleReports(interval: Milliseconds): void {
+    const now = clock.now();
+    const dueAt = Math.max(reportedAt + interval, now + EARLY_REPORT_MS);
+    if (limits.size > 0 && dueAt < timerDueAt) {
+      timer?.dispose();
+      timerDueAt = dueAt;
+      timer = clock.schedule(dueAt - now, sendReports);
+    }
+  }
+
+  function sendReports(): void {
+    const now = clock.now();
+    timer = undefined;
+    timerDueAt = Infinity;
+    reportedAt = now;
+    contacts.update(now);
+    const batches = new Map<HostName, ReportRow[]>();
+    for (const [name, account] of used) {
+      if (account.share.hasUnreported) {
+        const host = contacts.find(name);
+        const rows = batches.get(host) ?? [];
+        rows.push(createRow(name, account, host, now));
+        batches.set(host, rows);
+      }
+    }
+    for (const [host, rows] of batches) {
+      sendReport(host, rows, now);
+    }
+  }
+
+  function createRow(
+    name: AccountName,
+    account: UsedAccount,
+    host: HostName,
+    now: Milliseconds,
+  ): ReportRow {
+    const { share } = account;
+    const process = `${host}@${
+      network.findPeer(host)?.process.startedAt ?? ""
+    }`;
+    const isTakeover = account.granter !== process &&
+      now - account.reportedAt < TAKEOVER_MS;
+    account.granter = process;
+    account.reportedAt = now;
+    const demand = roundRate(share.demand(now));
+    const admitted = share.takeUnreported();
+    return isTakeover
+      ? [
+        name,
+        demand,
+        admitted,
+        roundRate(share.heldRate(now)),
+        Number(share.isLimited(now)),
+      ]
+      : [name, demand, admitted];
+  }
+
+  function sendReport(
+    host: HostName,
+    rows: readonly ReportRow[],
+    now: Milliseconds,
+  ): void {
+    if (host === self) {
+      applyGrants(self, handleReport(self, rows), now);
+      return;
+    }
+    sequence += 1;
+    const message: AccountReportMessage = {
+      kind: ACCOUNT_REPORT_KIND,
+      sequence,
+      rows,
+    };
+    if (network.send(host, message)) {
+      contacts.recordSent(host, sequence, now);
+      return;
+    }
+    contacts.recordUnsent(host, now);
+    for (const [name, , admitted] of rows) {
+      used.get(name)?.share.restoreUnreported(admitted);
+    }
+  }
+
+  function handleReport(
+    host: HostName,
+    rows: readonly ReportRow[],
+  ): readonly GrantRow[] {
+    contacts.update(clock.now());
+    const isOwn = ([name]: ReportRow) =>
+      contacts.isComplete && contacts.find(name) === self;
+    const others = rows.filter((row) => limits.has(row[0]) && !isOwn(row));
+    for (const [name] of others) {
+      // The reporter may know that the granter does not respond. A report of its own shows it to this daemon.
+      getUsed(name, limits.get(name)!).share.restoreUnreported(0);
+      scheduleReports(REPORT_MS);
+    }
+    return [
+      ...granter.handleReport(host, rows.filter(isOwn)),
+      ...others.map(([name]) => [name, 0, NOT_GRANTER] as const),
+    ];
+  }
+
+  function applyGrants(
+    host: HostName,
+    rows: readonly GrantRow[],
+    sentAt: Milliseconds,
+  ): void {
+    for (const [name, requestsPerSecond, code] of rows) {
+      const share = used.get(name)?.share;
+      if (share === undefined || contacts.find(name) !== host) {
+        continue;
+      }
+      if (code === NOT_GRANTER) {
+        share.disown();
+      } else {
+        share.applyGrant({
+          requestsPerSecond,
+          isLimited: code === LIMITED,
+          sentAt,
+        });
+      }
+    }
+  }
+
+  function applyNotices(host: HostName, rows: readonly NoticeRow[]): void {
+    const now = clock.now();
+    contacts.update(now);
+    for (const [name, code] of rows) {
+      const limit = limits.get(name);
+      if (limit !== undefined && contacts.find(name) === host) {
+        getUsed(name, limit).share.applyNotice(code === LIMITED, now);
+      }
+    }
+  }
+
+  disposables.add(network.onMessage(ACCOUNT_REPORT_KIND, (peer, message) => {
+    const { host } = peer.process;
+    if (isAccountReport(message)) {
+      const response: AccountGrantMessage = {
+        kind: ACCOUNT_GRANT_KIND,
+        sequence: message.sequence,
+        rows: handleReport(host, message.rows),
+      };
+      network.send(host, response);
+    } else {
+      log.write("error", "account.message-unreadable", { peer: host });
+    }
+  }));
+  disposables.add(network.onMessage(ACCOUNT_GRANT_KIND, (peer, message) => {
+    const { host } = peer.process;
+    if (isAccountGrant(message)) {
+      const sentAt = contacts.recordResponse(host, message.sequence);
+      if (sentAt !== undefined) {
+        applyGrants(host, message.rows, sentAt);
+      }
+    } else {
+      log.write("error", "account.message-unreadable", { peer: host });
+    }
+  }));
+  disposables.add(network.onMessage(ACCOUNT_NOTICE_KIND, (peer, message) => {
+    const { host } = peer.process;
+    if (isAccountNotice(message)) {
+      applyNotices(host, message.rows);
+    } else {
+      log.write("error", "account.message-unreadable", { peer: host });
+    }
+  }));
+  const resetContact = (peer: { readonly process: { host: HostName } }) =>
+    contacts.reset(peer.process.host);
+  disposables.add(network.onLinkOpened(resetContact));
+  disposables.add(network.onLinkClosed(resetContact));
+
+  return {
+    setAccounts(accounts) {
+      const next = new Map<AccountName, AccountLimit>();
+      for (const { name, limit } of accounts?.values() ?? []) {
+        if (limit !== undefined) {
+          next.set(name, limit);
+        }
+      }
+      for (const [name, { share }] of used) {
+        const limit = next.get(name);
+        const before = limits.get(name);
+        if (limit === undefined || before === undefined) {
+          used.delete(name);
+        } else {
+          share.changeLimit(before, limit);
+        }
+      }
+      limits = next;
+      granter.applyLimits();
+      if (next.size === 0) {
+        timer?.dispose();
+        timer = undefined;
+        timerDueAt = Infinity;
+      }
+    },
+    admit,
+    get usage() {
+      return listUsage(used, limits, clock.now());
+    },
+    dispose() {
+      timer?.dispose();
+      disposables.dispose();
+    },
+  };
+}
--- /dev/null
+++ b/src/features/account/common/account_share.ts
@@ -0,0 +1,283 @@
+/**
+ * The calls of one account that one daemon admits.
+ *
+ * Load pattern: calls come to every host, and a decision can't wait for the granter. The daemon admits freely
+ * while the granter is heard from and has not limited the account; otherwise at the rate that the granter gave
+ * it, and once that has expired, at a share of the limit by the number of hosts.
+ *
+ * @module
+ */
+
+import {
+  createDecayedCount,
+  type DecayedCount,
+} from "../../../base/common/decayed_count.ts";
+import {
+  type Milliseconds,
+  SECOND_MS,
+} from "../../../base/common/milliseconds.ts";
+import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { AccountLimit } from "../../../world/common/client_account.ts";
+import {
+  type AccountBucket,
+  refillBucket,
+  takeFromBucket,
+} from "./account_bucket.ts";
+import { computeTolerance, LEASE_MS } from "./account_granting.ts";
+import { chooseInitialCalls, computeFallbackRate } from "./fallback_share.ts";
+
+/**
+ * Demand is averaged over about the time for which a granter keeps a report, so that the sum over many hosts
+ * with a call every few seconds is right.
+ */
+const DEMAND_DECAY_MS: Milliseconds = 2_000;
+/** A daemon may save up the calls of this time, since calls arrive at random. */
+const SAVED_MS: Milliseconds = 500;
+/** Callers are not told to wait longer, since demand may fall at any time. */
+const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 2_000;
+/** How long an account that this daemon knows as limited without a rate needs until it has one. */
+const FIRST_RATE_MS: Milliseconds = 300;
+/** Spreads the instants that daemons promise, as a part of the time until then. */
+const RETRY_SPREAD = 0.5;
+
+export interface ShareContext {
+  readonly limit: AccountLimit;
+  /** The number of hosts among which the limit is divided without a granter. */
+  readonly hosts: number;
+  /** Whether the granter responds. */
+  readonly isInTouch: boolean;
+  readonly now: Milliseconds;
+}
+
+export interface ShareGrant {
+  readonly requestsPerSecond: number;
+  readonly isLimited: boolean;
+  /** When the report to which the granter has responded was sent. */
+  readonly sentAt: Milliseconds;
+}
+
+export type ShareDecision =
+  | { readonly type: "admitted" }
+  | { readonly type: "refused"; readonly retryAfter: Milliseconds };
+
+export interface AccountShare {
+  readonly asked: number;
+  readonly admitted: number;
+  readonly refused: number;
+  readonly unreportedAdmitted: number;
+  /** Whether calls were asked for, or given back, since the last report. */
+  readonly hasUnreported: boolean;
+  /** Whether a granter has responded, and not as one that is no granter of the account. */
+  readonly isGranted: boolean;
+  /** Whether the last response came from a daemon that is no granter of the account. */
+  readonly isDisowned: boolean;
+  /** Calls per second under the last grant; 0 if it has expired. */
+  heldRate(now: Milliseconds): number;
+  isLimited(now: Milliseconds): boolean;
+  demand(now: Milliseconds): number;
+  admit(context: ShareContext): ShareDecision;
+  giveBack(): void;
+  /** Returns the calls admitted since the last report and begins the next one. */
+  takeUnreported(): number;
+  /** Puts calls back whose report could not be sent. */
+  restoreUnreported(admitted: number): void;
+  applyGrant(grant: ShareGrant): void;
+  /** The daemon that was asked is no granter of the account; the last rate is kept. */
+  disown(): void;
+  applyNotice(isLimited: boolean, now: Milliseconds): void;
+  /** Applies a new limit at once: the rate changes in proportion. */
+  changeLimit(before: AccountLimit, after: AccountLimit): void;
+}
+
+/** What an enforced rate is based on. */
+type PaceSource = "free" | "grant" | "fallback";
+
+interface Pace {
+  readonly source: PaceSource;
+  readonly requestsPerSecond: number;
+}
+
+export function createAccountShare(
+  limit: AccountLimit,
+  { now: createdAt, random }: {
+    readonly now: Milliseconds;
+    readonly random: RandomSource;
+  },
+): AccountShare {
+  const recentDemand: DecayedCount = createDecayedCount(DEMAND_DECAY_MS);
+  /** The whole limit: a daemon by itself never admits more. */
+  let whole: AccountBucket = {
+    level: limit.burst + computeTolerance(limit),
+    updatedAt: createdAt,
+  };
+  let own: AccountBucket = { level: 0, updatedAt: createdAt };
+  let source: PaceSource = "free";
+  let grant: ShareGrant | undefined;
+  let limitedUntil: Milliseconds = -Infinity;
+  let nextRoomAt: Milliseconds = -Infinity;
+  let isDisowned = false;
+  let asked = 0;
+  let admitted = 0;
+  let refused = 0;
+  let unreportedAdmitted = 0;
+  let hasUnreported = false;
+
+  function heldRate(now: Milliseconds): number {
+    return grant !== undefined && now < grant.sentAt + LEASE_MS
+      ? grant.requestsPerSecond
+      : 0;
+  }
+
+  function choosePace(context: ShareContext): Pace {
+    const { now } = context;
+    if (context.isInTouch) {
+      return now < limitedUntil
+        ? { source: "grant", requestsPerSecond: heldRate(now) }
+        : { source: "free", requestsPerSecond: Infinity };
+    }
+    return heldRate(now) > 0
+      ? { source: "grant", requestsPerSecond: heldRate(now) }
+      : {
+        source: "fallback",
+        requestsPerSecond: computeFallbackRate(context.limit, context.hosts),
+      };
+  }
+
+  /** Random levels at the beginning keep the sum of many fractions of a call exact on average. */
+  function enterPace(pace: Pace, { hosts, now }: ShareContext): void {
+    if (pace.source !== source) {
+      const fraction = random.nextFraction();
+      const level = pace.source === "fallback"
+        ? chooseInitialCalls(hosts, fraction)
+        : pace.requestsPerSecond > 0
+        ? fraction
+        : 0;
+      own = {
+        level: source === "free" ? level : Math.min(own.level, 1),
+        updatedAt: now,
+      };
+      source = pace.source;
+      nextRoomAt = -Infinity;
+    }
+  }
+
+  function refuse(waiting: Milliseconds, perCall: Milliseconds, now: number) {
+    refused += 1;
+    // Callers that were refused before come back first.
+    nextRoomAt = Math.min(
+      Math.max(now + waiting, nextRoomAt + perCall),
+      now + MAXIMUM_RETRY_AFTER_MS,
+    );
+    const spread = 1 + RETRY_SPREAD * random.nextFraction();
+    return {
+      type: "refused",
+      retryAfter: (nextRoomAt - now) * spread,
+    } as const;
+  }
+
+  function admit(context: ShareContext): ShareDecision {
+    const { now, limit: current } = context;
+    asked += 1;
+    hasUnreported = true;
+    recentDemand.add(now);
+    const { requestsPerSecond, burst } = current;
+    whole = refillBucket(whole, {
+      requestsPerSecond,
+      capacity: burst + computeTolerance(current),
+    }, now);
+    const pace = choosePace(context);
+    enterPace(pace, context);
+    const isFree = pace.source === "free";
+    if (!isFree) {
+      const capacity = Math.max(
+        1,
+        pace.requestsPerSecond * SAVED_MS / SECOND_MS,
+      );
+      own = refillBucket(own, { ...pace, capacity }, now);
+    }
+    const isOwnEmpty = !isFree && own.level < 1;
+    if (isOwnEmpty || whole.level < 1) {
+      const rate = isOwnEmpty ? pace.requestsPerSecond : requestsPerSecond;
+      const missing = 1 - (isOwnEmpty ? own.level : whole.level);
+      return rate > 0
+        ? refuse(missing / rate * SECOND_MS, SECOND_MS / rate, now)
+        : refuse(FIRST_RATE_MS, 0, now);
+    }
+    whole = takeFromBucket(whole, 1);
+    own = isFree ? own : takeFromBucket(own, 1);
+    admitted += 1;
+    unreportedAdmitted += 1;
+    return { type: "admitted" };
+  }
+
+  return {
+    get asked() {
+      return asked;
+    },
+    get admitted() {
+      return admitted;
+    },
+    get refused() {
+      return refused;
+    },
+    get unreportedAdmitted() {
+      return unreportedAdmitted;
+    },
+    get hasUnreported() {
+      return hasUnreported;
+    },
+    get isGranted() {
+      return grant !== undefined && !isDisowned;
+    },
+    get isDisowned() {
+      return isDisowned;
+    },
+    heldRate,
+    isLimited: (now) => now < limitedUntil,
+    demand: (now) => recentDemand.current(now) * SECOND_MS / DEMAND_DECAY_MS,
+    admit,
+    giveBack() {
+      admitted -= 1;
+      unreportedAdmitted -= 1;
+      hasUnreported = true;
+      whole = takeFromBucket(whole, -1);
+      own = source === "free" ? own : takeFromBucket(own, -1);
+    },
+    takeUnreported() {
+      const taken = unreportedAdmitted;
+      unreportedAdmitted = 0;
+      hasUnreported = false;
+      return taken;
+    },
+    restoreUnreported(calls) {
+      unreportedAdmitted += calls;
+      hasUnreported = true;
+    },
+    applyGrant(next) {
+      if (grant === undefined || next.sentAt >= grant.sentAt) {
+        grant = next;
+        isDisowned = false;
+        limitedUntil = next.isLimited ? next.sentAt + LEASE_MS : -Infinity;
+      }
+    },
+    disown() {
+      isDisowned = true;
+    },
+    applyNotice(isLimited, now) {
+      limitedUntil = isLimited ? now + LEASE_MS : -Infinity;
+    },
+    changeLimit(before, after) {
+      if (grant !== undefined && before.requestsPerSecond > 0) {
+        const factor = after.requestsPerSecond / before.requestsPerSecond;
+        grant = {
+          ...grant,
+          requestsPerSecond: grant.requestsPerSecond * factor,
+        };
+      }
+      whole = {
+        ...whole,
+        level: Math.min(whole.level, after.burst + computeTolerance(after)),
+      };
+    },
+  };
+}
--- /dev/null
+++ b/src/features/account/common/fallback_share.ts
@@ -0,0 +1,61 @@
+/**
+ * The part of a limit that a daemon uses without its granter.
+ *
+ * Load pattern: a whole fleet loses its granters at once, by a restart or a cut between failure domains. No
+ * daemon then knows what the others admit. Equal shares by the number of known hosts sum to at most the limit
+ * on all sides of a cut together. The share of a small account is a fraction of a call a second, and most
+ * accounts have few clients at a time: so some hosts, chosen by chance, begin with one whole call.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { AccountLimit } from "../../../world/common/client_account.ts";
+
+/**
+ * Whole calls with which all hosts together begin. Hosts that have no calls do not use theirs; all of them
+ * together exceed what a limit of 40/s leaves within 5 s (10 % and 20 calls) by none.
+ */
+const INITIAL_CALLS = 40;
+/**
+ * A daemon that has just started may not know the other hosts yet. Taking the whole limit for itself would
+ * multiply the limit by the number of daemons that start at once.
+ */
+const ASSUMED_HOSTS = 100;
+/** Hosts come from the store or from a peer all at once, so a list that has not changed for this long is complete. */
+const HOSTS_STABLE_MS: Milliseconds = 1_000;
+/** The list of hosts comes within this time if the store or a peer can be reached. */
+const HOSTS_UNKNOWN_MS: Milliseconds = 5_000;
+
+/** Returns whether the list of known hosts can be taken for complete. */
+export function isHostListComplete(
+  knownHosts: number,
+  { uptime, unchangedFor }: {
+    readonly uptime: Milliseconds;
+    readonly unchangedFor: Milliseconds;
+  },
+): boolean {
+  return uptime >= HOSTS_UNKNOWN_MS ||
+    (knownHosts > 1 && unchangedFor >= HOSTS_STABLE_MS);
+}
+
+/** Returns among how many hosts a limit is divided. */
+export function countSharingHosts(
+  knownHosts: number,
+  isComplete: boolean,
+): number {
+  return Math.max(isComplete ? 1 : ASSUMED_HOSTS, knownHosts);
+}
+
+/** Returns the calls per second that one of the hosts may admit without a granter. */
+export function computeFallbackRate(
+  { requestsPerSecond }: AccountLimit,
+  hosts: number,
+): number {
+  return requestsPerSecond / hosts;
+}
+
+/** Returns the calls with which one of the hosts begins; `fraction` is random, from 0 to 1. */
+export function chooseInitialCalls(hosts: number, fraction: number): number {
+  return fraction < INITIAL_CALLS / hosts ? 1 : fraction;
+}
--- /dev/null
+++ b/src/features/account/common/granter_contacts.ts
@@ -0,0 +1,164 @@
+/**
+ * Chooses the granter of each account and tracks which granters respond.
+ *
+ * Load pattern: a granter is killed, paused or cut off, or is of a release that knows no account messages. Its link
+ * may stay open for seconds. A daemon counts it as silent from 0.5 s after a report without a response, and chooses
+ * the next in rendezvous order after 1 s, until it is heard from again or has a new link.
+ *
+ * @module
+ */
+
+import { rankByRendezvous } from "../../../base/common/hashing.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { AccountName, HostName } from "../../../world/common/names.ts";
+import type { GrantingHosts } from "./account_granting.ts";
+import { countSharingHosts, isHostListComplete } from "./fallback_share.ts";
+
+const SILENT_MS: Milliseconds = 500;
+const EXCLUDED_MS: Milliseconds = 1_000;
+/** A granter that does not respond to this many reports is silent anyway. */
+const MAXIMUM_UNANSWERED = 16;
+const UPDATE_MS: Milliseconds = 100;
+
+export interface KnownHost {
+  readonly host: HostName;
+  readonly isReachable: boolean;
+}
+
+interface Contact {
+  /** When reports without a response were sent, by sequence number. */
+  readonly unanswered: Map<number, Milliseconds>;
+  silentSince: Milliseconds | undefined;
+  isExcluded: boolean;
+}
+
+export interface GranterContacts {
+  /** Reads the list of hosts again; called before reports are sent or handled. */
+  update(now: Milliseconds): void;
+  /** Whether the list of hosts can be taken for complete; a daemon is no granter before. */
+  readonly isComplete: boolean;
+  /** Among how many hosts limits are divided without a granter. */
+  readonly sharingHosts: number;
+  readonly hosts: GrantingHosts;
+  find(account: AccountName): HostName;
+  recordSent(host: HostName, sequence: number, now: Milliseconds): void;
+  recordUnsent(host: HostName, now: Milliseconds): void;
+  /** Returns when the report was sent; undefined if it is not known. */
+  recordResponse(host: HostName, sequence: number): Milliseconds | undefined;
+  isSilent(host: HostName, now: Milliseconds): boolean;
+  /** Forgets what is known of a host that has a new link or has lost its link. */
+  reset(host: HostName): void;
+}
+
+export function createGranterContacts(
+  { self, startedAt, listHosts }: {
+    readonly self: HostName;
+    readonly startedAt: Milliseconds;
+    readonly listHosts: () => readonly KnownHost[];
+  },
+): GranterContacts {
+  const contacts = new Map<HostName, Contact>();
+  const granters = new Map<AccountName, HostName>();
+  let candidates: readonly HostName[] = [self];
+  let hosts: GrantingHosts = { known: 1, unreachable: new Set() };
+  let updatedAt = -Infinity;
+  let changedAt = startedAt;
+  let isComplete = false;
+
+  function getContact(host: HostName): Contact {
+    let contact = contacts.get(host);
+    if (contact === undefined) {
+      contact = {
+        unanswered: new Map(),
+        silentSince: undefined,
+        isExcluded: false,
+      };
+      contacts.set(host, contact);
+    }
+    return contact;
+  }
+
+  function update(now: Milliseconds): void {
+    if (now - updatedAt < UPDATE_MS) {
+      return;
+    }
+    updatedAt = now;
+    const listed = listHosts();
+    changedAt = listed.length === hosts.known ? changedAt : now;
+    isComplete = isHostListComplete(listed.length, {
+      uptime: now - startedAt,
+      unchangedFor: now - changedAt,
+    });
+    const unreachable = new Set<HostName>();
+    const next: HostName[] = [];
+    for (const { host, isReachable } of listed) {
+      const contact = contacts.get(host);
+      if (contact !== undefined && !contact.isExcluded) {
+        contact.isExcluded = contact.silentSince !== undefined &&
+          now - contact.silentSince >= EXCLUDED_MS;
+      }
+      if (!isReachable && host !== self) {
+        unreachable.add(host);
+      } else if (contact?.isExcluded !== true) {
+        next.push(host);
+      }
+    }
+    hosts = { known: listed.length, unreachable };
+    if (
+      next.length !== candidates.length ||
+      next.some((host, index) => host !== candidates[index])
+    ) {
+      candidates = next;
+      granters.clear();
+    }
+  }
+
+  return {
+    update,
+    get hosts() {
+      return hosts;
+    },
+    get isComplete() {
+      return isComplete;
+    },
+    get sharingHosts() {
+      return countSharingHosts(hosts.known, isComplete);
+    },
+    find(account) {
+      let granter = granters.get(account);
+      if (granter === undefined) {
+        granter = rankByRendezvous(account, candidates)[0] ?? self;
+        granters.set(account, granter);
+      }
+      return granter;
+    },
+    recordSent(host, sequence, now) {
+      const contact = getContact(host);
+      contact.silentSince ??= now;
+      if (contact.unanswered.size < MAXIMUM_UNANSWERED) {
+        contact.unanswered.set(sequence, now);
+      }
+    },
+    recordUnsent(host, now) {
+      getContact(host).silentSince ??= now - SILENT_MS;
+    },
+    recordResponse(host, sequence) {
+      const contact = getContact(host);
+      const sentAt = contact.unanswered.get(sequence);
+      for (const number of [...contact.unanswered.keys()]) {
+        if (number <= sequence) {
+          contact.unanswered.delete(number);
+        }
+      }
+      const [oldest] = contact.unanswered.values();
+      contact.silentSince = oldest;
+      contact.isExcluded = false;
+      return sentAt;
+    },
+    isSilent(host, now) {
+      const silentSince = contacts.get(host)?.silentSince;
+      return silentSince !== undefined && now - silentSince >= SILENT_MS;
+    },
+    reset: (host) => contacts.delete(host),
+  };
+}
