Grant parts of calls to hosts without a rate, and ask silent granters again

Two granters stayed in force after a cut, since daemons that had passed one over never asked it again, and a new granter refilled its bucket for calls that unreachable daemons were using.

--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -65,6 +65,8 @@
   readonly admittedPerSecond: number;
   /** The part of the calls below the limit that was refused. */
   readonly refusedBelowLimit: number;
+  /** The part of the calls below the limit in whose place no other call was admitted either. */
+  readonly shortfall: number;
   readonly owed: number;
 }
 
@@ -269,10 +271,11 @@
     measure(name: AccountName, limit: AccountLimit): AccountMeasurement {
       const count = counts.get(name)!;
       const usual = limit.requestsPerSecond * WINDOW_MS / 1_000 + limit.burst;
+      const admitted = count.perStep.reduce((sum, calls) => sum + calls, 0);
       return {
         excess: (findLargestWindow(count.perStep) - usual) / (usual * 0.1 + 20),
-        admittedPerSecond: count.perStep.reduce((sum, calls) =>
-          sum + calls, 0) / (count.perStep.length * STEP_MS / 1_000),
+        admittedPerSecond: admitted / (count.perStep.length * STEP_MS / 1_000),
+        shortfall: Math.max(0, 1 - admitted / Math.max(1, count.owed)),
         refusedBelowLimit: count.refusedOwed / Math.max(1, count.owed),
         owed: count.owed,
       };
--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -16,9 +16,11 @@
 import type { AccountName, HostName } from "../../../world/common/names.ts";
 import {
   type AccountLedger,
+  computeAdmittedPart,
   computeGrant,
   createLedger,
   type GrantingHosts,
+  recordGrant,
   recordReport,
   updateLedger,
 } from "./account_granting.ts";
@@ -57,6 +59,9 @@
   applyLimits(): void;
 }
 
+/** A part of 1 says that the account is free. */
+const MAXIMUM_LIMITED_PART = 0.999;
+
 interface GrantedAccount {
   ledger: AccountLedger;
   reportedAt: Milliseconds;
@@ -91,10 +96,11 @@
     }
     if (isLimited && now - account.noticedAt >= NOTICE_REPEAT_MS) {
       account.noticedAt = now;
-      queueNotice(name, true);
+      const part = computeAdmittedPart(account.ledger, limit, hosts());
+      queueNotice(name, Math.min(MAXIMUM_LIMITED_PART, roundRate(part)));
     } else if (!isLimited && wasLimited) {
       account.noticedAt = -Infinity;
-      queueNotice(name, false);
+      queueNotice(name, 1);
     }
   }
 
@@ -104,8 +110,8 @@
     notices.clear();
   }
 
-  function queueNotice(name: AccountName, isLimited: boolean): void {
-    notices.set(name, Number(isLimited));
+  function queueNotice(name: AccountName, admittedPart: number): void {
+    notices.set(name, admittedPart);
     noticeTimer ??= clock.schedule(NOTICE_BATCH_MS, flushNotices);
   }
 
@@ -187,6 +193,7 @@
         );
         update(name, account, limit);
         const grant = computeGrant(account.ledger, host, limit, hosts(), now);
+        account.ledger = recordGrant(account.ledger, host, grant);
         grants.push([
           name,
           roundRate(grant.requestsPerSecond),
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -34,7 +34,9 @@
  */
 export const SETTLING_MS: Milliseconds = 500;
 /** Debt is repaid, and unused calls are granted, at this pace; within the 5 s in which limits are measured. */
-const CORRECTION_MS: Milliseconds = 1_000;
+const CORRECTION_MS: Milliseconds = 2_000;
+/** Debt down to this part of the tolerance is not repaid; a small account would be refused for seconds. */
+const KEPT_DEBT_PART = 0.5;
 /** Demand of this time ahead counts as admitted: it is what passes until daemons know that they are limited. */
 const REACTION_MS: Milliseconds = 200;
 /** Keeps an account from being limited and freed with each report. */
@@ -46,11 +48,19 @@
 const TOLERANCE_SECONDS = 0.025 * 5;
 const TOLERANCE_BURST_PART = 0.025;
 
+/** A daemon from which this many calls should have been reported since its last report is cut off or paused. */
+const MISSING_CALLS = 5;
+const MISSING_MS: Milliseconds = 500;
+/** Daemons with few calls come over from another granter one after the other for this long. */
+const TAKEOVER_MS: Milliseconds = 10_000;
+
 export interface Reporter {
   /** Calls asked for per second. */
   readonly demand: number;
   /** Calls per second that it may still use from the granter before; 0 if there was none. */
   readonly heldRate: number;
+  /** Calls per second that it was granted last. */
+  readonly grantedRate: number;
   readonly reportedAt: Milliseconds;
 }
 
@@ -61,6 +71,8 @@
   /** When the account was limited; undefined while daemons admit freely. */
   readonly limitedAt: Milliseconds | undefined;
   readonly settlesAt: Milliseconds;
+  /** When a daemon first reported that comes from another granter. */
+  readonly takenOverAt: Milliseconds;
 }
 
 export interface AccountReport {
@@ -110,6 +122,7 @@
     reporters: new Map(),
     limitedAt: isEstablished ? undefined : now,
     settlesAt: isEstablished ? now : now + SETTLING_MS,
+    takenOverAt: isEstablished ? -Infinity : now,
   };
 }
 
@@ -148,7 +161,8 @@
   }
   const requestsPerSecond = computeReachableRate({ reporters }, limit, hosts);
   const bucket = refillBucket(ledger.bucket, {
-    requestsPerSecond,
+    requestsPerSecond: requestsPerSecond -
+      sumMissingRates(reporters, hosts, now),
     capacity: limit.burst,
   }, now);
   const next = { ...ledger, reporters, bucket };
@@ -161,7 +175,7 @@
   }
   const isFree = now - ledger.limitedAt >= MINIMUM_LIMITED_MS &&
     now >= ledger.settlesAt &&
-    bucket.level >= Math.min(limit.burst / 2, tolerance) &&
+    bucket.level >= 0 &&
     demand < requestsPerSecond * FREE_DEMAND_PART;
   return isFree ? { ...next, limitedAt: undefined } : next;
 }
@@ -173,14 +187,16 @@
   now: Milliseconds,
 ): AccountLedger {
   const reporters = new Map(ledger.reporters);
-  const heldRate = takeover?.heldRate ?? reporters.get(host)?.heldRate ?? 0;
+  const present = reporters.get(host);
+  const heldRate = takeover?.heldRate ?? present?.heldRate ?? 0;
   if (demand > 0) {
-    reporters.set(host, { demand, heldRate, reportedAt: now });
+    const grantedRate = present?.grantedRate ?? heldRate;
+    reporters.set(host, { demand, heldRate, grantedRate, reportedAt: now });
   } else {
     reporters.delete(host);
   }
   const bucket = takeFromBucket(ledger.bucket, admitted);
-  if (takeover === undefined) {
+  if (takeover === undefined || now - ledger.takenOverAt < TAKEOVER_MS) {
     return { ...ledger, reporters, bucket };
   }
   // What other granters have let pass is not known, so nothing of the burst is left.
@@ -190,9 +206,51 @@
     bucket: { ...bucket, level: Math.min(0, bucket.level) },
     limitedAt: ledger.limitedAt ?? (takeover.isLimited ? now : undefined),
     settlesAt: now + SETTLING_MS,
+    takenOverAt: now,
+  };
+}
+
+/** Notes what a daemon was granted, which it may use also while it can't report. */
+export function recordGrant(
+  ledger: AccountLedger,
+  host: HostName,
+  { requestsPerSecond }: AccountGrant,
+): AccountLedger {
+  const reporter = ledger.reporters.get(host);
+  return reporter === undefined ? ledger : {
+    ...ledger,
+    reporters: new Map(ledger.reporters).set(host, {
+      ...reporter,
+      grantedRate: requestsPerSecond,
+    }),
   };
 }
 
+/** Returns the part of the calls that may be admitted, for daemons without a rate of their own. */
+export function computeAdmittedPart(
+  ledger: AccountLedger,
+  limit: AccountLimit,
+  hosts: GrantingHosts,
+): number {
+  const demand = sumDemand(ledger.reporters);
+  return demand === 0
+    ? 1
+    : Math.min(1, computeTotalRate(ledger, limit, hosts) / demand);
+}
+
+function computeTotalRate(
+  ledger: AccountLedger,
+  limit: AccountLimit,
+  hosts: GrantingHosts,
+): number {
+  const surplus = ledger.bucket.level +
+    computeTolerance(limit) * KEPT_DEBT_PART;
+  const correction = ledger.limitedAt === undefined
+    ? 0
+    : surplus * SECOND_MS / CORRECTION_MS;
+  return Math.max(0, computeReachableRate(ledger, limit, hosts) + correction);
+}
+
 /** Returns what a daemon may admit. Its response reaches it before its next report. */
 export function computeGrant(
   ledger: AccountLedger,
@@ -201,11 +259,9 @@
   hosts: GrantingHosts,
   now: Milliseconds,
 ): AccountGrant {
-  const { reporters, bucket, limitedAt, settlesAt } = ledger;
+  const { reporters, limitedAt, settlesAt } = ledger;
   const isLimited = limitedAt !== undefined;
-  const reachableRate = computeReachableRate(ledger, limit, hosts);
-  const correction = isLimited ? bucket.level * SECOND_MS / CORRECTION_MS : 0;
-  const rate = Math.max(0, reachableRate + correction);
+  const rate = computeTotalRate(ledger, limit, hosts);
   const reporter = reporters.get(host);
   const demand = sumDemand(reporters);
   const proportional = reporter === undefined || demand === 0
@@ -224,6 +280,22 @@
   };
 }
 
+/** Sums the rates that daemons probably use whose reports are missing. */
+function sumMissingRates(
+  reporters: AccountLedger["reporters"],
+  { unreachable }: GrantingHosts,
+  now: Milliseconds,
+): number {
+  let sum = 0;
+  for (const [host, { demand, grantedRate, reportedAt }] of reporters) {
+    const silence = now - reportedAt;
+    const isMissing = unreachable.has(host) ||
+      (silence > MISSING_MS && silence * demand > MISSING_CALLS * SECOND_MS);
+    sum += isMissing ? Math.min(demand, grantedRate) : 0;
+  }
+  return sum;
+}
+
 function sumDemand(reporters: AccountLedger["reporters"]): number {
   let sum = 0;
   for (const { demand } of reporters.values()) {
--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -161,7 +161,8 @@
     if (host === self) {
       return contacts.isComplete;
     }
-    return !share.isDisowned && !contacts.isSilent(host, clock.now()) &&
+    const now = clock.now();
+    return !share.isUnanswered(now) && !contacts.isSilent(host, now) &&
       (share.isGranted || isEstablished());
   }
 
@@ -231,6 +232,10 @@
     for (const [host, rows] of batches) {
       sendReport(host, rows, now);
     }
+    // An empty report finds out whether a granter that was passed over responds again.
+    for (const host of contacts.takeDueProbes(now)) {
+      sendReport(host, [], now);
+    }
   }
 
   function createRow(
@@ -248,7 +253,7 @@
     account.granter = process;
     account.reportedAt = now;
     const demand = roundRate(share.demand(now));
-    const admitted = share.takeUnreported();
+    const admitted = share.takeUnreported(now);
     return isTakeover
       ? [
         name,
@@ -329,10 +334,10 @@
   function applyNotices(host: HostName, rows: readonly NoticeRow[]): void {
     const now = clock.now();
     contacts.update(now);
-    for (const [name, code] of rows) {
+    for (const [name, part] of rows) {
       const limit = limits.get(name);
       if (limit !== undefined && contacts.find(name) === host) {
-        getUsed(name, limit).share.applyNotice(code === LIMITED, now);
+        getUsed(name, limit).share.applyNotice(part, now);
       }
     }
   }
--- a/src/features/account/common/account_limits_test.ts
+++ b/src/features/account/common/account_limits_test.ts
@@ -212,7 +212,7 @@
       report(name, {
         excess: worst,
         refusedBelowLimit: refused,
-        admittedPerSecond: measured[0].admittedPerSecond,
+        shortfall: Math.max(...measured.map(({ shortfall }) => shortfall)),
       });
       assert.ok(worst <= 1, `${worst} of the allowed excess`);
       if (maximumRefused !== undefined) {
@@ -307,6 +307,8 @@
   fleet.clock.advance(LEAD_MS);
   fleet.run(1_000);
   fleet.clearAccounts();
+  // Messages in flight are still delivered, and reports get an empty response.
+  fleet.clock.advance(20);
   const { messages } = fleet.bytes;
   const schedule = fleet.clock.schedule.bind(fleet.clock);
   let scheduled = 0;
--- a/src/features/account/common/account_messages.ts
+++ b/src/features/account/common/account_messages.ts
@@ -26,7 +26,7 @@
 /** The sender takes another daemon for the granter of the account. */
 export const NOT_GRANTER = 2;
 
-/** Account, 1 if limited. */
+/** Account, and the part of its calls to admit on hosts without a rate; 1 if the account is free. */
 export type NoticeRow = readonly [AccountName, number];
 
 export interface AccountReportMessage extends LinkMessage {
@@ -79,7 +79,7 @@
 ): message is AccountNoticeMessage {
   return areRows(
     (message as Partial<AccountNoticeMessage>).rows,
-    (row) => row.length === 2,
+    (row) => row.length === 2 && Number(row[1]) >= 0 && Number(row[1]) <= 1,
   );
 }
 
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -33,6 +33,14 @@
 const DEMAND_DECAY_MS: Milliseconds = 2_000;
 /** A daemon may save up the calls of this time, since calls arrive at random. */
 const SAVED_MS: Milliseconds = 500;
+/** What a daemon has saved of its rate when its granter becomes silent: accounts that are not limited use less. */
+const INITIAL_MS: Milliseconds = 250;
+/** A report without a response for this long shows that the granter is silent. */
+export const SILENT_MS: Milliseconds = 500;
+/** Reports further apart say nothing of the time between them: a new granter may have been chosen. */
+const STREAK_MS: Milliseconds = 1_000;
+/** Below this rate a bucket would rarely contain a whole call when one arrives. */
+const MINIMUM_BUCKET_RATE = 1;
 /** Callers are not told to wait longer, since demand may fall at any time. */
 const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 2_000;
 /** How long an account that this daemon knows as limited without a rate needs until it has one. */
@@ -69,8 +77,8 @@
   readonly hasUnreported: boolean;
   /** Whether a granter has responded, and not as one that is no granter of the account. */
   readonly isGranted: boolean;
-  /** Whether the last response came from a daemon that is no granter of the account. */
-  readonly isDisowned: boolean;
+  /** Whether no granter has responded to the last reports, whichever daemon was asked. */
+  isUnanswered(now: Milliseconds): boolean;
   /** Calls per second under the last grant; 0 if it has expired. */
   heldRate(now: Milliseconds): number;
   isLimited(now: Milliseconds): boolean;
@@ -78,13 +86,14 @@
   admit(context: ShareContext): ShareDecision;
   giveBack(): void;
   /** Returns the calls admitted since the last report and begins the next one. */
-  takeUnreported(): number;
+  takeUnreported(now: Milliseconds): number;
   /** Puts calls back whose report could not be sent. */
   restoreUnreported(admitted: number): void;
   applyGrant(grant: ShareGrant): void;
   /** The daemon that was asked is no granter of the account; the last rate is kept. */
   disown(): void;
-  applyNotice(isLimited: boolean, now: Milliseconds): void;
+  /** Applies what all hosts are told: the part of the calls to admit without a rate; 1 if the account is free. */
+  applyNotice(admittedPart: number, now: Milliseconds): void;
   /** Applies a new limit at once: the rate changes in proportion. */
   changeLimit(before: AccountLimit, after: AccountLimit): void;
 }
@@ -116,6 +125,10 @@
   let limitedUntil: Milliseconds = -Infinity;
   let nextRoomAt: Milliseconds = -Infinity;
   let isDisowned = false;
+  let unansweredSince: Milliseconds | undefined;
+  let reportedAt: Milliseconds = -Infinity;
+  let reportedDemand = 0;
+  let admittedPart = 0;
   let asked = 0;
   let admitted = 0;
   let refused = 0;
@@ -128,6 +141,10 @@
       : 0;
   }
 
+  function demand(now: Milliseconds): number {
+    return recentDemand.current(now) * SECOND_MS / DEMAND_DECAY_MS;
+  }
+
   function choosePace(context: ShareContext): Pace {
     const { now } = context;
     if (context.isInTouch) {
@@ -143,22 +160,40 @@
       };
   }
 
-  /** Random levels at the beginning keep the sum of many fractions of a call exact on average. */
   function enterPace(pace: Pace, { hosts, now }: ShareContext): void {
-    if (pace.source !== source) {
-      const fraction = random.nextFraction();
-      const level = pace.source === "fallback"
-        ? chooseInitialCalls(hosts, fraction)
-        : pace.requestsPerSecond > 0
-        ? fraction
-        : 0;
-      own = {
-        level: source === "free" ? level : Math.min(own.level, 1),
-        updatedAt: now,
-      };
-      source = pace.source;
-      nextRoomAt = -Infinity;
+    if (pace.source === source) {
+      return;
+    }
+    const fraction = random.nextFraction();
+    const initial = chooseInitialCalls(hosts, {
+      fraction,
+      chance: random.nextFraction(),
+    });
+    const saved = pace.source === "grant"
+      ? pace.requestsPerSecond * INITIAL_MS / SECOND_MS
+      : 0;
+    let { level } = own;
+    if (source === "free" && pace.source !== "free") {
+      const isFraction = pace.source === "grant" && now < limitedUntil;
+      level = isFraction ? fraction : initial + saved;
     }
+    own = { level, updatedAt: now };
+    source = pace.source;
+    nextRoomAt = -Infinity;
+  }
+
+  /**
+   * Decides by chance on an account whose rate here is a fraction of a call a second: the part admitted on all
+   * hosts is then exact on average.
+   */
+  function isAdmittedOfFew({ source: from, requestsPerSecond }: Pace): boolean {
+    if (from !== "grant" || requestsPerSecond >= MINIMUM_BUCKET_RATE) {
+      return false;
+    }
+    const part = requestsPerSecond === 0
+      ? admittedPart
+      : requestsPerSecond / Math.max(reportedDemand, requestsPerSecond);
+    return random.nextFraction() < part;
   }
 
   function refuse(waiting: Milliseconds, perCall: Milliseconds, now: number) {
@@ -190,12 +225,13 @@
     const isFree = pace.source === "free";
     if (!isFree) {
       const capacity = Math.max(
+        own.level,
         1,
         pace.requestsPerSecond * SAVED_MS / SECOND_MS,
       );
       own = refillBucket(own, { ...pace, capacity }, now);
     }
-    const isOwnEmpty = !isFree && own.level < 1;
+    const isOwnEmpty = !isFree && !isAdmittedOfFew(pace) && own.level < 1;
     if (isOwnEmpty || whole.level < 1) {
       const rate = isOwnEmpty ? pace.requestsPerSecond : requestsPerSecond;
       const missing = 1 - (isOwnEmpty ? own.level : whole.level);
@@ -204,7 +240,7 @@
         : refuse(FIRST_RATE_MS, 0, now);
     }
     whole = takeFromBucket(whole, 1);
-    own = isFree ? own : takeFromBucket(own, 1);
+    own = isFree || own.level < 1 ? own : takeFromBucket(own, 1);
     admitted += 1;
     unreportedAdmitted += 1;
     return { type: "admitted" };
@@ -229,12 +265,13 @@
     get isGranted() {
       return grant !== undefined && !isDisowned;
     },
-    get isDisowned() {
-      return isDisowned;
-    },
+    isUnanswered: (now) =>
+      isDisowned ||
+      (unansweredSince !== undefined && now - unansweredSince >= SILENT_MS &&
+        now - reportedAt < STREAK_MS),
     heldRate,
     isLimited: (now) => now < limitedUntil,
-    demand: (now) => recentDemand.current(now) * SECOND_MS / DEMAND_DECAY_MS,
+    demand,
     admit,
     giveBack() {
       admitted -= 1;
@@ -243,7 +280,12 @@
       whole = takeFromBucket(whole, -1);
       own = source === "free" ? own : takeFromBucket(own, -1);
     },
-    takeUnreported() {
+    takeUnreported(now) {
+      unansweredSince = now - reportedAt < STREAK_MS
+        ? unansweredSince ?? now
+        : now;
+      reportedAt = now;
+      reportedDemand = demand(now);
       const taken = unreportedAdmitted;
       unreportedAdmitted = 0;
       hasUnreported = false;
@@ -257,14 +299,16 @@
       if (grant === undefined || next.sentAt >= grant.sentAt) {
         grant = next;
         isDisowned = false;
+        unansweredSince = undefined;
         limitedUntil = next.isLimited ? next.sentAt + LEASE_MS : -Infinity;
       }
     },
     disown() {
       isDisowned = true;
     },
-    applyNotice(isLimited, now) {
-      limitedUntil = isLimited ? now + LEASE_MS : -Infinity;
+    applyNotice(part, now) {
+      admittedPart = part;
+      limitedUntil = part < 1 ? now + LEASE_MS : -Infinity;
     },
     changeLimit(before, after) {
       if (grant !== undefined && before.requestsPerSecond > 0) {
--- a/src/features/account/common/fallback_share.ts
+++ b/src/features/account/common/fallback_share.ts
@@ -13,8 +13,9 @@
 import type { AccountLimit } from "../../../world/common/client_account.ts";
 
 /**
- * Whole calls with which all hosts together begin. Hosts that have no calls do not use theirs; all of them
- * together exceed what a limit of 40/s leaves within 5 s (10 % and 20 calls) by none.
+ * Whole calls with which all hosts together begin. With 5 times the usual of an account with a limit of 10/s, the
+ * hosts that have a call within 3 s use some 27 of them; that limit may be exceeded by 25 calls within 5 s, and
+ * begins at two thirds of it.
  */
 const INITIAL_CALLS = 40;
 /**
@@ -55,7 +56,13 @@
   return requestsPerSecond / hosts;
 }
 
-/** Returns the calls with which one of the hosts begins; `fraction` is random, from 0 to 1. */
-export function chooseInitialCalls(hosts: number, fraction: number): number {
-  return fraction < INITIAL_CALLS / hosts ? 1 : fraction;
+/**
+ * Returns the calls with which one of the hosts begins; `fraction` and `chance` are random, from 0 to 1. Random
+ * fractions of a call keep the sum over many hosts exact on average.
+ */
+export function chooseInitialCalls(
+  hosts: number,
+  { fraction, chance }: { readonly fraction: number; readonly chance: number },
+): number {
+  return fraction + (chance < INITIAL_CALLS / hosts ? 1 : 0);
 }
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -12,13 +12,14 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountName, HostName } from "../../../world/common/names.ts";
 import type { GrantingHosts } from "./account_granting.ts";
+import { SILENT_MS } from "./account_share.ts";
 import { countSharingHosts, isHostListComplete } from "./fallback_share.ts";
 
-const SILENT_MS: Milliseconds = 500;
 const EXCLUDED_MS: Milliseconds = 1_000;
 /** A granter that does not respond to this many reports is silent anyway. */
 const MAXIMUM_UNANSWERED = 16;
 const UPDATE_MS: Milliseconds = 100;
+const PROBE_MS: Milliseconds = 2_000;
 
 export interface KnownHost {
   readonly host: HostName;
@@ -30,6 +31,7 @@
   readonly unanswered: Map<number, Milliseconds>;
   silentSince: Milliseconds | undefined;
   isExcluded: boolean;
+  probedAt: Milliseconds;
 }
 
 export interface GranterContacts {
@@ -46,6 +48,8 @@
   /** Returns when the report was sent; undefined if it is not known. */
   recordResponse(host: HostName, sequence: number): Milliseconds | undefined;
   isSilent(host: HostName, now: Milliseconds): boolean;
+  /** Returns the reachable hosts that were passed over and that are to be asked again now. */
+  takeDueProbes(now: Milliseconds): readonly HostName[];
   /** Forgets what is known of a host that has a new link or has lost its link. */
   reset(host: HostName): void;
 }
@@ -72,6 +76,7 @@
         unanswered: new Map(),
         silentSince: undefined,
         isExcluded: false,
+        probedAt: -Infinity,
       };
       contacts.set(host, contact);
     }
@@ -99,6 +104,8 @@
       }
       if (!isReachable && host !== self) {
         unreachable.add(host);
+        // A host that can be reached again is asked again.
+        contacts.delete(host);
       } else if (contact?.isExcluded !== true) {
         next.push(host);
       }
@@ -159,6 +166,19 @@
       const silentSince = contacts.get(host)?.silentSince;
       return silentSince !== undefined && now - silentSince >= SILENT_MS;
     },
+    takeDueProbes(now) {
+      const due: HostName[] = [];
+      for (const [host, contact] of contacts) {
+        if (
+          contact.isExcluded && now - contact.probedAt >= PROBE_MS &&
+          !hosts.unreachable.has(host)
+        ) {
+          contact.probedAt = now;
+          due.push(host);
+        }
+      }
+      return due;
+    },
     reset: (host) => contacts.delete(host),
   };
 }
