--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -42,6 +42,7 @@
   isAccountReport,
   LIMITED,
   NOT_GRANTER,
+  NOT_READY,
   type NoticeRow,
   type ReportRow,
   roundRate,
@@ -290,13 +291,20 @@
     }
   }
 
+  /** An empty report asks whether this daemon can be a granter. */
+  function isReadyFor({ rows }: AccountReportMessage): boolean {
+    contacts.update(clock.now());
+    return contacts.isComplete || rows.length > 0;
+  }
+
   function handleReport(
     host: HostName,
     rows: readonly ReportRow[],
   ): readonly GrantRow[] {
-    contacts.update(clock.now());
-    const isOwn = ([name]: ReportRow) =>
-      contacts.isComplete && contacts.find(name) === self;
+    if (!contacts.isComplete) {
+      return rows.map(([name]) => [name, 0, NOT_READY]);
+    }
+    const isOwn = ([name]: ReportRow) => contacts.find(name) === self;
     const others = rows.filter((row) => limits.has(row[0]) && !isOwn(row));
     for (const [name] of others) {
       // The reporter may know that the granter does not respond. A report of its own shows it to this daemon.
@@ -314,12 +322,19 @@
     rows: readonly GrantRow[],
     sentAt: Milliseconds,
   ): void {
-    for (const [name, requestsPerSecond, code] of rows) {
+    const asked = rows.filter(([name]) => contacts.find(name) === host);
+    for (const [name, requestsPerSecond, code] of asked) {
       const share = used.get(name)?.share;
-      if (share === undefined || contacts.find(name) !== host) {
+      if (share === undefined) {
         continue;
       }
-      if (code === NOT_GRANTER) {
+      if (code === NOT_READY) {
+        // When the whole fleet restarts, all daemons wait for the same granter.
+        if (isEstablished()) {
+          contacts.exclude(host);
+        }
+        share.postpone();
+      } else if (code === NOT_GRANTER) {
         share.disown();
       } else {
         share.applyGrant({
@@ -345,6 +360,9 @@
   disposables.add(network.onMessage(ACCOUNT_REPORT_KIND, (peer, message) => {
     const { host } = peer.process;
     if (isAccountReport(message)) {
+      if (!isReadyFor(message)) {
+        return;
+      }
       const response: AccountGrantMessage = {
         kind: ACCOUNT_GRANT_KIND,
         sequence: message.sequence,
--- a/src/features/account/common/account_messages.ts
+++ b/src/features/account/common/account_messages.ts
@@ -20,11 +20,17 @@
 /** Account, calls per second, and whether the account is limited. */
 export type GrantRow = readonly [AccountName, number, GrantCode];
 
-export type GrantCode = typeof FREE | typeof LIMITED | typeof NOT_GRANTER;
+export type GrantCode =
+  | typeof FREE
+  | typeof LIMITED
+  | typeof NOT_GRANTER
+  | typeof NOT_READY;
 export const FREE = 0;
 export const LIMITED = 1;
 /** The sender takes another daemon for the granter of the account. */
 export const NOT_GRANTER = 2;
+/** The sender has just started and does not know all hosts yet. */
+export const NOT_READY = 3;
 
 /** Account, and the part of its calls to admit on hosts without a rate; 1 if the account is free. */
 export type NoticeRow = readonly [AccountName, number];
@@ -71,7 +77,7 @@
   const { sequence, rows } = message as Partial<AccountGrantMessage>;
   return Number.isSafeInteger(sequence) &&
     areRows(rows, (row) => row.length === 3 && Number(row[1]) >= 0 &&
-      [FREE, LIMITED, NOT_GRANTER].some((code) => code === row[2]));
+      [FREE, LIMITED, NOT_GRANTER, NOT_READY].some((code) => code === row[2]));
 }
 
 export function isAccountNotice(
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -38,7 +38,7 @@
 /** A report without a response for this long shows that the granter is silent. */
 export const SILENT_MS: Milliseconds = 500;
 /** Reports further apart say nothing of the time between them: a new granter may have been chosen. */
-const STREAK_MS: Milliseconds = 1_000;
+const STREAK_MS: Milliseconds = 3_000;
 /** Below this rate a bucket would rarely contain a whole call when one arrives. */
 const MINIMUM_BUCKET_RATE = 1;
 /** Callers are not told to wait longer, since demand may fall at any time. */
@@ -92,6 +92,8 @@
   applyGrant(grant: ShareGrant): void;
   /** The daemon that was asked is no granter of the account; the last rate is kept. */
   disown(): void;
+  /** The daemon that was asked can't decide yet; the next one is asked. */
+  postpone(): void;
   /** Applies what all hosts are told: the part of the calls to admit without a rate; 1 if the account is free. */
   applyNotice(admittedPart: number, now: Milliseconds): void;
   /** Applies a new limit at once: the rate changes in proportion. */
@@ -306,6 +308,10 @@
     disown() {
       isDisowned = true;
     },
+    postpone() {
+      unansweredSince = undefined;
+      hasUnreported = true;
+    },
     applyNotice(part, now) {
       admittedPart = part;
       limitedUntil = part < 1 ? now + LEASE_MS : -Infinity;
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -20,6 +20,8 @@
 const MAXIMUM_UNANSWERED = 16;
 const UPDATE_MS: Milliseconds = 100;
 const PROBE_MS: Milliseconds = 2_000;
+/** A daemon that has just started is a granter within a second or two. */
+const STARTING_PROBE_MS: Milliseconds = 300;
 
 export interface KnownHost {
   readonly host: HostName;
@@ -32,6 +34,7 @@
   silentSince: Milliseconds | undefined;
   isExcluded: boolean;
   probedAt: Milliseconds;
+  isStarting: boolean;
 }
 
 export interface GranterContacts {
@@ -48,6 +51,8 @@
   /** Returns when the report was sent; undefined if it is not known. */
   recordResponse(host: HostName, sequence: number): Milliseconds | undefined;
   isSilent(host: HostName, now: Milliseconds): boolean;
+  /** Passes a host over that is not ready, until it is asked again. */
+  exclude(host: HostName): void;
   /** Returns the reachable hosts that were passed over and that are to be asked again now. */
   takeDueProbes(now: Milliseconds): readonly HostName[];
   /** Forgets what is known of a host that has a new link or has lost its link. */
@@ -77,6 +82,7 @@
         silentSince: undefined,
         isExcluded: false,
         probedAt: -Infinity,
+        isStarting: false,
       };
       contacts.set(host, contact);
     }
@@ -160,17 +166,25 @@
       const [oldest] = contact.unanswered.values();
       contact.silentSince = oldest;
       contact.isExcluded = false;
+      contact.isStarting = false;
       return sentAt;
     },
     isSilent(host, now) {
       const silentSince = contacts.get(host)?.silentSince;
       return silentSince !== undefined && now - silentSince >= SILENT_MS;
     },
+    exclude(host) {
+      const contact = getContact(host);
+      contact.isExcluded = host !== self;
+      contact.isStarting = true;
+      updatedAt = -Infinity;
+    },
     takeDueProbes(now) {
       const due: HostName[] = [];
       for (const [host, contact] of contacts) {
+        const interval = contact.isStarting ? STARTING_PROBE_MS : PROBE_MS;
         if (
-          contact.isExcluded && now - contact.probedAt >= PROBE_MS &&
+          contact.isExcluded && now - contact.probedAt >= interval &&
           !hosts.unreachable.has(host)
         ) {
           contact.probedAt = now;
