Admit by chance only in limited accounts, and repeat notices when the part changes

Daemons with a rate from before a cut admitted every call, since the rate exceeded their usual demand.

--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -36,6 +36,9 @@
 const UPDATE_MS: Milliseconds = 200;
 /** Notices of a limited account are repeated before daemons take it for free again. */
 const NOTICE_REPEAT_MS: Milliseconds = 2_000;
+/** Notices are also repeated when the part of the calls to admit has changed by this factor, but not more often. */
+const NOTICE_CHANGE_FACTOR = 1.5;
+const NOTICE_CHANGE_MS: Milliseconds = 400;
 /** Collects the notices of accounts that change at about the same time. */
 const NOTICE_BATCH_MS: Milliseconds = 20;
 /** An account without reports for this long is forgotten once its bucket is full. */
@@ -66,6 +69,7 @@
   ledger: AccountLedger;
   reportedAt: Milliseconds;
   noticedAt: Milliseconds;
+  noticedPart: number;
 }
 
 export function createAccountGranter(
@@ -94,9 +98,10 @@
         reporters: account.ledger.reporters.size,
       });
     }
-    if (isLimited && now - account.noticedAt >= NOTICE_REPEAT_MS) {
+    if (isLimited && isNoticeDue(account, limit)) {
       account.noticedAt = now;
       const part = computeAdmittedPart(account.ledger, limit, hosts());
+      account.noticedPart = part;
       queueNotice(name, Math.min(MAXIMUM_LIMITED_PART, roundRate(part)));
     } else if (!isLimited && wasLimited) {
       account.noticedAt = -Infinity;
@@ -141,6 +146,20 @@
     }
   }
 
+  function isNoticeDue(
+    { ledger, noticedAt, noticedPart }: GrantedAccount,
+    limit: AccountLimit,
+  ): boolean {
+    const elapsed = clock.now() - noticedAt;
+    if (elapsed < NOTICE_CHANGE_MS) {
+      return false;
+    }
+    const part = computeAdmittedPart(ledger, limit, hosts());
+    return elapsed >= NOTICE_REPEAT_MS ||
+      part > noticedPart * NOTICE_CHANGE_FACTOR ||
+      part < noticedPart / NOTICE_CHANGE_FACTOR;
+  }
+
   function getAccount(name: AccountName, limit: AccountLimit): GrantedAccount {
     const now = clock.now();
     let account = accounts.get(name);
@@ -150,6 +169,7 @@
         reportedAt: now,
         // A new granter limits accounts until it knows more, which only daemons with demand need to know.
         noticedAt: isEstablished() ? -Infinity : now,
+        noticedPart: 1,
       };
       accounts.set(name, account);
     }
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -160,14 +160,16 @@
     reporters = kept;
   }
   const requestsPerSecond = computeReachableRate({ reporters }, limit, hosts);
+  // Each side of a cut has its part of the burst and of the tolerance only.
+  const reachablePart = 1 - hosts.unreachable.size / Math.max(1, hosts.known);
   const bucket = refillBucket(ledger.bucket, {
     requestsPerSecond: requestsPerSecond -
       sumMissingRates(reporters, hosts, now),
-    capacity: limit.burst,
+    capacity: limit.burst * reachablePart,
   }, now);
   const next = { ...ledger, reporters, bucket };
   const demand = sumDemand(reporters);
-  const tolerance = computeTolerance(limit);
+  const tolerance = computeTolerance(limit) * reachablePart;
   if (ledger.limitedAt === undefined) {
     const growth = (requestsPerSecond - demand) * REACTION_MS / SECOND_MS;
     const expected = bucket.level + Math.min(0, growth);
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -188,13 +188,17 @@
    * Decides by chance on an account whose rate here is a fraction of a call a second: the part admitted on all
    * hosts is then exact on average.
    */
-  function isAdmittedOfFew({ source: from, requestsPerSecond }: Pace): boolean {
-    if (from !== "grant" || requestsPerSecond >= MINIMUM_BUCKET_RATE) {
+  function isAdmittedOfFew(
+    { requestsPerSecond }: Pace,
+    now: Milliseconds,
+  ): boolean {
+    if (now >= limitedUntil || requestsPerSecond >= MINIMUM_BUCKET_RATE) {
       return false;
     }
     const part = requestsPerSecond === 0
       ? admittedPart
-      : requestsPerSecond / Math.max(reportedDemand, requestsPerSecond);
+      : requestsPerSecond /
+        Math.max(reportedDemand, demand(now), requestsPerSecond);
     return random.nextFraction() < part;
   }
 
@@ -233,7 +237,7 @@
       );
       own = refillBucket(own, { ...pace, capacity }, now);
     }
-    const isOwnEmpty = !isFree && !isAdmittedOfFew(pace) && own.level < 1;
+    const isOwnEmpty = !isFree && !isAdmittedOfFew(pace, now) && own.level < 1;
     if (isOwnEmpty || whole.level < 1) {
       const rate = isOwnEmpty ? pace.requestsPerSecond : requestsPerSecond;
       const missing = 1 - (isOwnEmpty ? own.level : whole.level);
@@ -313,6 +317,9 @@
       hasUnreported = true;
     },
     applyNotice(part, now) {
+      // The granter of the moment has sent it, so it is not silent.
+      unansweredSince = undefined;
+      isDisowned = false;
       admittedPart = part;
       limitedUntil = part < 1 ? now + LEASE_MS : -Infinity;
     },
