Refuse calls beyond the limit of their account at the ingress

The limits were kept but not asked. A call that is neither nested nor public takes a permit after its caller is identified and gives it back when no instance can have run it; a refusal is 429 with Retry-After and reaches no gate.

--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -137,10 +137,13 @@
         return network.peers;
       },
       send,
-      sendToAll: (targets, message) => targets.forEach((to) => send(to, message)),
+      sendToAll: (targets, message) =>
+        targets.forEach((to) => send(to, message)),
       onMessage: (kind, handler) =>
-        network.onMessage(kind, (peer, message) =>
-          pausable.whenRunning(() => handler(peer, message))),
+        network.onMessage(
+          kind,
+          (peer, message) => pausable.whenRunning(() => handler(peer, message)),
+        ),
     };
   }
 
@@ -160,7 +163,10 @@
       clock: pausable,
       log: SILENT_LOG,
       network: oldHosts.includes(host)
-        ? { ...wrapNetwork(network, pausable), onMessage: () => ({ dispose() {} }) }
+        ? {
+          ...wrapNetwork(network, pausable),
+          onMessage: () => ({ dispose() {} }),
+        }
         : wrapNetwork(network, pausable),
       random: createRandomSource(seed + startedAt + Number(host.slice(1))),
       listHosts: () =>
--- a/src/features/account/common/account_messages.ts
+++ b/src/features/account/common/account_messages.ts
@@ -66,9 +66,12 @@
 ): message is AccountReportMessage {
   const { sequence, rows } = message as Partial<AccountReportMessage>;
   return Number.isSafeInteger(sequence) &&
-    areRows(rows, (row) =>
-      (row.length === 3 || row.length === 5) && Number(row[1]) >= 0 &&
-      (row.length === 3 || Number(row[3]) >= 0));
+    areRows(
+      rows,
+      (row) =>
+        (row.length === 3 || row.length === 5) && Number(row[1]) >= 0 &&
+        (row.length === 3 || Number(row[3]) >= 0),
+    );
 }
 
 export function isAccountGrant(
@@ -76,7 +79,8 @@
 ): message is AccountGrantMessage {
   const { sequence, rows } = message as Partial<AccountGrantMessage>;
   return Number.isSafeInteger(sequence) &&
-    areRows(rows, (row) => row.length === 3 && Number(row[1]) >= 0 &&
+    areRows(rows, (row) =>
+      row.length === 3 && Number(row[1]) >= 0 &&
       [FREE, LIMITED, NOT_GRANTER, NOT_READY].some((code) => code === row[2]));
 }
 
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -195,10 +195,8 @@
     if (now >= limitedUntil || requestsPerSecond >= MINIMUM_BUCKET_RATE) {
       return false;
     }
-    const part = requestsPerSecond === 0
-      ? admittedPart
-      : requestsPerSecond /
-        Math.max(reportedDemand, demand(now), requestsPerSecond);
+    const part = requestsPerSecond === 0 ? admittedPart : requestsPerSecond /
+      Math.max(reportedDemand, demand(now), requestsPerSecond);
     return random.nextFraction() < part;
   }
 
--- a/src/features/ingress/common/local_reply.ts
+++ b/src/features/ingress/common/local_reply.ts
@@ -10,7 +10,7 @@
   readonly status: number;
   /** One sentence for the log of the client. */
   readonly message: string;
-  /** When the client may retry; only with 503. */
+  /** When the client may retry; only with 429 and 503. */
   readonly retryAfter?: Milliseconds;
 }
 
@@ -29,6 +29,14 @@
   };
 }
 
+/** A 429 guarantees the same; the account has reached its limit until then. */
+export function createLimitReply(retryAfter: Milliseconds): LocalReply {
+  return {
+    ...createNotRunReply("The account has reached its limit", retryAfter),
+    status: 429,
+  };
+}
+
 export function formatRetryAfter(retryAfter: Milliseconds): string {
   return (retryAfter / 1_000).toFixed(3);
 }
--- a/src/features/ingress/node/call_ending.ts
+++ b/src/features/ingress/node/call_ending.ts
@@ -178,6 +178,9 @@
   function finishCall(call: IngressCall, result: CallResult): void {
     call.isEnded = true;
     call.release();
+    if (call.pendingOffers.size === 0 && !call.mayHaveRun) {
+      call.permit?.giveBack();
+    }
     for (const { ticket } of call.pendingOffers) {
       ticket?.cancel();
     }
--- a/src/features/ingress/node/call_start.ts
+++ b/src/features/ingress/node/call_start.ts
@@ -75,6 +75,18 @@
       });
       return;
     }
+    const parent = options.findParent(identity);
+    const admission = caller.account === undefined || parent !== undefined
+      ? undefined
+      : options.admitCall(caller.account);
+    if (admission?.type === "refused") {
+      refusals.refuseWithoutBody(request, response, {
+        reason: "account-limit",
+        message: "The account has reached its limit",
+        retryAfter: admission.retryAfter,
+      });
+      return;
+    }
     const service = chooseService(route, options.random);
     const call: IngressCall = {
       request,
@@ -85,8 +97,9 @@
       versionPreference: options.chooseVersion(service, identity),
       arrivedAt,
       deadlineAt: arrivedAt + timeout,
-      parent: options.findParent(identity),
+      parent,
       account: caller.account,
+      permit: admission?.permit,
       rank: caller.rank,
       offeredHosts: new Set(),
       body: Buffer.alloc(0),
--- a/src/features/ingress/node/ingress_call.ts
+++ b/src/features/ingress/node/ingress_call.ts
@@ -13,6 +13,7 @@
   HostName,
   ServiceName,
 } from "../../../world/common/names.ts";
+import type { AccountPermit } from "../../account/common/account_limits.ts";
 import type { CallHandle, ParentCall } from "../../gate/common/gate.ts";
 import type { VersionPreference } from "../../rollout/common/rollout_registry.ts";
 
@@ -37,6 +38,8 @@
   readonly parent: ParentCall | undefined;
   /** The account of the caller, or of the parent of a nested call; undefined without accounts. */
   readonly account: AccountName | undefined;
+  /** Counts against the limit of the account; undefined if the call does not. */
+  readonly permit: AccountPermit | undefined;
   /** Priority rank, 0 is the most urgent; a nested call is never more urgent than its parent. */
   readonly rank: number;
   readonly offeredHosts: Set<HostName>;
--- a/src/features/ingress/node/ingress_fixture.ts
+++ b/src/features/ingress/node/ingress_fixture.ts
@@ -39,6 +39,7 @@
       | "hostDelays"
       | "chooseVersion"
       | "accounts"
+      | "admitCall"
       | "uptime"
       | "findParent"
     >
@@ -74,6 +75,7 @@
     candidates: () => listFixtureCandidates(gateHost),
     hostDelays: { record() {} },
     accounts: () => undefined,
+    admitCall: () => ({ type: "admitted", permit: { giveBack() {} } }),
     uptime: () => FIXTURE_UPTIME_MS,
     findParent: () => undefined,
     loopDelay: () => 0,
--- a/src/features/ingress/node/ingress_options.ts
+++ b/src/features/ingress/node/ingress_options.ts
@@ -15,9 +15,14 @@
   CallerLimits,
   RouteKind,
 } from "../../../world/common/mesh_configuration.ts";
-import type { HostName, ServiceName } from "../../../world/common/names.ts";
+import type {
+  AccountName,
+  HostName,
+  ServiceName,
+} from "../../../world/common/names.ts";
 import type { ParentCall } from "../../gate/common/gate.ts";
 import type { AccountDirectory } from "../../account/common/account_directory.ts";
+import type { AccountAdmission } from "../../account/common/account_limits.ts";
 import type { GateClient } from "../../gate/common/gate_client.ts";
 import type { MeshHeaders } from "../../gate/common/mesh_headers.ts";
 import type { HostDelays } from "../../placement/common/host_delays.ts";
@@ -41,6 +46,8 @@
   readonly routes: () => HostRoutes | undefined;
   /** Undefined if callers need no key. */
   readonly accounts: () => AccountDirectory | undefined;
+  /** Admits a call that is not nested within the limit of its account. */
+  readonly admitCall: (account: AccountName) => AccountAdmission;
   /** Time since the start of the daemon. */
   readonly uptime: () => Milliseconds;
   readonly limits: () => CallerLimits | undefined;
--- a/src/features/ingress/node/request_refusals.ts
+++ b/src/features/ingress/node/request_refusals.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
-import { createNotRunReply } from "../common/local_reply.ts";
+import { createLimitReply, createNotRunReply } from "../common/local_reply.ts";
 import { type CallEnding, DEFAULT_RETRY_AFTER_MS } from "./call_ending.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 
@@ -17,6 +17,7 @@
     | "not-ready"
     | "unknown-parent"
     | "stale"
+    | "account-limit"
     | "no-memory";
   readonly retryAfter: Milliseconds;
   readonly delay?: Milliseconds;
@@ -61,7 +62,13 @@
     const identity = String(request.headers[headers.requestIdentity]);
     logRefusal(identity, { reason, retryAfter, delay });
     request.resume();
-    reply(request, response, createNotRunReply(message, retryAfter));
+    reply(
+      request,
+      response,
+      reason === "account-limit"
+        ? createLimitReply(retryAfter)
+        : createNotRunReply(message, retryAfter),
+    );
   }
 
   return { logRefusal, refuseWithoutBody };
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -26,6 +26,7 @@
   MAXIMUM_TIMER_MS,
   MONOTONIC_CLOCK,
 } from "../../base/node/system_clock.ts";
+import { createAccountLimits } from "../../features/account/common/account_limits.ts";
 import type { Fleet } from "../../features/fleet/common/fleet.ts";
 import { createFleet } from "../../features/fleet/common/fleet.ts";
 import {
@@ -257,6 +258,29 @@
     rollouts.mergeProgress(status.rollouts);
   }));
 
+  const accountLimits = disposables.add(createAccountLimits({
+    self: location,
+    clock,
+    log,
+    network,
+    random,
+    listHosts() {
+      const reachable = new Set(
+        listAllCoordinators().filter(({ isReachable }) => isReachable).map((
+          { host },
+        ) => host),
+      );
+      return fleet.hosts.map(({ host }) => ({
+        host,
+        isReachable: reachable.has(host),
+      }));
+    },
+  }));
+  disposables.add(
+    state.onConfiguration(({ accounts }) =>
+      accountLimits.setAccounts(accounts)
+    ),
+  );
   const hostDelays = createHostDelays();
   const ingress = createIngress({
     clock,
@@ -269,6 +293,7 @@
     callerService: () => settings.service,
     routes: () => state.routes,
     accounts: () => state.accounts,
+    admitCall: accountLimits.admit,
     uptime: () => clock.now() - startedAt,
     limits: () => state.configuration?.limits,
     candidates: (service) =>
@@ -369,6 +394,7 @@
       ),
     ]);
   const metrics = createMeshMetrics({
+    accountLimits,
     ingress,
     gate,
     network,
--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -11,6 +11,9 @@
   createMetrics,
   type Labels,
 } from "../../features/administration/common/metrics.ts";
+import type {
+  AccountLimits,
+} from "../../features/account/common/account_limits.ts";
 import type { Gate } from "../../features/gate/common/gate.ts";
 import type {
   CallResult,
@@ -29,6 +32,7 @@
 const FAILED: Labels = { result: "failed" };
 
 export interface MeshMetricsSources {
+  readonly accountLimits: Pick<AccountLimits, "usage">;
   readonly ingress: Pick<Ingress, "activeCalls" | "onCallEnded">;
   readonly gate: Pick<
     Gate,
@@ -49,7 +53,8 @@
 }
 
 export function createMeshMetrics(
-  { ingress, gate, network, sync, state, loopDelay }: MeshMetricsSources,
+  { accountLimits, ingress, gate, network, sync, state, loopDelay }:
+    MeshMetricsSources,
 ): MeshMetrics {
   const metrics = createMetrics();
   const calls = metrics.counter(
@@ -147,6 +152,23 @@
   for (const [name, help, read] of gauges) {
     metrics.gauge(`guavarun_${name}`, help, () => [{ value: read() }]);
   }
+  const accountGauges = [
+    ["asked", "Calls that accounts asked for on this host"],
+    ["admitted", "Calls of accounts that this host admitted"],
+    ["refused", "Calls of accounts that this host refused at their limits"],
+    ["limit", "Calls per second of an account on all hosts together"],
+  ] as const;
+  for (const [field, help] of accountGauges) {
+    metrics.gauge(
+      `guavarun_account_${field}`,
+      `${help}; the accounts with most demand, and all others as \"other\"`,
+      () =>
+        accountLimits.usage.map((usage) => ({
+          value: usage[field],
+          labels: { account: usage.account ?? "other" },
+        })),
+    );
+  }
 
   return {
     handle(request, response) {
