--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -254,7 +254,7 @@
     account.granter = process;
     account.reportedAt = now;
     const demand = roundRate(share.demand(now));
-    const admitted = share.takeUnreported(now);
+    const admitted = share.takeUnreported(now, isTakeover);
     return isTakeover
       ? [
         name,
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -85,8 +85,11 @@
   demand(now: Milliseconds): number;
   admit(context: ShareContext): ShareDecision;
   giveBack(): void;
-  /** Returns the calls admitted since the last report and begins the next one. */
-  takeUnreported(now: Milliseconds): number;
+  /**
+   * Returns the calls admitted since the last report and begins the next one. A new granter is also told those of
+   * reports without a response, which the one before has probably not got.
+   */
+  takeUnreported(now: Milliseconds, isTakeover: boolean): number;
   /** Puts calls back whose report could not be sent. */
   restoreUnreported(admitted: number): void;
   applyGrant(grant: ShareGrant): void;
@@ -130,6 +133,7 @@
   let unansweredSince: Milliseconds | undefined;
   let reportedAt: Milliseconds = -Infinity;
   let reportedDemand = 0;
+  let unansweredAdmitted = 0;
   let admittedPart = 0;
   let asked = 0;
   let admitted = 0;
@@ -284,19 +288,21 @@
       whole = takeFromBucket(whole, -1);
       own = source === "free" ? own : takeFromBucket(own, -1);
     },
-    takeUnreported(now) {
+    takeUnreported(now, isTakeover) {
       unansweredSince = now - reportedAt < STREAK_MS
         ? unansweredSince ?? now
         : now;
       reportedAt = now;
       reportedDemand = demand(now);
-      const taken = unreportedAdmitted;
+      const taken = unreportedAdmitted + (isTakeover ? unansweredAdmitted : 0);
+      unansweredAdmitted += unreportedAdmitted;
       unreportedAdmitted = 0;
       hasUnreported = false;
       return taken;
     },
     restoreUnreported(calls) {
       unreportedAdmitted += calls;
+      unansweredAdmitted = Math.max(0, unansweredAdmitted - calls);
       hasUnreported = true;
     },
     applyGrant(next) {
@@ -304,6 +310,7 @@
         grant = next;
         isDisowned = false;
         unansweredSince = undefined;
+        unansweredAdmitted = 0;
         limitedUntil = next.isLimited ? next.sentAt + LEASE_MS : -Infinity;
       }
     },
