Announce a takeover, and size initial calls by the limit

Hosts with a call every few seconds kept to their share until the granter of the moment had answered each of them.

--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -103,9 +103,12 @@
       const part = computeAdmittedPart(account.ledger, limit, hosts());
       account.noticedPart = part;
       queueNotice(name, Math.min(MAXIMUM_LIMITED_PART, roundRate(part)));
-    } else if (!isLimited && wasLimited) {
+    } else if (
+      !isLimited && (wasLimited || isTakeoverUnannounced(account.ledger))
+    ) {
       account.noticedAt = -Infinity;
       queueNotice(name, 1);
+      account.ledger = { ...account.ledger, isTakeoverAnnounced: true };
     }
   }
 
@@ -146,6 +149,13 @@
     }
   }
 
+  /** Daemons that know only the silent granter before are told once this one knows that the account is free. */
+  function isTakeoverUnannounced(
+    { isTakeoverAnnounced, settlesAt }: AccountLedger,
+  ): boolean {
+    return !isTakeoverAnnounced && clock.now() >= settlesAt;
+  }
+
   function isNoticeDue(
     { ledger, noticedAt, noticedPart }: GrantedAccount,
     limit: AccountLimit,
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -73,6 +73,7 @@
   readonly settlesAt: Milliseconds;
   /** When a daemon first reported that comes from another granter. */
   readonly takenOverAt: Milliseconds;
+  readonly isTakeoverAnnounced: boolean;
 }
 
 export interface AccountReport {
@@ -123,6 +124,7 @@
     limitedAt: isEstablished ? undefined : now,
     settlesAt: isEstablished ? now : now + SETTLING_MS,
     takenOverAt: isEstablished ? -Infinity : now,
+    isTakeoverAnnounced: true,
   };
 }
 
@@ -209,6 +211,7 @@
     limitedAt: ledger.limitedAt ?? (takeover.isLimited ? now : undefined),
     settlesAt: now + SETTLING_MS,
     takenOverAt: now,
+    isTakeoverAnnounced: false,
   };
 }
 
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -43,7 +43,7 @@
 const MINIMUM_BUCKET_RATE = 1;
 /** Callers are not told to wait longer, since demand may fall at any time. */
 const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 2_000;
-/** How long an account that this daemon knows as limited without a rate needs until it has one. */
+/** A daemon without a rate for an account has one after this time, from the granter of the moment. */
 const FIRST_RATE_MS: Milliseconds = 300;
 /** Spreads the instants that daemons promise, as a part of the time until then. */
 const RETRY_SPREAD = 0.5;
@@ -166,12 +166,14 @@
       };
   }
 
-  function enterPace(pace: Pace, { hosts, now }: ShareContext): void {
+  function enterPace(pace: Pace, context: ShareContext): void {
+    const { hosts, now } = context;
     if (pace.source === source) {
       return;
     }
     const fraction = random.nextFraction();
-    const initial = chooseInitialCalls(hosts, {
+    const initial = chooseInitialCalls(context.limit, {
+      hosts,
       fraction,
       chance: random.nextFraction(),
     });
@@ -243,9 +245,10 @@
     if (isOwnEmpty || whole.level < 1) {
       const rate = isOwnEmpty ? pace.requestsPerSecond : requestsPerSecond;
       const missing = 1 - (isOwnEmpty ? own.level : whole.level);
-      return rate > 0
-        ? refuse(missing / rate * SECOND_MS, SECOND_MS / rate, now)
-        : refuse(FIRST_RATE_MS, 0, now);
+      // An account that is not known to be limited has room again as soon as a granter responds.
+      return rate === 0 || (isOwnEmpty && now >= limitedUntil)
+        ? refuse(FIRST_RATE_MS, 0, now)
+        : refuse(missing / rate * SECOND_MS, SECOND_MS / rate, now);
     }
     whole = takeFromBucket(whole, 1);
     own = isFree || own.level < 1 ? own : takeFromBucket(own, 1);
--- a/src/features/account/common/fallback_share.ts
+++ b/src/features/account/common/fallback_share.ts
@@ -18,6 +18,11 @@
  * begins at two thirds of it.
  */
 const INITIAL_CALLS = 40;
+/** Larger accounts begin with their burst and with three fifths of what their limit may be exceeded by within 5 s. */
+const INITIAL_EXCESS_PART = 0.6;
+const EXCESS_PART = 0.1;
+const EXCESS_CALLS = 20;
+const EXCESS_WINDOW_SECONDS = 5;
 /**
  * A daemon that has just started may not know the other hosts yet. Taking the whole limit for itself would
  * multiply the limit by the number of daemons that start at once.
@@ -61,8 +66,16 @@
  * fractions of a call keep the sum over many hosts exact on average.
  */
 export function chooseInitialCalls(
-  hosts: number,
-  { fraction, chance }: { readonly fraction: number; readonly chance: number },
+  { requestsPerSecond, burst }: AccountLimit,
+  { hosts, fraction, chance }: {
+    readonly hosts: number;
+    readonly fraction: number;
+    readonly chance: number;
+  },
 ): number {
-  return fraction + (chance < INITIAL_CALLS / hosts ? 1 : 0);
+  const excess =
+    (requestsPerSecond * EXCESS_WINDOW_SECONDS + burst) * EXCESS_PART +
+    EXCESS_CALLS;
+  const calls = Math.max(INITIAL_CALLS, burst + excess * INITIAL_EXCESS_PART);
+  return fraction + (chance < calls / hosts ? 1 : 0);
 }
