--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -163,7 +163,7 @@
       return contacts.isComplete;
     }
     const now = clock.now();
-    return !share.isUnanswered(now) && !contacts.isSilent(host, now) &&
+    return !share.isUnanswered(host, now) && !contacts.isSilent(host, now) &&
       (share.isGranted || isEstablished());
   }
 
@@ -335,7 +335,9 @@
         }
         share.postpone();
       } else if (code === NOT_GRANTER) {
-        share.disown();
+        share.disown(host);
+        contacts.hastenProbes();
+        scheduleReports(EARLY_REPORT_MS);
       } else {
         share.applyGrant({
           requestsPerSecond,
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -18,6 +18,7 @@
 } from "../../../base/common/milliseconds.ts";
 import type { RandomSource } from "../../../base/common/random_source.ts";
 import type { AccountLimit } from "../../../world/common/client_account.ts";
+import type { HostName } from "../../../world/common/names.ts";
 import {
   type AccountBucket,
   refillBucket,
@@ -78,7 +79,7 @@
   /** Whether a granter has responded, and not as one that is no granter of the account. */
   readonly isGranted: boolean;
   /** Whether no granter has responded to the last reports, whichever daemon was asked. */
-  isUnanswered(now: Milliseconds): boolean;
+  isUnanswered(granter: HostName, now: Milliseconds): boolean;
   /** Calls per second under the last grant; 0 if it has expired. */
   heldRate(now: Milliseconds): number;
   isLimited(now: Milliseconds): boolean;
@@ -94,7 +95,7 @@
   restoreUnreported(admitted: number): void;
   applyGrant(grant: ShareGrant): void;
   /** The daemon that was asked is no granter of the account; the last rate is kept. */
-  disown(): void;
+  disown(host: HostName): void;
   /** The daemon that was asked can't decide yet; the next one is asked. */
   postpone(): void;
   /** Applies what all hosts are told: the part of the calls to admit without a rate; 1 if the account is free. */
@@ -129,7 +130,7 @@
   let grant: ShareGrant | undefined;
   let limitedUntil: Milliseconds = -Infinity;
   let nextRoomAt: Milliseconds = -Infinity;
-  let isDisowned = false;
+  let disownedBy: HostName | undefined;
   let unansweredSince: Milliseconds | undefined;
   let reportedAt: Milliseconds = -Infinity;
   let reportedDemand = 0;
@@ -274,10 +275,10 @@
       return hasUnreported;
     },
     get isGranted() {
-      return grant !== undefined && !isDisowned;
+      return grant !== undefined && disownedBy === undefined;
     },
-    isUnanswered: (now) =>
-      isDisowned ||
+    isUnanswered: (granter, now) =>
+      disownedBy === granter ||
       (unansweredSince !== undefined && now - unansweredSince >= SILENT_MS &&
         now - reportedAt < STREAK_MS),
     heldRate,
@@ -311,14 +312,15 @@
     applyGrant(next) {
       if (grant === undefined || next.sentAt >= grant.sentAt) {
         grant = next;
-        isDisowned = false;
+        disownedBy = undefined;
         unansweredSince = undefined;
         unansweredAdmitted = 0;
         limitedUntil = next.isLimited ? next.sentAt + LEASE_MS : -Infinity;
       }
     },
-    disown() {
-      isDisowned = true;
+    disown(host) {
+      disownedBy = host;
+      unansweredSince = undefined;
     },
     postpone() {
       unansweredSince = undefined;
@@ -327,7 +329,7 @@
     applyNotice(part, now) {
       // The granter of the moment has sent it, so it is not silent.
       unansweredSince = undefined;
-      isDisowned = false;
+      disownedBy = undefined;
       admittedPart = part;
       limitedUntil = part < 1 ? now + LEASE_MS : -Infinity;
     },
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -53,6 +53,8 @@
   isSilent(host: HostName, now: Milliseconds): boolean;
   /** Passes a host over that is not ready, until it is asked again. */
   exclude(host: HostName): void;
+  /** Asks passed-over hosts again soon, as another daemon takes one of them for a granter. */
+  hastenProbes(): void;
   /** Returns the reachable hosts that were passed over and that are to be asked again now. */
   takeDueProbes(now: Milliseconds): readonly HostName[];
   /** Forgets what is known of a host that has a new link or has lost its link. */
@@ -179,6 +181,11 @@
       contact.isStarting = true;
       updatedAt = -Infinity;
     },
+    hastenProbes() {
+      for (const contact of contacts.values()) {
+        contact.isStarting ||= contact.isExcluded;
+      }
+    },
     takeDueProbes(now) {
       const due: HostName[] = [];
       for (const [host, contact] of contacts) {
