Keep to a rate in a bucket while the granter is silent, also below one call a second

Hosts with a rate of a fraction of a call went on admitting a part of their calls by chance, and their unused buckets had filled meanwhile.

--- a/src/features/account/common/account_limits_test.ts
+++ b/src/features/account/common/account_limits_test.ts
@@ -124,9 +124,9 @@
     },
     maximumRefused: 0.02,
   },
-  {
-    name: "granter killed at 5 times the usual",
-    limit: 380,
+  ...[380, 60, 20].map((limit): Scenario => ({
+    name: `granter killed at 5 times the usual, limit ${limit}/s`,
+    limit,
     run(fleet, account) {
       multiply(account, 5);
       fleet.run(3_000);
@@ -135,17 +135,17 @@
       fleet.start(granterOf(account), 500);
       fleet.run(6_000);
     },
-  },
-  {
-    name: "granter paused for 3 s at 5 times the usual",
-    limit: 200,
+  })),
+  ...[200, 60, 20].map((limit): Scenario => ({
+    name: `granter paused for 3 s at 5 times the usual, limit ${limit}/s`,
+    limit,
     run(fleet, account) {
       multiply(account, 5);
       fleet.run(3_000);
       fleet.pause(granterOf(account), 3_000);
       fleet.run(10_000);
     },
-  },
+  })),
   {
     name: "domain cut off for 6 s at 5 times the usual",
     limit: 380,
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -104,14 +104,18 @@
   changeLimit(before: AccountLimit, after: AccountLimit): void;
 }
 
-/** What an enforced rate is based on. */
-type PaceSource = "free" | "grant" | "fallback";
+/** How calls are admitted: all, a part by chance, at the rate of the granter, or at the fallback share. */
+type PaceSource = "free" | "part" | "grant" | "fallback";
 
 interface Pace {
   readonly source: PaceSource;
   readonly requestsPerSecond: number;
 }
 
+function usesBucket(source: PaceSource): boolean {
+  return source === "grant" || source === "fallback";
+}
+
 export function createAccountShare(
   limit: AccountLimit,
   { now: createdAt, random }: {
@@ -154,17 +158,17 @@
 
   function choosePace(context: ShareContext): Pace {
     const { now } = context;
-    if (context.isInTouch) {
-      return now < limitedUntil
-        ? { source: "grant", requestsPerSecond: heldRate(now) }
-        : { source: "free", requestsPerSecond: Infinity };
+    const rate = heldRate(now);
+    if (context.isInTouch && now >= limitedUntil) {
+      return { source: "free", requestsPerSecond: Infinity };
     }
-    return heldRate(now) > 0
-      ? { source: "grant", requestsPerSecond: heldRate(now) }
-      : {
-        source: "fallback",
-        requestsPerSecond: computeFallbackRate(context.limit, context.hosts),
-      };
+    if (context.isInTouch && rate < MINIMUM_BUCKET_RATE) {
+      return { source: "part", requestsPerSecond: rate };
+    }
+    return rate > 0 ? { source: "grant", requestsPerSecond: rate } : {
+      source: "fallback",
+      requestsPerSecond: computeFallbackRate(context.limit, context.hosts),
+    };
   }
 
   function enterPace(pace: Pace, context: ShareContext): void {
@@ -181,12 +185,11 @@
     const saved = pace.source === "grant"
       ? pace.requestsPerSecond * INITIAL_MS / SECOND_MS
       : 0;
-    let { level } = own;
-    if (source === "free" && pace.source !== "free") {
-      const isFraction = pace.source === "grant" && now < limitedUntil;
-      level = isFraction ? fraction : initial + saved;
+    // The level is kept from the rate of the granter to the share.
+    if (usesBucket(pace.source) && !usesBucket(source)) {
+      const isLimited = now < limitedUntil;
+      own = { level: isLimited ? fraction : initial + saved, updatedAt: now };
     }
-    own = { level, updatedAt: now };
     source = pace.source;
     nextRoomAt = -Infinity;
   }
@@ -195,15 +198,10 @@
    * Decides by chance on an account whose rate here is a fraction of a call a second: the part admitted on all
    * hosts is then exact on average.
    */
-  function isAdmittedOfFew(
-    { requestsPerSecond }: Pace,
-    now: Milliseconds,
-  ): boolean {
-    if (now >= limitedUntil || requestsPerSecond >= MINIMUM_BUCKET_RATE) {
-      return false;
-    }
-    const part = requestsPerSecond === 0 ? admittedPart : requestsPerSecond /
-      Math.max(reportedDemand, demand(now), requestsPerSecond);
+  function isInPart(rate: number, now: Milliseconds): boolean {
+    const part = rate === 0
+      ? admittedPart
+      : rate / Math.max(reportedDemand, demand(now), rate);
     return random.nextFraction() < part;
   }
 
@@ -233,26 +231,26 @@
     }, now);
     const pace = choosePace(context);
     enterPace(pace, context);
-    const isFree = pace.source === "free";
-    if (!isFree) {
-      const capacity = Math.max(
-        own.level,
-        1,
-        pace.requestsPerSecond * SAVED_MS / SECOND_MS,
-      );
+    if (usesBucket(source)) {
+      const saved = pace.requestsPerSecond * SAVED_MS / SECOND_MS;
+      const capacity = Math.max(own.level, 1, saved);
       own = refillBucket(own, { ...pace, capacity }, now);
     }
-    const isOwnEmpty = !isFree && !isAdmittedOfFew(pace, now) && own.level < 1;
+    const isOwnEmpty = source === "part"
+      ? !isInPart(pace.requestsPerSecond, now)
+      : usesBucket(source) && own.level < 1;
     if (isOwnEmpty || whole.level < 1) {
       const rate = isOwnEmpty ? pace.requestsPerSecond : requestsPerSecond;
-      const missing = 1 - (isOwnEmpty ? own.level : whole.level);
+      const missing = source === "part"
+        ? 1
+        : 1 - (isOwnEmpty ? own.level : whole.level);
       // An account that is not known to be limited has room again as soon as a granter responds.
       return rate === 0 || (isOwnEmpty && now >= limitedUntil)
         ? refuse(FIRST_RATE_MS, 0, now)
         : refuse(missing / rate * SECOND_MS, SECOND_MS / rate, now);
     }
     whole = takeFromBucket(whole, 1);
-    own = isFree || own.level < 1 ? own : takeFromBucket(own, 1);
+    own = usesBucket(source) ? takeFromBucket(own, 1) : own;
     admitted += 1;
     unreportedAdmitted += 1;
     return { type: "admitted" };
@@ -290,7 +288,7 @@
       unreportedAdmitted -= 1;
       hasUnreported = true;
       whole = takeFromBucket(whole, -1);
-      own = source === "free" ? own : takeFromBucket(own, -1);
+      own = usesBucket(source) ? takeFromBucket(own, -1) : own;
     },
     takeUnreported(now, isTakeover) {
       unansweredSince = now - reportedAt < STREAK_MS
