--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -9,25 +9,20 @@
  * @module
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
 import {
   createDisposableStore,
   type Disposable,
 } from "../../../base/common/disposable.ts";
-import type { EventLog } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { SECOND_MS } from "../../../base/common/milliseconds.ts";
-import type { RandomSource } from "../../../base/common/random_source.ts";
+import type { AccountLimit } from "../../../world/common/client_account.ts";
+import type { AccountName, HostName } from "../../../world/common/names.ts";
 import type {
-  AccountLimit,
-  ClientAccount,
-} from "../../../world/common/client_account.ts";
-import type {
-  AccountName,
-  FailureDomainName,
-  HostName,
-} from "../../../world/common/names.ts";
-import type { PeerNetwork } from "../../link/common/peer_network.ts";
+  AccountAdmission,
+  AccountLimits,
+  AccountLimitsOptions,
+  AccountPermit,
+} from "./account_admission.ts";
 import { createAccountGranter } from "./account_granter.ts";
 import {
   ACCOUNT_GRANT_KIND,
@@ -47,9 +42,13 @@
   type ReportRow,
   roundRate,
 } from "./account_messages.ts";
-import { type AccountShare, createAccountShare } from "./account_share.ts";
-import { type AccountUsage, listUsage } from "./account_usage.ts";
-import { createGranterContacts, type KnownHost } from "./granter_contacts.ts";
+import {
+  type AccountShare,
+  createAccountShare,
+  SILENT_MS,
+} from "./account_share.ts";
+import { listUsage } from "./account_usage.ts";
+import { createGranterContacts } from "./granter_contacts.ts";
 
 const REPORT_MS: Milliseconds = 200;
 const EARLY_REPORT_MS: Milliseconds = 50;
@@ -61,42 +60,18 @@
 /** Calls that another granter has let pass count no longer. */
 const TAKEOVER_MS: Milliseconds = 5_000;
 
-export type AccountAdmission =
-  | { readonly type: "admitted"; readonly permit: AccountPermit }
-  | { readonly type: "refused"; readonly retryAfter: Milliseconds };
-
-export interface AccountPermit {
-  /** Gives the permit back: no instance has run the call. */
-  giveBack(): void;
-}
-
-export interface AccountLimits extends Disposable {
-  /** Sets the accounts of the configuration in force; undefined if callers need no key. */
-  setAccounts(
-    accounts: ReadonlyMap<AccountName, ClientAccount> | undefined,
-  ): void;
-  admit(account: AccountName): AccountAdmission;
-  /** The accounts with most demand on this daemon, and all others together. */
-  readonly usage: readonly AccountUsage[];
-}
-
-export interface AccountLimitsOptions {
-  readonly self: {
-    readonly host: HostName;
-    readonly failureDomain: FailureDomainName;
-  };
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly network: PeerNetwork;
-  readonly random: RandomSource;
-  /** This daemon and all known ones. */
-  readonly listHosts: () => readonly KnownHost[];
-}
+export type {
+  AccountAdmission,
+  AccountLimits,
+  AccountLimitsOptions,
+  AccountPermit,
+} from "./account_admission.ts";
 
 interface UsedAccount {
   readonly share: AccountShare;
   /** The process to which the last report was sent. */
   granter: string | undefined;
+  reportedTo: HostName | undefined;
   reportedAt: Milliseconds;
 }
 
@@ -121,6 +96,7 @@
   let limits: ReadonlyMap<AccountName, AccountLimit> = new Map();
   let timer: Disposable | undefined;
   let timerDueAt = Infinity;
+  let silenceTimer: Disposable | undefined;
   let reportedAt = -Infinity;
   let sequence = 0;
 
@@ -150,6 +126,7 @@
       account = {
         share: createAccountShare(limit, { now: clock.now(), random }),
         granter: undefined,
+        reportedTo: undefined,
         reportedAt: -Infinity,
       };
       used.set(name, account);
@@ -252,6 +229,7 @@
     const isTakeover = account.granter !== process &&
       now - account.reportedAt < TAKEOVER_MS;
     account.granter = process;
+    account.reportedTo = host;
     account.reportedAt = now;
     const demand = roundRate(share.demand(now));
     const admitted = share.takeUnreported(now, isTakeover);
@@ -283,6 +261,7 @@
     };
     if (network.send(host, message)) {
       contacts.recordSent(host, sequence, now);
+      silenceTimer ??= clock.schedule(SILENT_MS, reportAgain);
       return;
     }
     contacts.recordUnsent(host, now);
@@ -297,6 +276,26 @@
     return contacts.isComplete || rows.length > 0;
   }
 
+  /** Reports accounts whose granter is silent to the next one; their next calls may be seconds away. */
+  function reportAgain(): void {
+    const now = clock.now();
+    silenceTimer = undefined;
+    contacts.update(now);
+    let awaitsResponse = false;
+    for (const [name, { share, reportedTo }] of used) {
+      if (share.awaitsResponse(now)) {
+        awaitsResponse = true;
+        if (contacts.find(name) !== reportedTo) {
+          share.restoreUnreported(0);
+          scheduleReports(EARLY_REPORT_MS);
+        }
+      }
+    }
+    if (awaitsResponse) {
+      silenceTimer = clock.schedule(REPORT_MS, reportAgain);
+    }
+  }
+
   function handleReport(
     host: HostName,
     rows: readonly ReportRow[],
@@ -399,6 +398,14 @@
   disposables.add(network.onLinkOpened(resetContact));
   disposables.add(network.onLinkClosed(resetContact));
 
+  function stopTimers(): void {
+    timer?.dispose();
+    timer = undefined;
+    timerDueAt = Infinity;
+    silenceTimer?.dispose();
+    silenceTimer = undefined;
+  }
+
   return {
     setAccounts(accounts) {
       const next = new Map<AccountName, AccountLimit>();
@@ -419,9 +426,7 @@
       limits = next;
       granter.applyLimits();
       if (next.size === 0) {
-        timer?.dispose();
-        timer = undefined;
-        timerDueAt = Infinity;
+        stopTimers();
       }
     },
     admit,
@@ -429,7 +434,7 @@
       return listUsage(used, limits, clock.now());
     },
     dispose() {
-      timer?.dispose();
+      stopTimers();
       disposables.dispose();
     },
   };
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -78,6 +78,8 @@
   readonly hasUnreported: boolean;
   /** Whether a granter has responded, and not as one that is no granter of the account. */
   readonly isGranted: boolean;
+  /** Whether the last report is recent and has no response yet. */
+  awaitsResponse(now: Milliseconds): boolean;
   /** Whether no granter has responded to the last reports, whichever daemon was asked. */
   isUnanswered(granter: HostName, now: Milliseconds): boolean;
   /** Calls per second under the last grant; 0 if it has expired. */
@@ -275,6 +277,8 @@
     get isGranted() {
       return grant !== undefined && disownedBy === undefined;
     },
+    awaitsResponse: (now) =>
+      unansweredSince !== undefined && now - reportedAt < STREAK_MS,
     isUnanswered: (granter, now) =>
       disownedBy === granter ||
       (unansweredSince !== undefined && now - unansweredSince >= SILENT_MS &&
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -33,6 +33,7 @@
   readonly unanswered: Map<number, Milliseconds>;
   silentSince: Milliseconds | undefined;
   isExcluded: boolean;
+  hasResponded: boolean;
   probedAt: Milliseconds;
   isStarting: boolean;
 }
@@ -83,6 +84,7 @@
         unanswered: new Map(),
         silentSince: undefined,
         isExcluded: false,
+        hasResponded: false,
         probedAt: -Infinity,
         isStarting: false,
       };
@@ -107,8 +109,10 @@
     for (const { host, isReachable } of listed) {
       const contact = contacts.get(host);
       if (contact !== undefined && !contact.isExcluded) {
+        // One that has never responded may be of an older release.
+        const patience = contact.hasResponded ? EXCLUDED_MS : SILENT_MS;
         contact.isExcluded = contact.silentSince !== undefined &&
-          now - contact.silentSince >= EXCLUDED_MS;
+          now - contact.silentSince >= patience;
       }
       if (!isReachable && host !== self) {
         unreachable.add(host);
@@ -168,6 +172,7 @@
       const [oldest] = contact.unanswered.values();
       contact.silentSince = oldest;
       contact.isExcluded = false;
+      contact.hasResponded = true;
       contact.isStarting = false;
       return sentAt;
     },
