--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -32,21 +32,19 @@
   type AccountNoticeMessage,
   type AccountReportMessage,
   type GrantRow,
-  isAccountGrant,
-  isAccountNotice,
-  isAccountReport,
   LIMITED,
   NOT_GRANTER,
   NOT_READY,
   type NoticeRow,
   type ReportRow,
-  roundRate,
 } from "./account_messages.ts";
+import { listenForAccountMessages } from "./account_message_listener.ts";
 import {
   type AccountShare,
   createAccountShare,
   SILENT_MS,
 } from "./account_share.ts";
+import { createReportRow, type UsedAccount } from "./account_report_row.ts";
 import { listUsage } from "./account_usage.ts";
 import { createGranterContacts } from "./granter_contacts.ts";
 
@@ -57,8 +55,6 @@
 const EARLY_CALLS = 3;
 /** From then on a daemon has seen the reports of all others, and links to them are open. */
 const ESTABLISHED_MS: Milliseconds = 10_000;
-/** Calls that another granter has let pass count no longer. */
-const TAKEOVER_MS: Milliseconds = 5_000;
 
 export type {
   AccountAdmission,
@@ -67,14 +63,6 @@
   AccountPermit,
 } from "./account_admission.ts";
 
-interface UsedAccount {
-  readonly share: AccountShare;
-  /** The process to which the last report was sent. */
-  granter: string | undefined;
-  reportedTo: HostName | undefined;
-  reportedAt: Milliseconds;
-}
-
 const UNLIMITED: AccountAdmission = {
   type: "admitted",
   permit: { giveBack() {} },
@@ -203,7 +191,9 @@
       if (account.share.hasUnreported) {
         const host = contacts.find(name);
         const rows = batches.get(host) ?? [];
-        rows.push(createRow(name, account, host, now));
+        const startedAt = network.findPeer(host)?.process.startedAt;
+        const granter = { host, process: `${host}@${startedAt ?? ""}` };
+        rows.push(createReportRow(name, account, { granter, now }));
         batches.set(host, rows);
       }
     }
@@ -216,34 +206,6 @@
     }
   }
 
-  function createRow(
-    name: AccountName,
-    account: UsedAccount,
-    host: HostName,
-    now: Milliseconds,
-  ): ReportRow {
-    const { share } = account;
-    const process = `${host}@${
-      network.findPeer(host)?.process.startedAt ?? ""
-    }`;
-    const isTakeover = account.granter !== process &&
-      now - account.reportedAt < TAKEOVER_MS;
-    account.granter = process;
-    account.reportedTo = host;
-    account.reportedAt = now;
-    const demand = roundRate(share.demand(now));
-    const admitted = share.takeUnreported(now, isTakeover);
-    return isTakeover
-      ? [
-        name,
-        demand,
-        admitted,
-        roundRate(share.heldRate(now)),
-        Number(share.isLimited(now)),
-      ]
-      : [name, demand, admitted];
-  }
-
   function sendReport(
     host: HostName,
     rows: readonly ReportRow[],
@@ -271,7 +233,7 @@
   }
 
   /** An empty report asks whether this daemon can be a granter. */
-  function isReadyFor({ rows }: AccountReportMessage): boolean {
+  function isReadyFor(rows: readonly ReportRow[]): boolean {
     contacts.update(clock.now());
     return contacts.isComplete || rows.length > 0;
   }
@@ -358,40 +320,26 @@
     }
   }
 
-  disposables.add(network.onMessage(ACCOUNT_REPORT_KIND, (peer, message) => {
-    const { host } = peer.process;
-    if (isAccountReport(message)) {
-      if (!isReadyFor(message)) {
-        return;
+  disposables.add(listenForAccountMessages({
+    network,
+    log,
+    onReport(host, { sequence: number, rows }) {
+      if (isReadyFor(rows)) {
+        const response: AccountGrantMessage = {
+          kind: ACCOUNT_GRANT_KIND,
+          sequence: number,
+          rows: handleReport(host, rows),
+        };
+        network.send(host, response);
       }
-      const response: AccountGrantMessage = {
-        kind: ACCOUNT_GRANT_KIND,
-        sequence: message.sequence,
-        rows: handleReport(host, message.rows),
-      };
-      network.send(host, response);
-    } else {
-      log.write("error", "account.message-unreadable", { peer: host });
-    }
-  }));
-  disposables.add(network.onMessage(ACCOUNT_GRANT_KIND, (peer, message) => {
-    const { host } = peer.process;
-    if (isAccountGrant(message)) {
-      const sentAt = contacts.recordResponse(host, message.sequence);
+    },
+    onGrant(host, { sequence: number, rows }) {
+      const sentAt = contacts.recordResponse(host, number);
       if (sentAt !== undefined) {
-        applyGrants(host, message.rows, sentAt);
+        applyGrants(host, rows, sentAt);
       }
-    } else {
-      log.write("error", "account.message-unreadable", { peer: host });
-    }
-  }));
-  disposables.add(network.onMessage(ACCOUNT_NOTICE_KIND, (peer, message) => {
-    const { host } = peer.process;
-    if (isAccountNotice(message)) {
-      applyNotices(host, message.rows);
-    } else {
-      log.write("error", "account.message-unreadable", { peer: host });
-    }
+    },
+    onNotice: (host, { rows }) => applyNotices(host, rows),
   }));
   const resetContact = (peer: { readonly process: { host: HostName } }) =>
     contacts.reset(peer.process.host);
