--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -145,6 +145,11 @@
     computeFallbackRate(limit, Math.max(1, hosts.known)) * sharing;
 }
 
+/** Each side of a cut has its part of the burst and of the tolerance only. */
+function computeReachablePart({ known, unreachable }: GrantingHosts): number {
+  return 1 - unreachable.size / Math.max(1, known);
+}
+
 /** Brings a ledger to the present: refills the bucket, forgets daemons, limits or frees the account. */
 export function updateLedger(
   ledger: AccountLedger,
@@ -162,8 +167,7 @@
     reporters = kept;
   }
   const requestsPerSecond = computeReachableRate({ reporters }, limit, hosts);
-  // Each side of a cut has its part of the burst and of the tolerance only.
-  const reachablePart = 1 - hosts.unreachable.size / Math.max(1, hosts.known);
+  const reachablePart = computeReachablePart(hosts);
   const bucket = refillBucket(ledger.bucket, {
     requestsPerSecond: requestsPerSecond -
       sumMissingRates(reporters, hosts, now),
@@ -248,8 +252,9 @@
   limit: AccountLimit,
   hosts: GrantingHosts,
 ): number {
-  const surplus = ledger.bucket.level +
-    computeTolerance(limit) * KEPT_DEBT_PART;
+  const keptDebt = computeTolerance(limit) * KEPT_DEBT_PART *
+    computeReachablePart(hosts);
+  const surplus = ledger.bucket.level + keptDebt;
   const correction = ledger.limitedAt === undefined
     ? 0
     : surplus * SECOND_MS / CORRECTION_MS;
