--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -18,6 +18,7 @@
   type AccountLedger,
   computeAdmittedPart,
   computeGrant,
+  computeReachablePart,
   createLedger,
   type GrantingHosts,
   recordGrant,
@@ -202,7 +203,7 @@
     handleReport(host, rows) {
       const now = clock.now();
       const grants: GrantRow[] = [];
-      for (const [name, demand, admitted, heldRate, wasLimited] of rows) {
+      for (const [name, demand, admitted, heldRate, wasLimited, debt] of rows) {
         const limit = limits().get(name);
         if (limit === undefined) {
           continue;
@@ -215,20 +216,23 @@
             host,
             demand,
             admitted,
-            takeover: heldRate === undefined
-              ? undefined
-              : { heldRate, isLimited: wasLimited === 1 },
+            takeover: heldRate === undefined ? undefined : {
+              heldRate,
+              isLimited: wasLimited === 1,
+              debt: (debt ?? 0) * computeReachablePart(hosts()),
+            },
           },
           now,
         );
         update(name, account, limit);
         const grant = computeGrant(account.ledger, host, limit, hosts(), now);
         account.ledger = recordGrant(account.ledger, host, grant);
-        grants.push([
-          name,
-          roundRate(grant.requestsPerSecond),
-          grant.isLimited ? LIMITED : FREE,
-        ]);
+        const rate = roundRate(grant.requestsPerSecond);
+        grants.push(
+          grant.isLimited
+            ? [name, rate, LIMITED, Math.round(grant.debt)]
+            : [name, rate, FREE],
+        );
       }
       scheduleUpdate();
       return grants;
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -83,7 +83,12 @@
   readonly admitted: number;
   /** Present in the first report after another granter. */
   readonly takeover:
-    | { readonly heldRate: number; readonly isLimited: boolean }
+    | {
+      readonly heldRate: number;
+      readonly isLimited: boolean;
+      /** The calls beyond the limit that this side of a cut has to repay. */
+      readonly debt: number;
+    }
     | undefined;
 }
 
@@ -96,6 +101,8 @@
 export interface AccountGrant {
   readonly requestsPerSecond: number;
   readonly isLimited: boolean;
+  /** The calls that have been admitted beyond the limit; the next granter is told. */
+  readonly debt: number;
 }
 
 /** Returns the debt up to which an account is not limited. */
@@ -146,7 +153,9 @@
 }
 
 /** Each side of a cut has its part of the burst and of the tolerance only. */
-function computeReachablePart({ known, unreachable }: GrantingHosts): number {
+export function computeReachablePart(
+  { known, unreachable }: GrantingHosts,
+): number {
   return 1 - unreachable.size / Math.max(1, known);
 }
 
@@ -207,11 +216,11 @@
   if (takeover === undefined || now - ledger.takenOverAt < TAKEOVER_MS) {
     return { ...ledger, reporters, bucket };
   }
-  // What other granters have let pass is not known, so nothing of the burst is left.
+  // What other granters have let pass is known as of their last response only, so nothing of the burst is left.
   return {
     ...ledger,
     reporters,
-    bucket: { ...bucket, level: Math.min(0, bucket.level) },
+    bucket: { ...bucket, level: Math.min(-takeover.debt, bucket.level) },
     limitedAt: ledger.limitedAt ?? (takeover.isLimited ? now : undefined),
     settlesAt: now + SETTLING_MS,
     takenOverAt: now,
@@ -272,13 +281,14 @@
   const { reporters, limitedAt, settlesAt } = ledger;
   const isLimited = limitedAt !== undefined;
   const rate = computeTotalRate(ledger, limit, hosts);
+  const debt = isLimited ? Math.max(0, -ledger.bucket.level) : 0;
   const reporter = reporters.get(host);
   const demand = sumDemand(reporters);
   const proportional = reporter === undefined || demand === 0
     ? 0
     : rate * reporter.demand / demand;
   if (now >= settlesAt) {
-    return { requestsPerSecond: proportional, isLimited };
+    return { requestsPerSecond: proportional, isLimited, debt };
   }
   const share = computeFallbackRate(limit, Math.max(1, hosts.known));
   return {
@@ -287,6 +297,7 @@
       Math.max(share, reporter?.heldRate ?? 0),
     ),
     isLimited,
+    debt,
   };
 }
 
--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -284,7 +284,7 @@
     sentAt: Milliseconds,
   ): void {
     const asked = rows.filter(([name]) => contacts.find(name) === host);
-    for (const [name, requestsPerSecond, code] of asked) {
+    for (const [name, requestsPerSecond, code, debt] of asked) {
       const share = used.get(name)?.share;
       if (share === undefined) {
         continue;
@@ -303,6 +303,7 @@
         share.applyGrant({
           requestsPerSecond,
           isLimited: code === LIMITED,
+          debt: debt ?? 0,
           sentAt,
         });
       }
--- a/src/features/account/common/account_messages.ts
+++ b/src/features/account/common/account_messages.ts
@@ -12,13 +12,18 @@
 export const ACCOUNT_GRANT_KIND = "account-grant";
 export const ACCOUNT_NOTICE_KIND = "account-notice";
 
-/** Account, calls asked for per second, calls admitted; after another granter also the held rate, and 1 if limited. */
+/**
+ * Account, calls asked for per second, calls admitted; after another granter also the held rate, 1 if limited, and
+ * the debt of the account.
+ */
 export type ReportRow =
   | readonly [AccountName, number, number]
-  | readonly [AccountName, number, number, number, number];
+  | readonly [AccountName, number, number, number, number, number];
 
-/** Account, calls per second, and whether the account is limited. */
-export type GrantRow = readonly [AccountName, number, GrantCode];
+/** Account, calls per second, whether the account is limited, and then its debt. */
+export type GrantRow =
+  | readonly [AccountName, number, GrantCode]
+  | readonly [AccountName, number, typeof LIMITED, number];
 
 export type GrantCode =
   | typeof FREE
@@ -69,8 +74,8 @@
     areRows(
       rows,
       (row) =>
-        (row.length === 3 || row.length === 5) && Number(row[1]) >= 0 &&
-        (row.length === 3 || Number(row[3]) >= 0),
+        (row.length === 3 || row.length === 6) && Number(row[1]) >= 0 &&
+        (row.length === 3 || (Number(row[3]) >= 0 && Number(row[5]) >= 0)),
     );
 }
 
@@ -79,9 +84,13 @@
 ): message is AccountGrantMessage {
   const { sequence, rows } = message as Partial<AccountGrantMessage>;
   return Number.isSafeInteger(sequence) &&
-    areRows(rows, (row) =>
-      row.length === 3 && Number(row[1]) >= 0 &&
-      [FREE, LIMITED, NOT_GRANTER, NOT_READY].some((code) => code === row[2]));
+    areRows(
+      rows,
+      (row) =>
+        (row.length === 3 || (row.length === 4 && Number(row[3]) >= 0)) &&
+        Number(row[1]) >= 0 &&
+        [FREE, LIMITED, NOT_GRANTER, NOT_READY].some((code) => code === row[2]),
+    );
 }
 
 export function isAccountNotice(
--- a/src/features/account/common/account_report_row.ts
+++ b/src/features/account/common/account_report_row.ts
@@ -44,6 +44,7 @@
       admitted,
       roundRate(share.heldRate(now)),
       Number(share.isLimited(now)),
+      share.debt(now),
     ]
     : [name, demand, admitted];
 }
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -61,6 +61,8 @@
 export interface ShareGrant {
   readonly requestsPerSecond: number;
   readonly isLimited: boolean;
+  /** The calls that all hosts have admitted beyond the limit. */
+  readonly debt: number;
   /** When the report to which the granter has responded was sent. */
   readonly sentAt: Milliseconds;
 }
@@ -85,6 +87,8 @@
   /** Calls per second under the last grant; 0 if it has expired. */
   heldRate(now: Milliseconds): number;
   isLimited(now: Milliseconds): boolean;
+  /** The debt of the account under the last grant; 0 if it has expired. */
+  debt(now: Milliseconds): number;
   demand(now: Milliseconds): number;
   admit(context: ShareContext): ShareDecision;
   giveBack(): void;
@@ -284,6 +288,8 @@
       (unansweredSince !== undefined && now - unansweredSince >= SILENT_MS &&
         now - reportedAt < STREAK_MS),
     heldRate,
+    debt: (now) =>
+      grant !== undefined && now < grant.sentAt + LEASE_MS ? grant.debt : 0,
     isLimited: (now) => now < limitedUntil,
     demand,
     admit,
--- a/src/features/account/common/single_daemon_test.ts
+++ b/src/features/account/common/single_daemon_test.ts
@@ -68,7 +68,9 @@
 test("unreadable messages are rejected", () => {
   const cases: readonly (readonly [unknown, unknown, boolean])[] = [
     [1, [["press", 1, 2]], true],
-    [1, [["press", 1, 2, 0.5, 1]], true],
+    [1, [["press", 1, 2, 0.5, 1, 40]], true],
+    [1, [["press", 1, 2, 0.5, 1, -40]], false],
+    [1, [["press", 1, 2, 0.5, 1]], false],
     [1, [["press", -1, 2]], false],
     [1, [["press", 1]], false],
     [1, [["press", 1, "2"]], false],
