--- a/src/features/account/common/account_limits_test.ts
+++ b/src/features/account/common/account_limits_test.ts
@@ -169,6 +169,17 @@
       fleet.run(14_000);
     },
   },
+  {
+    name:
+      "granter's domain cut off for 6 s, 8 times the usual begins 1 s later",
+    limit: 60,
+    run(fleet, account) {
+      fleet.cut(domainOf(granterOf(account)), 6_000);
+      fleet.run(1_000);
+      multiply(account, 8);
+      fleet.run(14_000);
+    },
+  },
   {
     name: "domain cut off for 6 s at the usual demand",
     limit: 100,
