--- a/src/features/account/common/single_daemon_test.ts
+++ b/src/features/account/common/single_daemon_test.ts
@@ -46,7 +46,9 @@
     admission.permit.giveBack();
     clock.advance(5);
   }
-  // Giving back twice counts once, so the burst is still bounded.
+  // Giving back twice counts once.
+  assert.equal(limits.usage[0].asked, 200);
+  assert.equal(limits.usage[0].admitted, 0);
   const admitted = Array.from({ length: 60 }, () => limits.admit("press"))
     .filter(({ type }) => type === "admitted");
   assert.ok(admitted.length >= 10 && admitted.length <= 17);
@@ -61,7 +63,8 @@
     );
   assert.ok(instants.length > 40);
   assert.ok(new Set(instants).size > instants.length / 2);
-  assert.ok(Math.max(...instants) <= 3_000);
+  // With 10 calls/s there is room for the tenth caller after a second.
+  assert.ok(Math.max(...instants) >= 1_000 && Math.max(...instants) <= 3_000);
 });
 
 // Guards against a fault of the receiver through a message of another release.
