--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -75,8 +75,13 @@
   | "no-instance"
   | "other-service"
   | "leaving"
+  | "evacuated"
   | "full"
   | "hopeless"
+  /** No capacity in time for an account that has used more than its share; there may be for others. */
+  | "above-share"
+  /** The nested calls of such calls are being refused, so it would fail. Other gates see the same. */
+  | "nested-refused"
   | "unreachable"
   | "instance-refused"
   | "cancelled";
--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -8,7 +8,12 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
-import type { RouteName } from "../../../world/common/names.ts";
+import type { RouteName, ServiceName } from "../../../world/common/names.ts";
+import {
+  type ColdStartRate,
+  createColdStartRate,
+  type KnownColdStartLimit,
+} from "./cold_start_rate.ts";
 import { createFailureRate, type FailureRate } from "./failure_rate.ts";
 import type { GateRequest } from "./gate_call.ts";
 import {
@@ -19,11 +24,14 @@
   createInstanceTracker,
   type InstanceTracker,
 } from "./instance_tracker.ts";
+import { type BrokenExchange, createLearnedLimit } from "./learned_limit.ts";
 import { createMovingAverages } from "./moving_averages.ts";
 import {
   createRelativeServiceTime,
   type RelativeServiceTime,
 } from "./relative_service_time.ts";
+import type { RequestRate } from "./request_rate.ts";
+import { createServiceTimeJump } from "./service_time_jump.ts";
 
 /** The assumed service time before any call has completed. */
 const INITIAL_MEAN_MS: Milliseconds = 50;
@@ -36,6 +44,9 @@
 export interface InstanceCondition {
   readonly tracker: InstanceTracker;
   readonly rateLimit: InstanceRateLimit;
+  readonly coldStart: ColdStartRate;
+  /** The limit that the instance names and the bound of a cold one together; the lower one holds. */
+  readonly requestRate: Omit<RequestRate, "setLimit">;
   readonly relativeServiceTime: RelativeServiceTime;
   readonly failureRate: FailureRate;
   readonly meanServiceTime: Milliseconds;
@@ -60,31 +71,78 @@
   /** Forgets what was measured of the instance before. */
   handleNewInstance(report: InstanceReport, now: Milliseconds): void;
   markUnreachable(now: Milliseconds): void;
+  /** Records an exchange that the instance has reset. */
+  recordReset(
+    exchange: Omit<BrokenExchange, "announced">,
+    now: Milliseconds,
+  ): void;
 }
 
 export function createInstanceCondition(
-  { clock, heartbeatMilliseconds }: {
+  {
+    clock,
+    heartbeatMilliseconds,
+    readColdStartLimit = () => undefined,
+    loopDelay = () => 0,
+    sharesByAccount = () => false,
+  }: {
     readonly clock: Clock;
     readonly heartbeatMilliseconds: Milliseconds;
+    /** How long a response that is read now may have waited. */
+    readonly loopDelay?: () => Milliseconds;
+    readonly readColdStartLimit?: (
+      service: ServiceName,
+    ) => KnownColdStartLimit;
+    readonly sharesByAccount?: () => boolean;
   },
 ): InstanceCondition {
   const tracker = createInstanceTracker();
   const rateLimit = createInstanceRateLimit();
+  const coldStart = createColdStartRate(() =>
+    tracker.instance === undefined
+      ? undefined
+      : readColdStartLimit(tracker.instance.service)
+  );
+  const requestRate: Omit<RequestRate, "setLimit"> = {
+    get limit() {
+      const named = rateLimit.rate.limit;
+      const cold = coldStart.limitAt(clock.now());
+      return named === undefined || cold === undefined
+        ? named ?? cold
+        : Math.min(named, cold);
+    },
+    record(now) {
+      rateLimit.rate.record(now);
+      coldStart.record(now);
+    },
+    timeUntil: (requests, now) =>
+      Math.max(
+        rateLimit.rate.timeUntil(requests, now),
+        coldStart.timeUntil(requests, now),
+      ),
+  };
+  let serviceTimeJump = createServiceTimeJump();
   const serviceTimes = createMovingAverages();
   let meanServiceTime: Milliseconds = INITIAL_MEAN_MS;
   let relativeServiceTime = createRelativeServiceTime();
   let failureRate = createFailureRate();
+  let learnedLimit = createLearnedLimit();
   let lastReportAt = -Infinity;
   let coldUntil: Milliseconds = 0;
   let unreachableUntil = -Infinity;
 
   function limit(): number {
-    return tracker.instance?.slots ?? 0;
+    const announced = tracker.instance?.slots ?? 0;
+    return sharesByAccount()
+      ? learnedLimit.apply(announced, clock.now())
+      : announced;
   }
 
   return {
     tracker,
     rateLimit,
+    coldStart,
+    requestRate,
     get relativeServiceTime() {
       return relativeServiceTime;
     },
@@ -110,10 +168,10 @@
       return limit();
     },
     get capacity() {
-      const { rate } = rateLimit;
-      return rate.limit === undefined
+      const perSecond = requestRate.limit;
+      return perSecond === undefined
         ? limit()
-        : Math.min(limit(), rate.limit * meanServiceTime / 1_000);
+        : Math.min(limit(), perSecond * meanServiceTime / 1_000);
     },
     expectServiceTime: ({ route, meanServiceMilliseconds }, now) =>
       serviceTimes.averageOf(
@@ -128,19 +186,37 @@
         meanServiceMilliseconds,
         now,
       );
+      if (
+        // The response has waited for the event loop of this process.
+        serviceTimeJump.record(
+          duration - loopDelay(),
+          meanServiceMilliseconds,
+        ) &&
+        coldStart.phase(now) === "warm"
+      ) {
+        coldStart.holdUntilReport("slow");
+      }
     },
     recordReport(report, now) {
       lastReportAt = now;
       coldUntil = now + report.coldForMilliseconds;
+      coldStart.recordReport(report.coldForMilliseconds, now);
     },
     handleNewInstance(report, now) {
       unreachableUntil = -Infinity;
       relativeServiceTime = createRelativeServiceTime();
       failureRate = createFailureRate();
+      learnedLimit = createLearnedLimit();
       rateLimit.handleNewInstance(report, now);
+      serviceTimeJump = createServiceTimeJump();
+      coldStart.handleNewInstance(report.coldForMilliseconds, now);
     },
     markUnreachable(now) {
       unreachableUntil = now + UNREACHABLE_MS;
     },
+    recordReset(exchange, now) {
+      const announced = tracker.instance?.slots ?? 0;
+      learnedLimit.recordReset({ ...exchange, announced }, now);
+    },
   };
 }
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -10,8 +10,13 @@
 import {
   decideAdmission,
   estimateQueueWait,
+  type GateLoad,
 } from "../common/admission_decision.ts";
-import { createCallQueue, isDeadlineUnmeetable } from "../common/call_queue.ts";
+import {
+  compareCalls,
+  createCallQueue,
+  isDeadlineUnmeetable,
+} from "../common/call_queue.ts";
 import type { CallHandle } from "../common/gate.ts";
 import type {
   GateOutcome,
@@ -24,13 +29,24 @@
   type GateCall,
 } from "../common/gate_call_state.ts";
 import type { InstanceCondition } from "../common/instance_condition.ts";
+import {
+  createNestedRefusals,
+  NESTED_RETRY_AFTER_MS,
+} from "../common/nested_refusals.ts";
 import { createPriorityLoad } from "../common/priority_load.ts";
+import { createSharedRoom } from "../common/shared_room.ts";
 import { type CallDispatch, runStep } from "./call_dispatch.ts";
 import type { GateOptions } from "./gate_options.ts";
 
+/** An evacuation lasts seconds at least; its calls are served in other failure domains if there are any. */
+const EVACUATED_RETRY_MS: Milliseconds = 1_000;
 /** The interval of the checks for queued calls that can no longer meet their deadline. */
 const SWEEP_INTERVAL_MS: Milliseconds = 40;
 
+function retryAfterOf(reason: RefusalReason): Milliseconds {
+  return reason === "evacuated" ? EVACUATED_RETRY_MS : 0;
+}
+
 export interface CallAdmission extends Disposable {
   /** The number of queued calls. */
   readonly waiting: number;
@@ -38,30 +54,66 @@
     request: GateRequest,
     settle: (outcome: GateOutcome) => void,
   ): CallHandle;
+  /** Records a call that has left the instance. */
+  recordEnd(call: GateCall, now: Milliseconds): void;
+  /** Returns log fields: the slots kept for urgent calls and the accounts that wait; none without accounts. */
+  describeSharing(): {
+    readonly reserved?: number;
+    readonly accountsWaiting?: number;
+  };
   /** Starts queued calls while there is room; called when a slot may be free. */
   startQueued(): void;
   refuseQueued(reason: RefusalReason): void;
   /** Refuses the queued calls that the instance cannot run; they were accepted for the one before it. */
   refuseQueuedForOthers(instance: InstanceReport): void;
-  /** Returns the number of offers refused with the reason `full` since the last call. */
+  /** Returns the number of offers refused for lack of capacity since the last call. */
   takeRefusedCount(): number;
 }
 
 export function createCallAdmission(
-  { clock, log, afterStall }: GateOptions,
+  {
+    clock,
+    log,
+    afterStall,
+    sharesByAccount = () => false,
+    weighAccount,
+    isEvacuated = () => false,
+  }: GateOptions,
   { condition, dispatch }: {
     readonly condition: InstanceCondition;
     readonly dispatch: () => CallDispatch;
   },
 ): CallAdmission {
-  const queue = createCallQueue<GateCall>();
+  const sharedRoom = createSharedRoom(weighAccount);
+  const nestedRefusals = createNestedRefusals();
+  const queue = createCallQueue<GateCall>((calls, now) =>
+    sharesByAccount()
+      ? sharedRoom.shares.createOrder(calls, now)
+      : (left, right) => compareCalls(left, right, now)
+  );
   const priorityLoad = createPriorityLoad();
-  const requestRate = condition.rateLimit.rate;
+  const { requestRate } = condition;
   let sweepTimer: Disposable | undefined;
   let rateTimer: Disposable | undefined;
   let refusedCount = 0;
 
-  function describeLoad(call: GateCall, ahead: number, now: Milliseconds) {
+  function describeLoad(
+    call: GateCall,
+    ahead: number,
+    countAlikeAhead: () => number,
+    now: Milliseconds,
+  ): GateLoad {
+    if (sharesByAccount()) {
+      return sharedRoom.describeLoad(call, {
+        running: dispatch().running,
+        limit: condition.limit,
+        capacity: condition.capacity,
+        ahead,
+        countAlikeAhead,
+        meanMilliseconds: condition.meanServiceTime,
+        rateWait: requestRate.timeUntil(ahead + 1, now),
+      }, now);
+    }
     return {
       limit: condition.limit,
       meanMilliseconds: condition.meanServiceTime,
@@ -84,11 +136,16 @@
     const now = clock.now();
     const unmeetable = queue.removeUnmeetableAfterWait(
       now,
-      (call, ahead) => estimateQueueWait(describeLoad(call, ahead, now)),
+      (call, ahead, alikeAhead) =>
+        estimateQueueWait(describeLoad(call, ahead, () => alikeAhead, now)),
     );
     for (const call of unmeetable) {
       refuse(call, "hopeless", condition.meanServiceTime);
     }
+    if (sharesByAccount()) {
+      // The slots that long calls may use grow when fewer urgent calls arrive.
+      startWaiting();
+    }
     scheduleSweep();
   }
 
@@ -112,25 +169,45 @@
     });
     const refusalReason = findRefusalReason(request);
     if (refusalReason !== undefined) {
-      refuse(call, refusalReason);
+      refuse(call, refusalReason, retryAfterOf(refusalReason));
       return { cancel() {} };
     }
-    const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
+    const isShared = sharesByAccount();
+    if (isShared && nestedRefusals.takeRefusal(request.route, now)) {
+      refuse(call, "nested-refused", NESTED_RETRY_AFTER_MS);
+      return { cancel() {} };
+    }
+    if (isShared) {
+      sharedRoom.recordOffered(call, now);
+    }
+    const ahead = countAhead(call, now);
     const decision = decideAdmission(
       call,
-      describeLoad(call, ahead, now),
+      describeLoad(
+        call,
+        ahead,
+        () => ahead === 0 ? 0 : queue.countAlikeAhead(call, now),
+        now,
+      ),
       now,
     );
     if (decision.type !== "refuse") {
       priorityLoad.record(call, now);
+      if (isShared) {
+        sharedRoom.recordAdmitted(call, now);
+      }
     }
     switch (decision.type) {
       case "refuse":
         refusedCount += 1;
-        refuse(call, "full", decision.retryAfter);
+        refuse(
+          call,
+          isShared ? sharedRoom.recordRefused(call, now) : "full",
+          decision.retryAfter,
+        );
         break;
       case "start":
-        dispatch().start(call);
+        start(call);
         break;
       case "wait":
         queue.enqueue(call);
@@ -144,7 +221,22 @@
     return { cancel: () => cancel(call) };
   }
 
+  /** Counts the queued calls before this one; 0 if it may use a free slot and none of them may. */
+  function countAhead(call: GateCall, now: Milliseconds): number {
+    const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
+    const hasFreeSlot = dispatch().running.size < condition.limit;
+    return ahead > 0 && sharesByAccount() && hasFreeSlot &&
+        mayStart(call, now) &&
+        queue.countAhead(call, now, (other) => mayStart(other, now)) === 0
+      ? 0
+      : ahead;
+  }
+
   function findRefusalReason(request: GateRequest): RefusalReason | undefined {
+    // Before all else, so that the reason tells why the instance gets no calls.
+    if (isEvacuated()) {
+      return "evacuated";
+    }
     const { instance } = condition.tracker;
     if (instance === undefined) {
       return "no-instance";
@@ -168,6 +260,21 @@
     });
   }
 
+  function start(call: GateCall): void {
+    if (sharesByAccount()) {
+      sharedRoom.shares.recordStart(call, clock.now());
+    }
+    dispatch().start(call);
+  }
+
+  function mayStart(call: GateCall, now: Milliseconds): boolean {
+    return !sharesByAccount() ||
+      sharedRoom.mayStart(call, {
+        running: dispatch().running,
+        limit: condition.limit,
+      }, now);
+  }
+
   function startWaiting(): void {
     while (queue.size > 0 && dispatch().running.size < condition.limit) {
       const now = clock.now();
@@ -179,10 +286,11 @@
         scheduleRateWait(rateWait);
         return;
       }
-      const next = queue.dequeue(now);
-      if (next !== undefined) {
-        dispatch().start(next);
+      const next = queue.dequeue(now, (call) => mayStart(call, now));
+      if (next === undefined) {
+        return;
       }
+      start(next);
     }
   }
 
@@ -211,7 +319,7 @@
 
   function refuseQueued(reason: RefusalReason): void {
     for (const call of queue.removeAll()) {
-      refuse(call, reason);
+      refuse(call, reason, retryAfterOf(reason));
     }
   }
 
@@ -239,6 +347,25 @@
       return queue.size;
     },
     offer,
+    recordEnd(call, now) {
+      // Also without accounts: they may have been removed from the configuration since the call started.
+      sharedRoom.shares.recordEnd(call, now - call.startedAt);
+      if (sharesByAccount() && !call.isCancelled) {
+        nestedRefusals.recordRun(
+          call.request.route,
+          call.wasNestedRefused,
+          now,
+        );
+      }
+    },
+    describeSharing() {
+      return sharesByAccount()
+        ? {
+          reserved: sharedRoom.reservedSlots,
+          accountsWaiting: queue.countAccounts(),
+        }
+        : {};
+    },
     startQueued() {
       if (queue.size > 0) {
         afterStall(startWaiting);
--- a/src/features/ingress/node/call_outcomes.ts
+++ b/src/features/ingress/node/call_outcomes.ts
@@ -7,7 +7,11 @@
 import type { HostName } from "../../../world/common/names.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import { createNotRunReply } from "../common/local_reply.ts";
-import { decideNextStep, isCapacityRefusal } from "../common/next_step.ts";
+import {
+  decideNextStep,
+  isCapacityRefusal,
+  isFullForAll,
+} from "../common/next_step.ts";
 import { hasReachedInstance, isSuccess } from "../common/outcome_properties.ts";
 import type { RouteMeasurements } from "../common/route_measurements.ts";
 import type { CallEnding } from "./call_ending.ts";
@@ -33,7 +37,7 @@
 }
 
 export function createCallOutcomes(
-  { clock, log }: Pick<IngressOptions, "clock" | "log">,
+  { clock, log, accounts }: Pick<IngressOptions, "clock" | "log" | "accounts">,
   { measurements, placement, ending, offers }: CallOutcomeParts,
 ): CallOutcomes {
   function handleOutcome(
@@ -54,6 +58,7 @@
       kind: call.route.kind,
       instancesReached: call.instancesReached,
       fullGateCount: call.fullGateCount,
+      protectsParent: call.parent !== undefined && accounts() !== undefined,
       maximumInstances: call.route.maximumInstances,
       mayHaveRun: call.mayHaveRun,
       hasCandidate: () => placement.hasCandidate(call),
@@ -99,7 +104,7 @@
     measurements.recordOutcome(call.route.name, outcome);
     if (isCapacityRefusal(outcome)) {
       call.fullGateCount += 1;
-      if (host !== undefined) {
+      if (host !== undefined && isFullForAll(outcome)) {
         placement.recordFull(call, host);
       }
     }
--- a/src/features/ingress/node/ingress_call.ts
+++ b/src/features/ingress/node/ingress_call.ts
@@ -15,6 +15,7 @@
 } from "../../../world/common/names.ts";
 import type { AccountPermit } from "../../account/common/account_limits.ts";
 import type { CallHandle, ParentCall } from "../../gate/common/gate.ts";
+import type { RetryClass } from "../common/shared_retry_budget.ts";
 import type { VersionPreference } from "../../rollout/common/rollout_registry.ts";
 
 /** An offer of a call to one gate that has no outcome yet. */
@@ -54,3 +55,9 @@
   isEnded: boolean;
   release: () => void;
 }
+
+export function retryClassOf(
+  { rank, parent }: Pick<IngressCall, "rank" | "parent">,
+): RetryClass {
+  return { rank, isNested: parent !== undefined };
+}
