Let hosts that have been unreachable for 30 s hold no share of a limit

A share is held so that both sides of a cut together keep the limit, and cuts are taken to end within 30 s. A host that returns counts at once. A daemon that has not read the hosts for 5 s, because it had no calls, begins the 30 s again, since the host may have been reachable in between.

--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -22,6 +22,14 @@
 const PROBE_MS: Milliseconds = 2_000;
 /** A daemon that has just started is a granter within a second or two. */
 const STARTING_PROBE_MS: Milliseconds = 300;
+/**
+ * A host that has been unreachable for this long is down, not cut off: cuts end sooner. It then holds no share of a
+ * limit, since hosts that are listed but gone for good would take their shares from the others for ever. In a longer
+ * cut, each side uses the whole limit.
+ */
+const GONE_MS: Milliseconds = 30_000;
+/** What happened to a host is not known if the hosts were not read for this long; an idle daemon does not read them. */
+const UNOBSERVED_MS: Milliseconds = 5_000;
 
 export interface KnownHost {
   readonly host: HostName;
@@ -71,9 +79,12 @@
 ): GranterContacts {
   const contacts = new Map<HostName, Contact>();
   const granters = new Map<AccountName, HostName>();
+  let unreachableSince: ReadonlyMap<HostName, Milliseconds> = new Map();
   let candidates: readonly HostName[] = [self];
   let hosts: GrantingHosts = { known: 1, unreachable: new Set() };
   let updatedAt = -Infinity;
+  let isUpdateDue = true;
+  let listedHosts = 1;
   let changedAt = startedAt;
   let isComplete = false;
 
@@ -93,18 +104,40 @@
     return contact;
   }
 
+  /** Returns the hosts that are unreachable, but may still use their shares. */
+  function trackUnreachable(
+    listed: readonly KnownHost[],
+    now: Milliseconds,
+  ): ReadonlySet<HostName> {
+    const lost = listed.filter(({ host, isReachable }) =>
+      !isReachable && host !== self
+    ).map(({ host }) => host);
+    const before = now - updatedAt < UNOBSERVED_MS
+      ? unreachableSince
+      : new Map<HostName, Milliseconds>();
+    unreachableSince = new Map(
+      lost.map((host) => [host, before.get(host) ?? now]),
+    );
+    return new Set(
+      lost.filter((host) => now - unreachableSince.get(host)! < GONE_MS),
+    );
+  }
+
   function update(now: Milliseconds): void {
-    if (now - updatedAt < UPDATE_MS) {
+    if (!isUpdateDue && now - updatedAt < UPDATE_MS) {
       return;
     }
-    updatedAt = now;
+    isUpdateDue = false;
     const listed = listHosts();
-    changedAt = listed.length === hosts.known ? changedAt : now;
+    changedAt = listed.length === listedHosts ? changedAt : now;
+    listedHosts = listed.length;
     isComplete = isHostListComplete(listed.length, {
       uptime: now - startedAt,
       unchangedFor: now - changedAt,
     });
-    const unreachable = new Set<HostName>();
+    const unreachable = trackUnreachable(listed, now);
+    updatedAt = now;
+    let known = listed.length;
     const next: HostName[] = [];
     for (const { host, isReachable } of listed) {
       const contact = contacts.get(host);
@@ -115,14 +148,14 @@
           now - contact.silentSince >= patience;
       }
       if (!isReachable && host !== self) {
-        unreachable.add(host);
+        known -= unreachable.has(host) ? 0 : 1;
         // A host that can be reached again is asked again.
         contacts.delete(host);
       } else if (contact?.isExcluded !== true) {
         next.push(host);
       }
     }
-    hosts = { known: listed.length, unreachable };
+    hosts = { known, unreachable };
     if (
       next.length !== candidates.length ||
       next.some((host, index) => host !== candidates[index])
@@ -184,7 +217,7 @@
       const contact = getContact(host);
       contact.isExcluded = host !== self;
       contact.isStarting = true;
-      updatedAt = -Infinity;
+      isUpdateDue = true;
     },
     hastenProbes() {
       for (const contact of contacts.values()) {
