Do not take a granter for silent while the event loop of its caller was delayed

After a stall of more than 0.5 s, calls may be read before the response of the granter that came during the stall. The silence is now measured as of the time up to which messages have been handled for sure, as the fleet does for overdue heartbeats.

--- a/src/features/account/common/account_admission.ts
+++ b/src/features/account/common/account_admission.ts
@@ -49,6 +49,8 @@
   readonly log: EventLog;
   readonly network: PeerNetwork;
   readonly random: RandomSource;
+  /** How long received messages may have waited for the event loop of this process. */
+  readonly loopDelay: () => Milliseconds;
   /** This daemon and all known ones. */
   readonly listHosts: () => readonly KnownHost[];
 }
--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -169,6 +169,7 @@
         }
         : wrapNetwork(network, pausable),
       random: createRandomSource(seed + startedAt + Number(host.slice(1))),
+      loopDelay: () => 0,
       listHosts: () =>
         clock.now() - startedAt < HOSTS_READ_MS && startedAt > 1_000_000
           ? [{ host, isReachable: true }]
--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -127,7 +127,8 @@
     if (host === self) {
       return contacts.isComplete;
     }
-    const now = clock.now();
+    // Responses that came during a delay of the event loop are handled after it, perhaps after further calls.
+    const now = clock.now() - options.loopDelay();
     return !share.isUnanswered(host, now) && !contacts.isSilent(host, now) &&
       (share.isGranted || isEstablished() || isOlder(host));
   }
--- /dev/null
+++ b/src/features/account/common/loop_delay_test.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { rankByRendezvous } from "../../../base/common/hashing.ts";
+import { createRandomSource } from "../../../base/common/random_source.ts";
+import { createMemoryTransport } from "../../link/common/memory_network.ts";
+import { createAccountLimits } from "./account_limits.ts";
+
+const LATENCY_MS = 4;
+const LEAD_MS = 12_000;
+const STALL_MS = 600;
+const HOSTS = ["h0", "h1"];
+
+/** Returns the refusals of 20 calls that are read after a stall, before the response of the granter. */
+function countRefusalsAfterStall(loopDelay: number): number {
+  const clock = new VirtualClock(1_000_000);
+  const transport = createMemoryTransport({
+    clock,
+    latencyMilliseconds: LATENCY_MS,
+  });
+  let currentDelay = 0;
+  const [granter, caller] = rankByRendezvous("press", HOSTS).map((host) => {
+    const self = { host, failureDomain: "d0", startedAt: 1 };
+    const network = transport.createNetwork({
+      process: self,
+      failureDomain: self.failureDomain,
+    });
+    network.setTargets(
+      HOSTS.map((other) => ({ host: other, address: "", port: 0 })),
+    );
+    const limits = createAccountLimits({
+      self,
+      clock,
+      log: SILENT_LOG,
+      network,
+      random: createRandomSource(1),
+      loopDelay: () => currentDelay,
+      listHosts: () =>
+        HOSTS.map((other) => ({ host: other, isReachable: true })),
+    });
+    const limit = { requestsPerSecond: 40, burst: 20 };
+    limits.setAccounts(
+      new Map([["press", { name: "press", keys: [], limit }]]),
+    );
+    return { host, limits };
+  });
+  clock.advance(LEAD_MS);
+  for (let call = 0; call < 4; call += 1) {
+    caller.limits.admit("press");
+    clock.advance(400);
+  }
+  caller.limits.admit("press");
+  // The report has just been sent when the stall begins; its response is not read before the calls.
+  clock.advance(52);
+  transport.cut(granter.host, caller.host);
+  clock.advance(STALL_MS);
+  currentDelay = loopDelay;
+  const decisions = Array.from(
+    { length: 20 },
+    () => caller.limits.admit("press"),
+  );
+  return decisions.filter(({ type }) => type === "refused").length;
+}
+
+// Guards against refusals below the limit on hosts whose event loop stalls: the response waits in the process.
+test("a granter is not taken for silent while its responses may wait for the event loop", () => {
+  assert.equal(countRefusalsAfterStall(STALL_MS), 0);
+});
+
+test("a granter is taken for silent if the event loop was not delayed", () => {
+  assert.ok(countRefusalsAfterStall(0) > 0);
+});
--- a/src/features/account/common/single_daemon_test.ts
+++ b/src/features/account/common/single_daemon_test.ts
@@ -28,6 +28,7 @@
         failureDomain: self.failureDomain,
       }),
     random: createRandomSource(1),
+    loopDelay: () => 0,
     listHosts: () => [{ host: self.host, isReachable: true }],
   });
   const limit = { requestsPerSecond: 10, burst: 10 };
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -284,6 +284,7 @@
     log,
     network,
     random,
+    loopDelay: () => loopDelay.current,
     listHosts() {
       const reachable = new Set(
         listAllCoordinators().filter(({ isReachable }) => isReachable).map((
