Pass over a granter that has no configuration

A daemon that had not read the configuration responded to reports without grants. Its callers took it for silent, but did not pass it over, since it responded: 22.8 % of an account at its usual demand was refused for as long as that lasted (daemon_start_test.ts, failed before). It now says that it is not ready, as a daemon that does not know all hosts does, and does not respond to the empty reports that ask whether it is.

--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -81,12 +81,14 @@
 }
 
 export function createAccountFleet(
-  { hosts, accounts, seed, oldHosts = [] }: {
+  { hosts, accounts, seed, oldHosts = [], unconfiguredHosts = [] }: {
     readonly hosts: readonly HostName[];
     readonly accounts: readonly FleetAccount[];
     readonly seed: number;
     /** Hosts whose daemons know no account messages. */
     readonly oldHosts?: readonly HostName[];
+    /** Hosts whose daemons have no configuration yet. */
+    readonly unconfiguredHosts?: readonly HostName[];
   },
 ) {
   const clock = new VirtualClock(1_000_000);
@@ -178,7 +180,9 @@
             isReachable: other === host || !isKnownAsLost(host, other),
           })),
     });
-    limits.setAccounts(configured);
+    if (!unconfiguredHosts.includes(host)) {
+      limits.setAccounts(configured);
+    }
     daemons.set(host, {
       limits,
       network,
--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -243,10 +243,15 @@
     }
   }
 
+  /** A daemon without a configuration would respond without grants, and its callers would wait for them. */
+  function canGrant(): boolean {
+    return contacts.isComplete && limits.size > 0;
+  }
+
   /** An empty report asks whether this daemon can be a granter. */
   function isReadyFor(rows: readonly ReportRow[]): boolean {
     contacts.update(clock.now());
-    return contacts.isComplete || rows.length > 0;
+    return canGrant() || rows.length > 0;
   }
 
   /** Reports accounts whose granter is silent to the next one; their next calls may be seconds away. */
@@ -273,7 +278,7 @@
     host: HostName,
     rows: readonly ReportRow[],
   ): readonly GrantRow[] {
-    if (!contacts.isComplete) {
+    if (!canGrant()) {
       return rows.map(([name]) => [name, 0, NOT_READY]);
     }
     const isOwn = ([name]: ReportRow) => contacts.find(name) === self;
--- a/src/features/account/common/account_messages.ts
+++ b/src/features/account/common/account_messages.ts
@@ -34,7 +34,7 @@
 export const LIMITED = 1;
 /** The sender takes another daemon for the granter of the account. */
 export const NOT_GRANTER = 2;
-/** The sender has just started and does not know all hosts yet. */
+/** The sender has just started and does not know all hosts, or no limits, yet. */
 export const NOT_READY = 3;
 
 /** Account, and the part of its calls to admit on hosts without a rate; 1 if the account is free. */
--- a/src/features/account/common/daemon_start_test.ts
+++ b/src/features/account/common/daemon_start_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { rankByRendezvous } from "../../../base/common/hashing.ts";
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import {
   createAccountFleet,
@@ -81,3 +82,27 @@
     assert.ok(Math.max(...excess) <= 1, `${excess} of the allowed excess`);
   });
 }
+
+// Guards against a granter that has no configuration yet, and whose empty responses are taken for silence.
+test("a daemon without a configuration is passed over as a granter", () => {
+  const granter = rankByRendezvous("press", HOSTS)[0];
+  const account: FleetAccount = {
+    name: "press",
+    limit: { requestsPerSecond: 20, burst: 10 },
+    demand: 20 / 1.6,
+    hosts: HOSTS.filter((host) => host !== granter),
+  };
+  const fleet = createAccountFleet({
+    hosts: HOSTS,
+    accounts: [account],
+    seed: 1,
+    unconfiguredHosts: [granter],
+  });
+  fleet.clock.advance(12_000);
+  fleet.run(6_000);
+  fleet.resetCounts();
+  fleet.run(20_000);
+  const { refusedBelowLimit } = fleet.measure("press", account.limit);
+  console.log(`granter without a configuration: ${refusedBelowLimit}`);
+  assert.ok(refusedBelowLimit <= MAXIMUM_REFUSED, `${refusedBelowLimit}`);
+});
