--- /dev/null
+++ b/src/features/account/common/granter_contacts.ts
@@ -0,0 +1,243 @@
+/**
+ * Chooses the granter of each account and tracks which granters respond.
+ *
+ * Load pattern: a granter is killed, paused or cut off, or is of a release that knows no account messages. Its link
+ * may stay open for seconds. A daemon counts it as silent from 0.5 s after a report without a response, and chooses
+ * the next in rendezvous order after 1 s, until it is heard from again or has a new link.
+ *
+ * @module
+ */
+
+import { rankByRendezvous } from "../../../base/common/hashing.ts";
+import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { AccountName, HostName } from "../../../world/common/names.ts";
+import type { GrantingHosts } from "./account_granting.ts";
+import { SILENT_MS } from "./account_share.ts";
+import { countSharingHosts, isHostListComplete } from "./fallback_share.ts";
+
+const EXCLUDED_MS: Milliseconds = 1_000;
+/** A granter that does not respond to this many reports is silent anyway. */
+const MAXIMUM_UNANSWERED = 16;
+const UPDATE_MS: Milliseconds = 100;
+const PROBE_MS: Milliseconds = 2_000;
+/** A daemon that has just started is a granter within a second or two. */
+const STARTING_PROBE_MS: Milliseconds = 300;
+/**
+ * A host that has been unreachable for this long is down, not cut off: cuts end sooner. It then holds no share of a
+ * limit, since hosts that are listed but gone for good would take their shares from the others for ever. In a longer
+ * cut, each side uses the whole limit.
+ */
+const GONE_MS: Milliseconds = 30_000;
+/** What happened to a host is not known if the hosts were not read for this long; an idle daemon does not read them. */
+const UNOBSERVED_MS: Milliseconds = 5_000;
+
+export interface KnownHost {
+  readonly host: HostName;
+  readonly isReachable: boolean;
+}
+
+interface Contact {
+  /** When reports without a response were sent, by sequence number. */
+  readonly unanswered: Map<number, Milliseconds>;
+  silentSince: Milliseconds | undefined;
+  isExcluded: boolean;
+  hasResponded: boolean;
+  probedAt: Milliseconds;
+  isStarting: boolean;
+}
+
+export interface GranterContacts {
+  /** Reads the list of hosts again; called before reports are sent or handled. */
+  update(now: Milliseconds): void;
+  /** Whether the list of hosts can be taken for complete; a daemon is no granter before. */
+  readonly isComplete: boolean;
+  /** Among how many hosts limits are divided without a granter. */
+  readonly sharingHosts: number;
+  readonly hosts: GrantingHosts;
+  find(account: AccountName): HostName;
+  recordSent(host: HostName, sequence: number, now: Milliseconds): void;
+  recordUnsent(host: HostName, now: Milliseconds): void;
+  /** Returns when the report was sent; undefined if it is not known. */
+  recordResponse(host: HostName, sequence: number): Milliseconds | undefined;
+  isSilent(host: HostName, now: Milliseconds): boolean;
+  /** Passes a host over that is not ready, until it is asked again. */
+  exclude(host: HostName): void;
+  /** Asks passed-over hosts again soon, as another daemon takes one of them for a granter. */
+  hastenProbes(): void;
+  /** Returns the reachable hosts that were passed over and that are to be asked again now. */
+  takeDueProbes(now: Milliseconds): readonly HostName[];
+  /** Forgets what is known of a host that has a new link or has lost its link. */
+  reset(host: HostName): void;
+}
+
+export function createGranterContacts(
+  { self, startedAt, listHosts }: {
+    readonly self: HostName;
+    readonly startedAt: Milliseconds;
+    readonly listHosts: () => readonly KnownHost[];
+  },
+): GranterContacts {
+  const contacts = new Map<HostName, Contact>();
+  const granters = new Map<AccountName, HostName>();
+  let unreachableSince: ReadonlyMap<HostName, Milliseconds> = new Map();
+  let candidates: readonly HostName[] = [self];
+  let hosts: GrantingHosts = { known: 1, unreachable: new Set() };
+  let updatedAt = -Infinity;
+  let isUpdateDue = true;
+  let listedHosts = 1;
+  let changedAt = startedAt;
+  let isComplete = false;
+
+  function getContact(host: HostName): Contact {
+    let contact = contacts.get(host);
+    if (contact === undefined) {
+      contact = {
+        unanswered: new Map(),
+        silentSince: undefined,
+        isExcluded: false,
+        hasResponded: false,
+        probedAt: -Infinity,
+        isStarting: false,
+      };
+      contacts.set(host, contact);
+    }
+    return contact;
+  }
+
+  /** Returns the hosts that are unreachable, but may still use their shares. */
+  function trackUnreachable(
+    listed: readonly KnownHost[],
+    now: Milliseconds,
+  ): ReadonlySet<HostName> {
+    const lost = listed.filter(({ host, isReachable }) =>
+      !isReachable && host !== self
+    ).map(({ host }) => host);
+    const before = now - updatedAt < UNOBSERVED_MS
+      ? unreachableSince
+      : new Map<HostName, Milliseconds>();
+    unreachableSince = new Map(
+      lost.map((host) => [host, before.get(host) ?? now]),
+    );
+    return new Set(
+      lost.filter((host) => now - unreachableSince.get(host)! < GONE_MS),
+    );
+  }
+
+  function update(now: Milliseconds): void {
+    if (!isUpdateDue && now - updatedAt < UPDATE_MS) {
+      return;
+    }
+    isUpdateDue = false;
+    const listed = listHosts();
+    changedAt = listed.length === listedHosts ? changedAt : now;
+    listedHosts = listed.length;
+    isComplete = isHostListComplete(listed.length, {
+      uptime: now - startedAt,
+      unchangedFor: now - changedAt,
+    });
+    const unreachable = trackUnreachable(listed, now);
+    updatedAt = now;
+    let known = listed.length;
+    const next: HostName[] = [];
+    for (const { host, isReachable } of listed) {
+      const contact = contacts.get(host);
+      if (contact !== undefined && !contact.isExcluded) {
+        // One that has never responded may be of an older release.
+        const patience = contact.hasResponded ? EXCLUDED_MS : SILENT_MS;
+        contact.isExcluded = contact.silentSince !== undefined &&
+          now - contact.silentSince >= patience;
+      }
+      if (!isReachable && host !== self) {
+        known -= unreachable.has(host) ? 0 : 1;
+        // A host that can be reached again is asked again.
+        contacts.delete(host);
+      } else if (contact?.isExcluded !== true) {
+        next.push(host);
+      }
+    }
+    hosts = { known, unreachable };
+    if (
+      next.length !== candidates.length ||
+      next.some((host, index) => host !== candidates[index])
+    ) {
+      candidates = next;
+      granters.clear();
+    }
+  }
+
+  return {
+    update,
+    get hosts() {
+      return hosts;
+    },
+    get isComplete() {
+      return isComplete;
+    },
+    get sharingHosts() {
+      return countSharingHosts(hosts.known, isComplete);
+    },
+    find(account) {
+      let granter = granters.get(account);
+      if (granter === undefined) {
+        granter = rankByRendezvous(account, candidates)[0] ?? self;
+        granters.set(account, granter);
+      }
+      return granter;
+    },
+    recordSent(host, sequence, now) {
+      const contact = getContact(host);
+      contact.silentSince ??= now;
+      if (contact.unanswered.size < MAXIMUM_UNANSWERED) {
+        contact.unanswered.set(sequence, now);
+      }
+    },
+    recordUnsent(host, now) {
+      getContact(host).silentSince ??= now - SILENT_MS;
+    },
+    recordResponse(host, sequence) {
+      const contact = getContact(host);
+      const sentAt = contact.unanswered.get(sequence);
+      for (const number of [...contact.unanswered.keys()]) {
+        if (number <= sequence) {
+          contact.unanswered.delete(number);
+        }
+      }
+      const [oldest] = contact.unanswered.values();
+      contact.silentSince = oldest;
+      contact.isExcluded = false;
+      contact.hasResponded = true;
+      contact.isStarting = false;
+      return sentAt;
+    },
+    isSilent(host, now) {
+      const silentSince = contacts.get(host)?.silentSince;
+      return silentSince !== undefined && now - silentSince >= SILENT_MS;
+    },
+    exclude(host) {
+      const contact = getContact(host);
+      contact.isExcluded = host !== self;
+      contact.isStarting = true;
+      isUpdateDue = true;
+    },
+    hastenProbes() {
+      for (const contact of contacts.values()) {
+        contact.isStarting ||= contact.isExcluded;
+      }
+    },
+    takeDueProbes(now) {
+      const due: HostName[] = [];
+      for (const [host, contact] of contacts) {
+        const interval = contact.isStarting ? STARTING_PROBE_MS : PROBE_MS;
+        if (
+          contact.isExcluded && now - contact.probedAt >= interval &&
+          !hosts.unreachable.has(host)
+        ) {
+          contact.probedAt = now;
+          due.push(host);
+        }
+      }
+      return due;
+    },
+    reset: (host) => contacts.delete(host),
+  };
+}
--- a/src/programs/node/mesh_metrics_test.ts
+++ b/src/programs/node/mesh_metrics_test.ts
@@ -12,6 +12,7 @@
 test("refusals of the gate are counted by reason, so that missing room is told from other causes", async (context) => {
   const refused = createEmitter<RefusalReason>();
   const metrics = createMeshMetrics({
+    accountLimits: { usage: [] },
     ingress: {
       activeCalls: 0,
       onCallEnded: createEmitter<EndedCall>().event,
