--- a/soak/guarantee_check.ts
+++ b/soak/guarantee_check.ts
@@ -46,7 +46,9 @@
     );
 }
 
-function checkRuns({ calls, runs, serviceOf }: Observations): Violation[] {
+function checkRuns(
+  { calls, runs, serviceOf, accountOf }: Observations,
+): Violation[] {
   const violations: Violation[] = [];
   const callsByIdentity = new Map(calls.map((call) => [call.identity, call]));
   for (const [identity, runsOfCall] of groupRunsByCall(runs)) {
@@ -74,7 +76,16 @@
         ),
       );
     }
-    for (const { callerService } of runsOfCall) {
+    for (const { callerService, account, hasKey } of runsOfCall) {
+      if (account !== accountOf(identity) || hasKey) {
+        violations.push(
+          createCallViolation(
+            "client-account",
+            call,
+            `${account ?? "none"}${hasKey ? ", with the key" : ""}`,
+          ),
+        );
+      }
       if (callerService !== serviceOf(call.host)) {
         violations.push(
           createCallViolation("caller-service", call, callerService),
--- a/soak/guarantee_check_test.ts
+++ b/soak/guarantee_check_test.ts
@@ -47,6 +47,8 @@
   endedAt: 10_040,
   outcome: "answered",
   callerService: "booking",
+  account: "press",
+  hasKey: false,
 };
 
 const NAMED_LIMIT = {
@@ -75,6 +77,7 @@
     unexpectedExits: [],
     peakMemoryMegabytes: 100,
     serviceOf: () => "booking",
+    accountOf: () => "press",
     ...fields,
     disruptions: [...fields.disruptions ?? [], LAST_DISRUPTION],
     calls: [...fields.calls ?? [], RECOVERED],
@@ -138,6 +141,19 @@
     },
     violated: "caller-service",
   },
+  {
+    name: "a run for the account of another caller",
+    observations: {
+      calls: [call({})],
+      runs: [{ ...run, account: "county" }],
+    },
+    violated: "client-account",
+  },
+  {
+    name: "a run whose instance got the key of the client",
+    observations: { calls: [call({})], runs: [{ ...run, hasKey: true }] },
+    violated: "client-account",
+  },
   {
     name: "a response more than half a second after the route timeout",
     observations: { calls: [call({ endedAt: 11_600 })] },
--- a/soak/observations.ts
+++ b/soak/observations.ts
@@ -48,6 +48,10 @@
   /** Before the response, the daemon (`cut`) or the instance (`broke-off`) ended the connection. */
   readonly outcome: "running" | "answered" | "cut" | "broke-off";
   readonly callerService: string;
+  /** The account that the instance was told; undefined if none. */
+  readonly account: string | undefined;
+  /** Whether the key of the client reached the instance. */
+  readonly hasKey: boolean;
 }
 
 /** A signal to the daemon of a host. */
@@ -104,6 +108,8 @@
   /** The highest peak resident memory of any daemon. */
   readonly peakMemoryMegabytes: number;
   readonly serviceOf: (host: string) => string;
+  /** Returns the account of a call; undefined in a run without accounts. */
+  readonly accountOf: (callIdentity: string) => string | undefined;
 }
 
 export interface Violation {
@@ -113,6 +119,7 @@
     | "true-refusal"
     | "known-call"
     | "caller-service"
+    | "client-account"
     | "final-in-time"
     | "newest-configuration"
     | "no-older-configuration"
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -32,6 +32,7 @@
 } from "./observations.ts";
 import { checkGuarantees } from "./guarantee_check.ts";
 import { type Callers, startCallers } from "./soak_callers.ts";
+import { findAccount, usesAccounts } from "./soak_accounts.ts";
 import { createSoakConfiguration } from "./soak_configuration.ts";
 import { createSoakHost, type SoakHost } from "./soak_host.ts";
 
@@ -92,6 +93,7 @@
   const limitedHosts = new Set<string>();
   const disruptions: Disruption[] = [];
   const stops: ObservedSignal[] = [];
+  const hasAccounts = usesAccounts(options.seed);
   const reloads: ObservedSignal[] = [];
   const unexpectedExits: UnexpectedExit[] = [];
   const openDisruptions = new Set<Promise<void>>();
@@ -135,7 +137,11 @@
 
   function publish(): void {
     const number = configurations.length + 1;
-    store.write("keyed.op", "config", createSoakConfiguration(number));
+    store.write(
+      "keyed.op",
+      "config",
+      createSoakConfiguration(number, { hasAccounts }),
+    );
     configurations.push({ number, acceptedAt: now() });
   }
 
@@ -163,6 +169,7 @@
     hosts,
     random: createRandomSource(options.seed + 1),
     callsPerSecond: options.callsPerSecond,
+    hasAccounts,
     now,
     newestConfiguration: () => configurations.length,
     observerDelay: () => maximumLoopDelay,
@@ -389,6 +396,8 @@
     unexpectedExits,
     peakMemoryMegabytes,
     serviceOf: (name) => hosts.find((host) => host.name === name)!.service,
+    accountOf: (identity) =>
+      hasAccounts ? findAccount(identity).name : undefined,
   }, DEPLOYED_BOUNDS);
   writeFileSync(
     join(options.folder, "run.json"),
--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -12,6 +12,7 @@
 import type { RandomSource } from "../src/base/common/random_source.ts";
 import { type CallerConnection, openConnection } from "./caller_connection.ts";
 import type { CallKind, ObservedCall } from "./observations.ts";
+import { findAccount } from "./soak_accounts.ts";
 import type { SoakHost } from "./soak_host.ts";
 
 const MINIMUM_DEADLINE_MS: Milliseconds = 800;
@@ -40,6 +41,8 @@
   readonly hosts: readonly SoakHost[];
   readonly random: RandomSource;
   readonly callsPerSecond: number;
+  /** Whether clients present the keys of accounts. */
+  readonly hasAccounts: boolean;
   readonly now: () => Milliseconds;
   /** The number of the newest configuration that the store accepted. */
   readonly newestConfiguration: () => number;
@@ -67,6 +70,8 @@
   readonly bodyBytes?: number;
   readonly routeTimeout?: Milliseconds;
   readonly routeNumber?: number;
+  /** The key of a client account; nested calls have none. */
+  readonly key?: string;
 }
 
 const ROUTES: readonly (
@@ -122,9 +127,11 @@
   function drawCall(): PlannedCall {
     sentCalls += 1;
     const route = drawRoute();
+    const identity = sentCalls.toString(16).padStart(16, "0");
     return {
       ...route,
-      identity: sentCalls.toString(16).padStart(16, "0"),
+      identity,
+      key: options.hasAccounts ? findAccount(identity).api_keys[0] : undefined,
       deadline: route.routeTimeout ?? Math.round(
         MINIMUM_DEADLINE_MS +
           random.nextFraction() * (MAXIMUM_DEADLINE_MS - MINIMUM_DEADLINE_MS),
@@ -230,13 +237,14 @@
 }
 
 function formatRequest(
-  { identity, path, deadline, bodyBytes }: PlannedCall,
+  { identity, path, deadline, bodyBytes, key }: PlannedCall,
 ): Buffer {
   const head = [
     `${bodyBytes === undefined ? "GET" : "POST"} ${path} HTTP/1.1`,
     `host: ${FIXTURE_HOST}`,
     `x-attempt-id: ${identity}`,
     `x-deadline-ms: ${deadline}`,
+    ...(key === undefined ? [] : [`api-key: ${key}`]),
     ...(bodyBytes === undefined ? [] : [`content-length: ${bodyBytes}`]),
   ].join("\r\n");
   return Buffer.concat([
--- a/soak/soak_configuration.ts
+++ b/soak/soak_configuration.ts
@@ -8,15 +8,19 @@
   configurationDocument,
   type RouteOptions,
 } from "../platform/stand_in/mesh_fixture.ts";
+import { SOAK_ACCOUNTS } from "./soak_accounts.ts";
 import { SLOW_ROUTE_TIMEOUT_MS } from "./soak_callers.ts";
 
 /** Each configuration adds a numbered route and keeps that of the previous one. */
-export function createSoakConfiguration(number: number): unknown {
+export function createSoakConfiguration(
+  number: number,
+  { hasAccounts }: { readonly hasAccounts: boolean },
+): unknown {
   const numbered = (each: number): RouteOptions => ({
     prefix: `/epoch-${each}/`,
     service: each % 2 === 0 ? "booking" : "dispatch",
   });
-  return configurationDocument(number, [
+  const document = configurationDocument(number, [
     { prefix: "/lookup/", service: "booking" },
     { prefix: "/reserve/", service: "booking", kind: "unsafe", rank: 0 },
     { prefix: "/photo/", service: "dispatch", kind: "upload", rank: 0 },
@@ -29,5 +33,6 @@
     { prefix: "/peek/", service: "dispatch" },
     numbered(number),
     ...(number > 1 ? [numbered(number - 1)] : []),
-  ]);
+  ]) as object;
+  return hasAccounts ? { ...document, tenants: SOAK_ACCOUNTS } : document;
 }
--- a/soak/soak_host.ts
+++ b/soak/soak_host.ts
@@ -170,6 +170,8 @@
       endedAt: Infinity,
       outcome: "running",
       callerService: String(incoming.headers["x-caller-service"]),
+      account: incoming.headers["x-tenant"]?.toString(),
+      hasKey: incoming.headers["api-key"] !== undefined,
     };
     options.onRun(run);
     const finish = (outcome: ObservedRun["outcome"]) => {
