--- a/soak/observations.ts
+++ b/soak/observations.ts
@@ -48,7 +48,7 @@
   /** Before the response, the daemon (`cut`) or the instance (`broke-off`) ended the connection. */
   readonly outcome: "running" | "answered" | "cut" | "broke-off";
   readonly callerService: string;
-  /** The account that the instance was told; undefined if none. */
+  /** The account that the request to the instance names; undefined if none. */
   readonly account: string | undefined;
   /** Whether the key of the client reached the instance. */
   readonly hasKey: boolean;
--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -52,7 +52,7 @@
 
 interface Count {
   readonly perStep: number[];
-  /** Level of a bucket with the limit: what it contains is owed. */
+  /** Level of a bucket with the limit: what it contains may be admitted. */
   reference: number;
   asked: number;
   owed: number;
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -41,7 +41,7 @@
 const REACTION_MS: Milliseconds = 200;
 /** Keeps an account from being limited and freed with each report. */
 const MINIMUM_LIMITED_MS: Milliseconds = 1_000;
-/** An account is not freed above this part of its limit, since it would be limited again at once. */
+/** An account is not freed above this part of its limit, since it would be limited again immediately. */
 const FREE_DEMAND_PART = 0.95;
 /** Debt that random arrival times explain. It is a quarter of what a limit may be exceeded by within 5 s. */
 const TOLERANCE_CALLS = 5;
--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -45,6 +45,7 @@
   SILENT_MS,
 } from "./account_share.ts";
 import { createReportRow, type UsedAccount } from "./account_report_row.ts";
+import { collectLimits } from "./limit_collection.ts";
 import { listUsage } from "./account_usage.ts";
 import { createGranterContacts } from "./granter_contacts.ts";
 
@@ -373,12 +374,7 @@
 
   return {
     setAccounts(accounts) {
-      const next = new Map<AccountName, AccountLimit>();
-      for (const { name, limit } of accounts?.values() ?? []) {
-        if (limit !== undefined) {
-          next.set(name, limit);
-        }
-      }
+      const next = collectLimits(accounts);
       for (const [name, { share }] of used) {
         const limit = next.get(name);
         const before = limits.get(name);
--- a/src/features/gate/common/account_shares_test.ts
+++ b/src/features/gate/common/account_shares_test.ts
@@ -156,7 +156,7 @@
     }
     const call = createCall({ identity: "new", rank: 1, objectiveAt: 900 });
     assert.equal(queue.countAhead(call, 0), 4);
-    assert.equal(queue.countAlikeAhead(call, 0), 1);
+    assert.equal(queue.countSamePriorityAhead(call, 0), 1);
     assert.equal(ordered, 2);
   });
 });
--- a/src/features/gate/common/call_queue.ts
+++ b/src/features/gate/common/call_queue.ts
@@ -58,7 +58,7 @@
     estimateWait: (
       call: T,
       ahead: number,
-      alikeAhead: number,
+      samePriorityAhead: number,
     ) => Milliseconds,
   ): T[];
   /**
@@ -67,7 +67,7 @@
    */
   removeInOrder(
     now: Milliseconds,
-    isRemoved: (call: T, ahead: number, alikeAhead: number) => boolean,
+    isRemoved: (call: T, ahead: number, samePriorityAhead: number) => boolean,
   ): T[];
   /** Counts the queued calls that would start before this one, of those that the predicate holds for. */
   countAhead(
@@ -76,7 +76,7 @@
     isCounted?: (other: T) => boolean,
   ): number;
   /** Counts those of them that have the same priority. */
-  countAlikeAhead(call: QueueableCall, now: Milliseconds): number;
+  countSamePriorityAhead(call: QueueableCall, now: Milliseconds): number;
   /** Counts the accounts that have queued calls. */
   countAccounts(): number;
   /** Removes and returns the calls for which the predicate holds. */
@@ -102,26 +102,26 @@
 
   function removeInOrder(
     now: Milliseconds,
-    isRemoved: (call: T, ahead: number, alikeAhead: number) => boolean,
+    isRemoved: (call: T, ahead: number, samePriorityAhead: number) => boolean,
   ): T[] {
     const removed: T[] = [];
     let ahead = 0;
-    let alikeAhead = 0;
+    let samePriorityAhead = 0;
     let previous: T | undefined;
     const inOrder = [...calls.values()].sort(
       createOrder(calls.values(), now),
     );
     for (const call of inOrder) {
       if (previous !== undefined && comparePriority(previous, call) !== 0) {
-        alikeAhead = 0;
+        samePriorityAhead = 0;
       }
       previous = call;
-      if (isRemoved(call, ahead, alikeAhead)) {
+      if (isRemoved(call, ahead, samePriorityAhead)) {
         removed.push(call);
         calls.delete(call.identity);
       } else {
         ahead += 1;
-        alikeAhead += 1;
+        samePriorityAhead += 1;
       }
     }
     return removed;
@@ -174,15 +174,15 @@
     removeUnmeetableAfterWait: (now, estimateWait) =>
       removeInOrder(
         now,
-        (call, ahead, alikeAhead) =>
-          now + estimateWait(call, ahead, alikeAhead) +
+        (call, ahead, samePriorityAhead) =>
+          now + estimateWait(call, ahead, samePriorityAhead) +
               MINIMUM_SERVICE_FRACTION * call.expectedMilliseconds >
             call.deadlineAt,
       ),
     removeInOrder,
     countAhead: (call, now, isCounted = () => true) =>
       countAheadWhere(call, now, isCounted),
-    countAlikeAhead: (call, now) =>
+    countSamePriorityAhead: (call, now) =>
       countAheadWhere(
         call,
         now,
--- a/src/features/gate/common/shared_room.ts
+++ b/src/features/gate/common/shared_room.ts
@@ -27,7 +27,7 @@
   readonly capacity: number;
   readonly ahead: number;
   /** Counts the queued calls of the same priority before this one; needed for restricted calls only. */
-  readonly countAlikeAhead: () => number;
+  readonly countSamePriorityAhead: () => number;
   /** The mean service time of the instance, if no call runs. */
   readonly meanMilliseconds: Milliseconds;
   readonly rateWait: Milliseconds;
@@ -142,7 +142,8 @@
         return load;
       }
       const occupants = listOccupants(call, running);
-      const missing = occupants.length + room.countAlikeAhead() - usable + 1;
+      const missing = occupants.length + room.countSamePriorityAhead() -
+        usable + 1;
       return missing <= 0 ? load : {
         ...load,
         reservedWait: missing *
--- a/src/features/gate/common/shared_room_test.ts
+++ b/src/features/gate/common/shared_room_test.ts
@@ -38,7 +38,7 @@
     limit: SLOTS,
     capacity: SLOTS,
     ahead: 0,
-    countAlikeAhead: () => 0,
+    countSamePriorityAhead: () => 0,
     meanMilliseconds: 70,
     rateWait: 0,
   };
@@ -104,7 +104,7 @@
     const wait = estimateQueueWait(shared.describeLoad(ARCHIVE, room, NOW));
     assert.equal(wait, 476 / 2);
     assert.equal(shared.reservedSlots, 2);
-    const behindOthers = { ...room, ahead: 3, countAlikeAhead: () => 3 };
+    const behindOthers = { ...room, ahead: 3, countSamePriorityAhead: () => 3 };
     assert.equal(
       estimateQueueWait(shared.describeLoad(ARCHIVE, behindOthers, NOW)),
       4 * 476 / 2,
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -101,7 +101,7 @@
   function describeLoad(
     call: GateCall,
     ahead: number,
-    countAlikeAhead: () => number,
+    countSamePriorityAhead: () => number,
     now: Milliseconds,
   ): GateLoad {
     if (sharesByAccount()) {
@@ -110,7 +110,7 @@
         limit: condition.limit,
         capacity: condition.capacity,
         ahead,
-        countAlikeAhead,
+        countSamePriorityAhead,
         meanMilliseconds: condition.currentMeanServiceTime(now),
         rateWait: requestRate.timeUntil(ahead + 1, now),
       }, now);
@@ -137,8 +137,10 @@
     const now = clock.now();
     const unmeetable = queue.removeUnmeetableAfterWait(
       now,
-      (call, ahead, alikeAhead) =>
-        estimateQueueWait(describeLoad(call, ahead, () => alikeAhead, now)),
+      (call, ahead, samePriorityAhead) =>
+        estimateQueueWait(
+          describeLoad(call, ahead, () => samePriorityAhead, now),
+        ),
     );
     for (const call of unmeetable) {
       refuse(call, "hopeless", condition.meanServiceTime);
@@ -157,11 +159,11 @@
   function returnQueued(now: Milliseconds): void {
     const returned = queue.removeInOrder(
       now,
-      (call, ahead, alikeAhead) =>
+      (call, ahead, samePriorityAhead) =>
         call.request.mayBeReturned === true && isReturned({
           waited: now - call.startedAt,
           expectedWait: estimateQueueWait(
-            describeLoad(call, ahead, () => alikeAhead, now),
+            describeLoad(call, ahead, () => samePriorityAhead, now),
           ),
           objective: call.request.objectiveInMilliseconds,
         }),
@@ -210,7 +212,7 @@
     const load = describeLoad(
       call,
       ahead,
-      () => ahead === 0 ? 0 : queue.countAlikeAhead(call, now),
+      () => ahead === 0 ? 0 : queue.countSamePriorityAhead(call, now),
       now,
     );
     const decision = decideAdmission(call, load, now);
