Rank the granters of accounts only where hosts have come or gone

Ruled out by profiles on loopback: the sharing of gates (1.5 %), the messages themselves (6 %).

Now a change costs the accounts of a host that has left, and one hash for each account if one has come: 84.5 hashes a change instead of 7,225 with 85 hosts and accounts (granter_ranking_test, which also compares with the ranking of all hosts). The choice is the same.

--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -8,12 +8,12 @@
  * @module
  */
 
-import { rankByRendezvous } from "../../../base/common/hashing.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountName, HostName } from "../../../world/common/names.ts";
 import type { GrantingHosts } from "./account_granting.ts";
 import { SILENT_MS } from "./account_share.ts";
 import { countSharingHosts, isHostListComplete } from "./fallback_share.ts";
+import { createGranterRanking } from "./granter_ranking.ts";
 
 const EXCLUDED_MS: Milliseconds = 1_000;
 /** A granter that does not respond to this many reports is silent anyway. */
@@ -78,9 +78,10 @@
   },
 ): GranterContacts {
   const contacts = new Map<HostName, Contact>();
-  const granters = new Map<AccountName, HostName>();
+  const ranking = createGranterRanking();
   let unreachableSince: ReadonlyMap<HostName, Milliseconds> = new Map();
   let candidates: readonly HostName[] = [self];
+  ranking.setCandidates(candidates);
   let hosts: GrantingHosts = { known: 1, unreachable: new Set() };
   let updatedAt = -Infinity;
   let isUpdateDue = true;
@@ -161,7 +162,7 @@
       next.some((host, index) => host !== candidates[index])
     ) {
       candidates = next;
-      granters.clear();
+      ranking.setCandidates(next);
     }
   }
 
@@ -176,14 +177,7 @@
     get sharingHosts() {
       return countSharingHosts(hosts.known, isComplete);
     },
-    find(account) {
-      let granter = granters.get(account);
-      if (granter === undefined) {
-        granter = rankByRendezvous(account, candidates)[0] ?? self;
-        granters.set(account, granter);
-      }
-      return granter;
-    },
+    find: (account) => ranking.find(account) ?? self,
     recordSent(host, sequence, now) {
       const contact = getContact(host);
       contact.silentSince ??= now;
