--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -150,7 +150,7 @@
     }
   }
 
-  /** Daemons that know only the silent granter before are told once this one knows that the account is free. */
+  /** A new granter announces a free account, since some daemons only know the silent granter before it. */
   function isTakeoverUnannounced(
     { isTakeoverAnnounced, settlesAt }: AccountLedger,
   ): boolean {
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -101,7 +101,7 @@
 export interface AccountGrant {
   readonly requestsPerSecond: number;
   readonly isLimited: boolean;
-  /** The calls that have been admitted beyond the limit; the next granter is told. */
+  /** The calls admitted beyond the limit; reported to the next granter. */
   readonly debt: number;
 }
 
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -42,7 +42,7 @@
 const STREAK_MS: Milliseconds = 3_000;
 /** Below this rate a bucket would rarely contain a whole call when one arrives. */
 const MINIMUM_BUCKET_RATE = 3;
-/** Callers are not told to wait longer, since demand may fall at any time. */
+/** Bounds the promised delay, since demand may fall at any time. */
 const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 2_000;
 /** A daemon without a rate for an account has one after this time, from the granter of the moment. */
 const FIRST_RATE_MS: Milliseconds = 300;
