Fold orders to evacuate and restore failure domains

Cause: the product's own daemon has no state for the evacuation of a failure domain; only the mesh daemon has one. Ruled out: a key of the change record, whose documents would go past the check of instances, and removing the failure domain from the configuration, which moves its part of the limits (docs/design/evacuation.md). A change that would leave no failure domain in service is refused. Before: no such record.

--- a/src/features/fold/common/change_check.ts
+++ b/src/features/fold/common/change_check.ts
@@ -40,7 +40,7 @@
   }
   const next = replaceObjects(configuration, change, offset);
   return findDanglingReference(next) ?? findAmbiguousRoute(next) ??
-    updateObjectVersions(next, changed, offset);
+    findFullEvacuation(next) ?? updateObjectVersions(next, changed, offset);
 }
 
 /** Sets the version of the changed objects and removes expired tombstones. */
@@ -71,6 +71,8 @@
   switch (key.slice(0, separator)) {
     case "failure-domain":
       return configuration.failureDomains.has(name);
+    case "evacuation":
+      return configuration.evacuations.has(name);
     case "service":
       return configuration.services.has(name);
     case "route":
@@ -250,3 +252,15 @@
   }
   return undefined;
 }
+
+/** Refuses a configuration whose failure domains are all evacuated, since no instance would get a call. */
+export function findFullEvacuation(
+  { failureDomains, evacuations }: Configuration,
+): string | undefined {
+  const isServed = [...failureDomains].some((name) => !evacuations.has(name));
+  return isServed || evacuations.size === 0
+    ? undefined
+    : `failureDomain: of the failure domains ${
+      [...failureDomains].sort().join(", ") || "none"
+    } at least one must not be evacuated`;
+}
--- a/src/features/fold/common/fold.ts
+++ b/src/features/fold/common/fold.ts
@@ -9,7 +9,11 @@
   type Configuration,
   EMPTY_CONFIGURATION,
 } from "../../../world/common/configuration.ts";
-import type { LogEntry, LogRecord } from "../../../world/common/log_record.ts";
+import type {
+  LogEntry,
+  LogRecord,
+  VerdictRecord,
+} from "../../../world/common/log_record.ts";
 import type {
   ChangeIdentity,
   ConfigurationVersion,
@@ -17,6 +21,7 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import { Err, Ok, type Result } from "../../../base/common/result.ts";
 import { applyChange } from "./change_check.ts";
+import { applyEvacuation } from "./evacuation_check.ts";
 import { applyMove, applyVerdict, type RecordMetadata } from "./move_check.ts";
 import { decodeRecord, parseRecord } from "./record_check.ts";
 
@@ -138,12 +143,25 @@
   if (record.kind === "verdict") {
     return applyVerdict(configuration, record, metadata);
   }
-  const next = record.kind === "change"
-    ? applyChange(configuration, record, metadata.offset)
-    : applyMove(configuration, record, metadata);
+  const next = applyPublication(configuration, record, metadata);
   return typeof next === "string" ? refuse(next) : next;
 }
 
+function applyPublication(
+  configuration: Configuration,
+  record: Exclude<LogRecord, VerdictRecord>,
+  metadata: RecordMetadata,
+): Configuration | string {
+  switch (record.kind) {
+    case "change":
+      return applyChange(configuration, record, metadata.offset);
+    case "move":
+      return applyMove(configuration, record, metadata);
+    case "evacuation":
+      return applyEvacuation(configuration, record, metadata);
+  }
+}
+
 function addVerdict(
   verdicts: Map<ChangeIdentity, RecordVerdict>,
   identity: ChangeIdentity,
--- a/src/features/fold/common/record_check.ts
+++ b/src/features/fold/common/record_check.ts
@@ -77,6 +77,12 @@
   reason: valibot.string(),
 });
 
+export const EVACUATION = valibot.strictObject({
+  failureDomain: NAME,
+  startedAt: TIMESTAMP,
+  author: NAME,
+});
+
 const NAMES = valibot.optional(valibot.array(NAME));
 const SCHEMA = valibot.literal(RECORD_SCHEMA_VERSION);
 const RECORD = valibot.variant("kind", [
@@ -117,6 +123,15 @@
     reason: REASON,
     author: NAME,
   }),
+  valibot.strictObject({
+    schema: SCHEMA,
+    kind: valibot.literal("evacuation"),
+    identity: NAME,
+    baseVersion: VERSION,
+    author: NAME,
+    failureDomain: NAME,
+    action: valibot.picklist(["evacuate", "restore"]),
+  }),
 ]);
 
 /** Encodes a record or a snapshot as msgpack. */
--- a/src/features/fold/common/state_codec.ts
+++ b/src/features/fold/common/state_codec.ts
@@ -13,6 +13,7 @@
   CONTRACT,
   decodeRecord,
   encodeRecord,
+  EVACUATION,
   MOVE,
   ROUTE,
   SERVICE,
@@ -37,6 +38,8 @@
       offset: OFFSET,
     }),
   ])),
+  /** Absent without evacuations, so that releases without them read the snapshot and compute the same hash. */
+  evacuations: valibot.optional(valibot.array(EVACUATION)),
 });
 const SNAPSHOT = valibot.strictObject({
   schema: valibot.literal(1),
@@ -112,6 +115,9 @@
     objectVersions: sorted(configuration.objectVersions),
     forgottenVersion: configuration.forgottenVersion,
     verdicts: [...verdicts],
+    ...configuration.evacuations.size > 0
+      ? { evacuations: valuesOf(configuration.evacuations) }
+      : {},
   };
 }
 
@@ -121,6 +127,9 @@
     configuration: {
       version: data.version,
       failureDomains: new Set(data.failureDomains),
+      evacuations: new Map(
+        (data.evacuations ?? []).map((item) => [item.failureDomain, item]),
+      ),
       services: new Map(data.services.map((item) => [item.name, item])),
       routes: new Map(data.routes.map((item) => [item.name, item])),
       contracts: new Map(data.contracts.map((item) => [item.customer, item])),
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -30,8 +30,13 @@
 export { startDaemon } from "./programs/node/daemon.ts";
 export type { Configuration } from "./world/common/configuration.ts";
 export type { Contract, ContractLimits } from "./world/common/contract.ts";
+export type {
+  Evacuation,
+  EvacuationAction,
+} from "./world/common/evacuation.ts";
 export type {
   ChangeRecord,
+  EvacuationRecord,
   LogEntry,
   LogRecord,
   MoveRecord,
--- a/src/world/common/configuration.ts
+++ b/src/world/common/configuration.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Contract } from "./contract.ts";
+import type { Evacuation } from "./evacuation.ts";
 import type { Move } from "./move.ts";
 import {
   type ChangeIdentity,
@@ -21,6 +22,7 @@
 /** Identifies an object of the configuration by kind and name, such as `route:availability`. */
 export type ObjectKey = `${
   | "failure-domain"
+  | "evacuation"
   | "service"
   | "route"
   | "contract"}:${string}`;
@@ -29,6 +31,8 @@
   readonly version: ConfigurationVersion;
   /** The failure domains between which the limits of contracts are divided. */
   readonly failureDomains: ReadonlySet<FailureDomainName>;
+  /** The failure domains whose instances get no calls. */
+  readonly evacuations: ReadonlyMap<FailureDomainName, Evacuation>;
   readonly services: ReadonlyMap<ServiceName, Service>;
   readonly routes: ReadonlyMap<RouteName, Route>;
   readonly contracts: ReadonlyMap<CustomerName, Contract>;
@@ -42,6 +46,7 @@
 export const EMPTY_CONFIGURATION: Configuration = {
   version: NO_VERSION,
   failureDomains: new Set(),
+  evacuations: new Map(),
   services: new Map(),
   routes: new Map(),
   contracts: new Map(),
--- a/src/world/common/log_record.ts
+++ b/src/world/common/log_record.ts
@@ -6,6 +6,7 @@
 
 import type { Milliseconds } from "../../base/common/milliseconds.ts";
 import type { Contract } from "./contract.ts";
+import type { EvacuationAction } from "./evacuation.ts";
 import type {
   ChangeIdentity,
   ConfigurationVersion,
@@ -69,7 +70,22 @@
   readonly author: string;
 }
 
-export type LogRecord = ChangeRecord | MoveRecord | VerdictRecord;
+/** Orders that a failure domain is evacuated, or taken back. */
+export interface EvacuationRecord {
+  readonly schema: typeof RECORD_SCHEMA_VERSION;
+  readonly kind: "evacuation";
+  readonly identity: ChangeIdentity;
+  readonly baseVersion: ConfigurationVersion;
+  readonly author: string;
+  readonly failureDomain: FailureDomainName;
+  readonly action: EvacuationAction;
+}
+
+export type LogRecord =
+  | ChangeRecord
+  | MoveRecord
+  | VerdictRecord
+  | EvacuationRecord;
 
 /** A record as the platform stores it. The bytes are msgpack and have not been validated. */
 export interface LogEntry {
