Place no calls of the product's daemon at evacuated failure domains

Cause: the router and open moves choose among all announced instances. Ruled out: a filter inside the router alone; moves would go on to count instances that get no calls. Change: the router, moves and new tables get a directory without the instances of evacuated failure domains. Before: an evacuated domain would have got its calls.

--- a/src/features/move/common/shift_service.ts
+++ b/src/features/move/common/shift_service.ts
@@ -54,7 +54,10 @@
 
 export interface TrafficShiftOptions {
   readonly self: HostIdentity;
-  readonly directory: Directory;
+  readonly directory: Pick<
+    Directory,
+    "localMembers" | "instances" | "onChanged"
+  >;
   readonly network: PeerNetwork;
   readonly configuration: ConfigurationSource;
   readonly logClient: LogClient;
--- a/src/features/move/common/verdict_writer.ts
+++ b/src/features/move/common/verdict_writer.ts
@@ -49,7 +49,7 @@
 
 export function createVerdictWriter(options: {
   readonly self: HostIdentity;
-  readonly directory: Directory;
+  readonly directory: Pick<Directory, "localMembers">;
   readonly logClient: LogClient;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/src/programs/node/daemon_features.ts
+++ b/src/programs/node/daemon_features.ts
@@ -13,6 +13,11 @@
 import { createClaimClient } from "../../features/claim/common/create_claim_client.ts";
 import type { ConfigurationSource } from "../../features/distribution/common/configuration_source.ts";
 import { createConfigurationSource } from "../../features/distribution/common/create_configuration_source.ts";
+import {
+  createConfiguredEvacuations,
+  createPlacementDirectory,
+} from "../../features/evacuation/common/configured_evacuations.ts";
+import type { EvacuationRegister } from "../../features/evacuation/common/evacuation_register.ts";
 import type { PeerNetwork } from "../../features/link/common/peer_network.ts";
 import type { LogClient } from "../../features/log/common/log_client.ts";
 import { createHttpLogClient } from "../../features/log/node/http_log_client.ts";
@@ -44,6 +49,7 @@
 export interface DaemonFeatures {
   readonly configuration: ConfigurationSource;
   readonly directory: Directory;
+  readonly evacuations: EvacuationRegister;
   readonly isReady: () => boolean;
   readonly logClient: LogClient;
   readonly network: PeerNetwork;
@@ -73,11 +79,27 @@
   const configuration: ConfigurationSource = disposables.add(
     createConfigurationSource({ ...context, directory, logClient }),
   );
+  const evacuations = disposables.add(
+    createConfiguredEvacuations({ configuration, log }),
+  );
+  const placement = disposables.add(
+    createPlacementDirectory(directory, evacuations),
+  );
   const tables = disposables.add(
-    createRoutingTableManager({ source: configuration, directory, clock, log }),
+    createRoutingTableManager({
+      source: configuration,
+      directory: placement,
+      clock,
+      log,
+    }),
   );
   const shift = disposables.add(
-    createTrafficShift({ ...context, directory, configuration, logClient }),
+    createTrafficShift({
+      ...context,
+      directory: placement,
+      configuration,
+      logClient,
+    }),
   );
   const admission = disposables.add(createAdmissionController({
     configuration: () => configuration.current,
@@ -93,13 +115,14 @@
     limits: settings.limits,
     claims: disposables.add(createClaimClient({ ...context, directory })),
     router: disposables.add(
-      createInstanceRouter({ ...context, directory, shift }),
+      createInstanceRouter({ ...context, directory: placement, shift }),
     ),
     shift,
   }));
   return {
     configuration,
     directory,
+    evacuations,
     isReady: () => configuration.isReady && admission.isEstablished,
     logClient,
     network,
--- a/src/programs/node/daemon_metrics.ts
+++ b/src/programs/node/daemon_metrics.ts
@@ -13,7 +13,8 @@
   metrics: Metrics,
   features: DaemonFeatures,
 ): void {
-  const { configuration, directory, network, proxy, shift, tables } = features;
+  const { configuration, directory, evacuations, network, proxy } = features;
+  const { shift, tables } = features;
   const gauge = (name: string, help: string, read: () => number) =>
     metrics.gauge(name, help, () => [{ value: read() }]);
 
@@ -37,6 +38,11 @@
     "Upstream instances that may be given work",
     () => directory.instances.length,
   );
+  gauge(
+    "guavarun_evacuations_active",
+    "Failure domains that are evacuated",
+    () => evacuations.active.size,
+  );
   gauge("guavarun_open_moves", "Open moves", () => shift.openMoves.length);
   gauge("guavarun_links", "Open links", () => network.peers.length);
   metrics.gauge(
