Add evacuations to the administration API

Cause: an operator cannot order an evacuation from the product's daemon. Ruled out: a check of instances in the fold, which has no access to announcements. Change: `POST /evacuations` for a token for all customers, and `GET /evacuations`. A move to a version that only evacuated failure domains announce is refused. The parts that endpoints share are a module of their own.

--- a/src/features/administration/common/change_rights.ts
+++ b/src/features/administration/common/change_rights.ts
@@ -79,6 +79,15 @@
   );
 }
 
+/** Returns the reason why the team may not evacuate or restore a failure domain, which all customers share. */
+export function findMissingEvacuationRight(
+  token: AccessToken,
+): string | undefined {
+  return mayChangeAll(token)
+    ? undefined
+    : `team ${token.team} may not evacuate or restore failure domains; only a token for all customers may`;
+}
+
 interface AffectedNames {
   readonly contracts: readonly CustomerName[];
   readonly routes: readonly RouteName[];
--- a/src/features/administration/common/documents.ts
+++ b/src/features/administration/common/documents.ts
@@ -110,6 +110,14 @@
 
 export type MoveDocument = valibot.InferOutput<typeof moveDocumentSchema>;
 
+/** The document of `POST /evacuations`. */
+export const evacuationDocumentSchema = valibot.strictObject({
+  identity: valibot.optional(identitySchema),
+  baseVersion: baseVersionSchema,
+  failureDomain: nameSchema,
+  action: valibot.picklist(["evacuate", "restore"]),
+});
+
 /** The document of `POST /announcements`. */
 export const announcementSchema = valibot.strictObject({
   service: nameSchema,
--- a/src/features/administration/node/administration.ts
+++ b/src/features/administration/node/administration.ts
@@ -21,10 +21,11 @@
 } from "../common/access_token.ts";
 import type { Metrics } from "../common/metrics.ts";
 import {
-  createEndpoints,
+  createErrorResponse,
   type Endpoint,
   type EndpointResponse,
-} from "./endpoints.ts";
+} from "./endpoint.ts";
+import { createEndpoints } from "./endpoints.ts";
 import { type CheckRecord, createPublisher } from "./publisher.ts";
 
 export interface AdministrationOptions {
@@ -224,10 +225,6 @@
   };
 }
 
-function createErrorResponse(status: number, reason: string): EndpointResponse {
-  return { status, body: { result: "refused", reason } };
-}
-
 function send(response: ServerResponse, result: EndpointResponse): void {
   const headers: Record<string, string> = { "cache-control": "no-store" };
   // The unread rest of a body must not be parsed as the next request.
--- a/src/features/administration/node/administration_test.ts
+++ b/src/features/administration/node/administration_test.ts
@@ -8,7 +8,10 @@
 import { listenHttp } from "../../../base/node/http_server.ts";
 import { decodeMessage } from "../../../base/common/message_codec.ts";
 import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
-import { EMPTY_CONFIGURATION } from "../../../world/common/configuration.ts";
+import {
+  type Configuration,
+  EMPTY_CONFIGURATION,
+} from "../../../world/common/configuration.ts";
 import type { UpstreamAnnouncement } from "../../../world/common/upstream_instance.ts";
 import type { RecordVerdict } from "../../fold/common/fold.ts";
 import {
@@ -79,14 +82,17 @@
   return createHash("sha256").update(text).digest("hex");
 }
 
-async function start(context: TestContext) {
+async function start(
+  context: TestContext,
+  current: Configuration = EMPTY_CONFIGURATION,
+) {
   const platform = new FakePlatform();
   const announced: UpstreamAnnouncement[] = [];
   const subscribeNothing = () => ({ dispose() {} });
   const administration = createAdministration({
     self: SELF,
     configuration: {
-      current: EMPTY_CONFIGURATION,
+      current,
       position: 0,
       isReady: true,
       onChanged: subscribeNothing,
@@ -159,6 +165,7 @@
   slots: 1,
   state: "ready",
 };
+const EVACUATION = { failureDomain: "d", action: "evacuate" };
 const CHANGE_OF_CUSTOMER_B = {
   upsert: {
     contracts: [{
@@ -179,6 +186,10 @@
     ["/moves", move, "read", 403],
     ["/changes", CHANGE_OF_CUSTOMER_B, "a", 403],
     ["/changes", { upsert: { failureDomains: ["x"] } }, "a", 403],
+    ["/evacuations", EVACUATION, "wrong", 401],
+    ["/evacuations", EVACUATION, "read", 403],
+    ["/evacuations", EVACUATION, "a", 403],
+    ["/evacuations", undefined, "wrong", 401],
     ["/announcements", { ...ANNOUNCEMENT, address: "10.0.0.9" }, "", 403],
     ["/members", undefined, "wrong", 401],
     ["/events", undefined, "wrong", 401],
@@ -226,6 +237,34 @@
   assert.equal((await send("/changes/c3")).status, 404);
 });
 
+// Guards against an answer that promises an evacuation which the store does not have.
+test("an order to evacuate reports the certain result or unknown, and a repeat appends nothing", async (context) => {
+  const { platform, send } = await start(context);
+  const order = (identity: string) => ({ identity, ...EVACUATION });
+  const cases: [PlatformFault, object, string, number, number, RegExp][] = [
+    ["refused-connection", order("e1"), "not-run", 503, 0, /safe to repeat/],
+    ["none", order("e1"), "accepted", 200, 1, /d is evacuated as of version 0/],
+    ["none", order("e1"), "accepted", 200, 1, /was accepted before/],
+    ["answer-lost", order("e2"), "accepted", 200, 2, /is evacuated as of/],
+    ["append-lost", order("e3"), "unknown", 504, 2, /outcome of e3 is unknown/],
+    ["none", { ...EVACUATION, baseVersion: 99 }, "not-run", 503, 2, /before/],
+    ["none", { failureDomain: "d" }, "refused", 400, 2, /^undefined$/],
+    ["none", { ...EVACUATION, action: "x" }, "refused", 400, 2, /^undefined$/],
+  ];
+  for (const [fault, body, result, status, records, text] of cases) {
+    platform.fault = fault;
+    const response = await send("/evacuations", body);
+    const label = JSON.stringify([fault, body]);
+    assert.equal(response.body.result, result, label);
+    assert.equal(response.status, status, label);
+    assert.match(String(response.body.description), text, label);
+    assert.equal(platform.records.length, records, label);
+  }
+  assert.equal(platform.records[0].kind, "evacuation");
+  const listed = await send("/evacuations");
+  assert.deepEqual(listed.body.failureDomains, []);
+});
+
 test("a move to an unannounced version or with a past deadline is refused without appending a record", async (context) => {
   const { platform, send } = await start(context);
   const move = (parts: object) => ({
@@ -245,6 +284,21 @@
   assert.equal(platform.records[0].author, "t");
 });
 
+// Guards against a move whose new version gets no calls.
+test("a move to a version that is announced only in an evacuated failure domain is refused", async (context) => {
+  const { platform, send } = await start(context, {
+    ...EMPTY_CONFIGURATION,
+    evacuations: new Map([
+      ["d", { failureDomain: "d", startedAt: 0, author: "t" }],
+    ]),
+  });
+  await send("/announcements", ANNOUNCEMENT);
+  const move = { service: "bib", toVersion: "2", withinMilliseconds: 60_000 };
+  const { body } = await send("/moves", move);
+  assert.match(body.reason, /version 2 of service bib outside evacuated/);
+  assert.equal(platform.records.length, 0);
+});
+
 test("oversized bodies and headers, unknown or malformed paths and wrong methods are rejected", async (context) => {
   const { listener, send } = await start(context);
   const cases: [string, unknown, number][] = [
--- a/src/features/administration/node/endpoints.ts
+++ b/src/features/administration/node/endpoints.ts
@@ -10,18 +10,11 @@
   type MoveRecord,
   RECORD_SCHEMA_VERSION,
 } from "../../../world/common/log_record.ts";
-import { type AccessToken } from "../common/access_token.ts";
 import {
   findMissingChangeRight,
   findMissingMoveRight,
 } from "../common/change_rights.ts";
-import {
-  describeMove,
-  describePublication,
-  describeVerdict,
-  type PublishResult,
-  type PublishStatus,
-} from "../common/descriptions.ts";
+import { describeMove, describeVerdict } from "../common/descriptions.ts";
 import {
   announcementSchema,
   changeDocumentSchema,
@@ -30,43 +23,16 @@
   parseDocument,
 } from "../common/documents.ts";
 import type { AdministrationOptions } from "./administration.ts";
-import type { PublishedRecord, Publisher } from "./publisher.ts";
-
-export interface EndpointRequest {
-  readonly body: Uint8Array;
-  readonly token: AccessToken | undefined;
-  /** The last segment of a path such as `/changes/IDENTITY`. */
-  readonly identity: string;
-  readonly query: URLSearchParams;
-}
-
-export interface EndpointResponse {
-  readonly status: number;
-  readonly body?: unknown;
-  /** Text that is sent instead of a JSON body. */
-  readonly text?: string;
-}
-
-export interface Endpoint {
-  readonly method: "GET" | "POST";
-  /** A path that ends with `/` is followed by an identity. */
-  readonly path: string;
-  /**
-   * `open` requires nothing, `token` a valid token, `publish` a token with the right to publish, `local` a
-   * connection from this host.
-   */
-  readonly access: "open" | "token" | "publish" | "local";
-  handle(
-    request: EndpointRequest,
-  ): EndpointResponse | Promise<EndpointResponse>;
-}
-
-const STATUS_BY_RESULT: Readonly<Record<PublishStatus, number>> = {
-  "accepted": 200,
-  "refused": 409,
-  "unknown": 504,
-  "not-run": 503,
-};
+import {
+  createErrorResponse,
+  createPublishResponse,
+  type Endpoint,
+  type EndpointRequest,
+  type EndpointResponse,
+  type PublishContext,
+} from "./endpoint.ts";
+import { createEvacuationEndpoints } from "./evacuation_endpoints.ts";
+import type { Publisher } from "./publisher.ts";
 
 export function createEndpoints(
   options: AdministrationOptions,
@@ -91,6 +57,7 @@
       access: "local",
       handle: (request) => acceptAnnouncement(request, options),
     },
+    ...createEvacuationEndpoints({ options, publisher }),
     ...createReadEndpoints(options),
   ];
 }
@@ -151,11 +118,6 @@
   ];
 }
 
-interface PublishContext {
-  readonly options: AdministrationOptions;
-  readonly publisher: Publisher;
-}
-
 async function publishChange(
   { body, token }: EndpointRequest,
   { options, publisher }: PublishContext,
@@ -173,15 +135,17 @@
   if (missingRight !== undefined) {
     return createErrorResponse(403, missingRight);
   }
-  return await publishRecord({
-    schema: RECORD_SCHEMA_VERSION,
-    kind: "change",
-    identity: identity ?? `change-${randomUUID()}`,
-    baseVersion: baseVersion ?? current.version,
-    author: token!.team,
-    upsert,
-    remove,
-  }, publisher);
+  return createPublishResponse(
+    await publisher.publish({
+      schema: RECORD_SCHEMA_VERSION,
+      kind: "change",
+      identity: identity ?? `change-${randomUUID()}`,
+      baseVersion: baseVersion ?? current.version,
+      author: token!.team,
+      upsert,
+      remove,
+    }),
+  );
 }
 
 async function publishMove(
@@ -220,7 +184,7 @@
       reason,
     });
   }
-  return await publishRecord(record, publisher);
+  return createPublishResponse(await publisher.publish(record));
 }
 
 function getDeadline(move: MoveDocument, now: Milliseconds): Milliseconds {
@@ -230,32 +194,21 @@
 /** The fold has no access to the announcements, so the daemon that receives the request checks them. */
 function findMoveError(
   { service, toVersion, deadlineAt }: MoveRecord,
-  { directory }: AdministrationOptions,
+  { configuration, directory }: AdministrationOptions,
   now: Milliseconds,
 ): string | undefined {
   if (deadlineAt <= now) {
     return "the deadline is in the past";
   }
+  const { evacuations } = configuration.current;
   const isAnnounced = directory.instances.some((instance) =>
-    instance.service === service && instance.version === toVersion
+    instance.service === service && instance.version === toVersion &&
+    !evacuations.has(instance.failureDomain)
   );
   return isAnnounced
     ? undefined
-    : `no upstream announces version ${toVersion} of service ${service}`;
-}
-
-async function publishRecord(
-  record: PublishedRecord,
-  publisher: Publisher,
-): Promise<EndpointResponse> {
-  return createPublishResponse(await publisher.publish(record));
-}
-
-function createPublishResponse(result: PublishResult): EndpointResponse {
-  return {
-    status: STATUS_BY_RESULT[result.result],
-    body: { ...result, description: describePublication(result) },
-  };
+    : `no upstream announces version ${toVersion} of service ${service}` +
+      (evacuations.size > 0 ? " outside evacuated failure domains" : "");
 }
 
 function acceptAnnouncement(
@@ -339,7 +292,3 @@
     },
   };
 }
-
-function createErrorResponse(status: number, reason: string): EndpointResponse {
-  return { status, body: { result: "refused", reason } };
-}
--- a/src/features/administration/node/publisher.ts
+++ b/src/features/administration/node/publisher.ts
@@ -11,6 +11,7 @@
 import type { Configuration } from "../../../world/common/configuration.ts";
 import type {
   ChangeRecord,
+  EvacuationRecord,
   MoveRecord,
 } from "../../../world/common/log_record.ts";
 import type { ChangeIdentity } from "../../../world/common/names.ts";
@@ -20,7 +21,7 @@
 import type { PublishResult } from "../common/descriptions.ts";
 
 /** A record that an operator publishes. */
-export type PublishedRecord = ChangeRecord | MoveRecord;
+export type PublishedRecord = ChangeRecord | MoveRecord | EvacuationRecord;
 
 /** Returns the reason why the fold would refuse the record now; undefined when it would accept it. */
 export type CheckRecord = (
