Add the commands evacuate and restore, and list failure domains with status

Cause: the administration API for evacuations had no command. Change: `guavarun evacuate DOMAIN`, `guavarun restore DOMAIN`, and `guavarun status` without an identity. Before: no command.

--- a/src/programs/node/command_line.ts
+++ b/src/programs/node/command_line.ts
@@ -18,12 +18,19 @@
   ];
 };
 
+const loadEvacuations: CommandLoader = async () => {
+  const evacuations = await import("./commands/evacuation_commands.ts");
+  return [evacuations.EvacuateCommand, evacuations.RestoreCommand];
+};
+
 const COMMANDS: Readonly<Record<string, CommandLoader>> = {
   daemon: loadServices,
   publish: async () => [
     (await import("./commands/publish_command.ts")).PublishCommand,
   ],
   move: async () => [(await import("./commands/move_command.ts")).MoveCommand],
+  evacuate: loadEvacuations,
+  restore: loadEvacuations,
   status: async () => [
     (await import("./commands/status_command.ts")).StatusCommand,
   ],
--- a/src/programs/node/commands/status_command.ts
+++ b/src/programs/node/commands/status_command.ts
@@ -3,6 +3,7 @@
 import { parseDuration } from "../../common/duration.ts";
 import {
   EXIT_CODES_HELP,
+  EXIT_NOT_RUN,
   EXIT_REFUSED,
   EXIT_SUCCESS,
   EXIT_UNKNOWN,
@@ -12,29 +13,51 @@
 const POLL_MS = 500;
 const FINAL_STATES = ["accepted", "refused", "ignored", "done", "taken-back"];
 
-/** Shows the state of a change or a move. */
+/** Shows the state of a change or a move, or which failure domains are evacuated. */
 export class StatusCommand extends DaemonRequestCommand {
   static override paths = [["status"]];
   static override usage = Command.Usage({
-    description: "show the state of a change or a move",
-    details: EXIT_CODES_HELP,
+    description:
+      "show the state of a change or a move, or the evacuated failure domains",
+    details:
+      "Without CHANGE, lists the failure domains that the daemon knows. " +
+      EXIT_CODES_HELP,
     examples: [
       ["Ask once", "guavarun status change-42"],
+      ["List the failure domains", "guavarun status"],
       ["Wait for the result of a move", "guavarun status move-7 --wait 10m"],
     ],
   });
-  identity = Option.String({ name: "CHANGE" });
+  identity = Option.String({ name: "CHANGE", required: false });
   wait = Option.String("--wait", "0s", {
     description: "how long to wait for a final state",
   });
 
   override async execute(): Promise<number> {
+    return this.identity === undefined
+      ? await this.showFailureDomains()
+      : await this.showPublication(this.identity);
+  }
+
+  private async showFailureDomains(): Promise<number> {
+    const response = await this.request("/evacuations");
+    if (response.err) {
+      const { message: reason } = response.val;
+      this.print({ result: "not-run", reason }, `${reason}.`);
+      return EXIT_NOT_RUN;
+    }
+    const { body, status } = response.val;
+    this.print(body, String(body.description ?? `Refused: ${body.reason}.`));
+    return status === 200 ? EXIT_SUCCESS : EXIT_REFUSED;
+  }
+
+  private async showPublication(identity: string): Promise<number> {
     const maximumWait = parseDuration(this.wait);
     if (maximumWait === undefined) {
       return this.refuseUsage(`--wait ${this.wait} is no duration such as 30s`);
     }
     const endAt = Date.now() + maximumWait;
-    const path = `/moves/${encodeURIComponent(this.identity)}`;
+    const path = `/moves/${encodeURIComponent(identity)}`;
     let response = await this.request(path);
     while (
       Date.now() < endAt && (response.err ||
@@ -45,7 +68,7 @@
       response = await this.request(path);
     }
     if (response.err) {
-      return this.reportError(response.val, this.identity);
+      return this.reportError(response.val, identity);
     }
     const { body } = response.val;
     this.print(body, String(body.description ?? `Refused: ${body.reason}.`));
