Show what a log that comes back from an older copy does to an order

Cause: the store of a drill may come back from a copy some seconds old; what that does to the product's own daemon was not tested. A trial with six processes and a log that came back empty showed restarted daemons that were ready without a configuration. Change: a test only, with a rewind of the log in memory.

--- a/src/features/log/common/memory_log.ts
+++ b/src/features/log/common/memory_log.ts
@@ -59,6 +59,8 @@
     record: Uint8Array,
     now: Milliseconds,
   ): AppendResult;
+  /** Removes the entries from an offset on, like a log that comes back from an older copy of itself. */
+  rewind(stream: StreamName, offset: number): void;
   /** Undefined while the log is down. */
   read(stream: StreamName, range: LogRange): LogPage | undefined;
 }
@@ -112,6 +114,10 @@
           options.random.nextFraction() < faults.lostAnswerShare,
       };
     },
+    rewind(name, offset) {
+      const stream = streams[name];
+      stream.entries.splice(Math.max(0, offset - stream.first));
+    },
     read(name, { from, now, limit = DEFAULT_PAGE_ENTRIES }) {
       if (faults.isDown) {
         return undefined;
