Refuse an evacuation that leaves the target of an open move without instances

Cause: the check of instances looked at the current version of a service only; the version of an open move may become the current one at any time. Found by reading. Change: the check includes the versions of open moves. The list of failure domains says when the daemon has no current configuration. Before: such an order was accepted.

--- a/src/features/administration/common/evacuation_orders.ts
+++ b/src/features/administration/common/evacuation_orders.ts
@@ -12,6 +12,7 @@
   ConfigurationVersion,
   FailureDomainName,
 } from "../../../world/common/names.ts";
+import type { Service } from "../../../world/common/service.ts";
 import type { UpstreamInstance } from "../../../world/common/upstream_instance.ts";
 import { describePublication, type PublishResult } from "./descriptions.ts";
 
@@ -34,11 +35,11 @@
   { failureDomain, action }: Pick<EvacuationRecord, "failureDomain" | "action">,
   { configuration, instances }: KnownState,
 ): string | undefined {
-  const { evacuations, services } = configuration;
+  const { evacuations } = configuration;
   if (action === "restore" || evacuations.has(failureDomain)) {
     return undefined;
   }
-  for (const { name, version } of services.values()) {
+  for (const { name, version } of listRoutedVersions(configuration)) {
     const domains = instances.filter((instance) =>
       instance.service === name && instance.version === version
     ).map((instance) => instance.failureDomain);
@@ -50,7 +51,7 @@
         domains.includes(domain)
       ).sort();
       return `failureDomain: of the failure domains that are not evacuated, only ${failureDomain} has an ` +
-        `instance of service ${name} at its current version ${version} that this daemon knows; ` +
+        `instance of service ${name} at version ${version} that this daemon knows; ` +
         `start one in another failure domain first` +
         (restorable.length > 0
           ? `, or restore ${restorable.join(" or ")}`
@@ -60,6 +61,16 @@
   return undefined;
 }
 
+/** Lists the version of each service that gets calls, and the one to which an open move leads. */
+function listRoutedVersions(
+  { services, moves }: Configuration,
+): readonly Service[] {
+  const targets = [...moves.values()]
+    .filter(({ outcome }) => outcome === "open")
+    .map(({ service, toVersion }) => ({ name: service, version: toVersion }));
+  return [...services.values(), ...targets];
+}
+
 /** Describes the outcome of an order to its operator. */
 export function describeOrder(
   { failureDomain, action, identity }: EvacuationRecord,
@@ -113,11 +124,14 @@
 /** Describes failure domains, one on each line. */
 export function describeFailureDomains(
   domains: readonly FailureDomainStatus[],
+  isCurrent: boolean,
 ): string {
-  if (domains.length === 0) {
-    return "This daemon knows no failure domain.";
+  if (!isCurrent) {
+    return "This daemon has no current configuration yet.";
   }
-  return domains.map(describeFailureDomain).join("\n");
+  return domains.length === 0
+    ? "This daemon knows no failure domain."
+    : domains.map(describeFailureDomain).join("\n");
 }
 
 function describeFailureDomain(
--- a/src/features/administration/node/evacuation_endpoints.ts
+++ b/src/features/administration/node/evacuation_endpoints.ts
@@ -109,7 +109,10 @@
       version: configuration.current.version,
       ready: configuration.isReady,
       failureDomains,
-      description: describeFailureDomains(failureDomains),
+      description: describeFailureDomains(
+        failureDomains,
+        configuration.isReady,
+      ),
     },
   };
 }
