Accept the same order for a failure domain from two operators at once

Cause: the base of an order was checked also when the order changed nothing. Of two operators who ordered the same evacuation or restoration at once, the second was refused as stale (exit code 1) although the order was in force; the design accepts a repeated order. Ruled out: the base check of change records, which is unchanged; an order that reverses a newer one is still refused. Before: the cases "the same order" and "the same restoration from two operators at once" of evacuation_check_test were red ("evacuation:east was changed at 1, after the base 0"). After: 19 tests passed, with two further cases for a contrary order and for a base that is still to come.

--- a/src/features/fold/common/evacuation_check.ts
+++ b/src/features/fold/common/evacuation_check.ts
@@ -13,7 +13,8 @@
 
 /**
  * Returns the configuration after the order, or the field and reason of the refusal. A repeated order is accepted and
- * keeps the time and author of the first one.
+ * keeps the time and author of the first one. Its base may be older than the first order, since two operators may give
+ * the same order at once.
  */
 export function applyEvacuation(
   configuration: Configuration,
@@ -22,9 +23,13 @@
 ): Configuration | string {
   const { failureDomain, action, baseVersion } = record;
   const refusal = findUnknownDomain(configuration, record) ??
-    findStaleBase(configuration, baseVersion, [
-      { key: `evacuation:${failureDomain}`, fieldPath: "failureDomain" },
-    ]);
+    findStaleBase(
+      configuration,
+      baseVersion,
+      isInForce(configuration, record)
+        ? []
+        : [{ key: `evacuation:${failureDomain}`, fieldPath: "failureDomain" }],
+    );
   if (refusal !== undefined) {
     return refusal;
   }
@@ -32,6 +37,13 @@
   return (action === "evacuate" ? findFullEvacuation(next) : undefined) ?? next;
 }
 
+function isInForce(
+  { evacuations }: Configuration,
+  { failureDomain, action }: EvacuationRecord,
+): boolean {
+  return evacuations.has(failureDomain) === (action === "evacuate");
+}
+
 function findUnknownDomain(
   { failureDomains, evacuations }: Configuration,
   { failureDomain, action }: EvacuationRecord,
--- a/src/features/fold/common/evacuation_check_test.ts
+++ b/src/features/fold/common/evacuation_check_test.ts
@@ -82,6 +82,32 @@
       record: order("evacuate", "east", { identity: "again", baseVersion: 1 }),
       evacuated: ["east"],
     },
+    {
+      name: "the same order from two operators at once",
+      before: [evacuate],
+      record: order("evacuate", "east", { identity: "again" }),
+      evacuated: ["east"],
+    },
+    {
+      name: "the same restoration from two operators at once",
+      before: [evacuate, order("restore", "east", { baseVersion: 1 })],
+      record: order("restore", "east", { identity: "again", baseVersion: 1 }),
+      evacuated: [],
+    },
+    {
+      name: "a contrary order from two operators at once",
+      before: [evacuate],
+      record: order("restore", "east"),
+      reason: /^failureDomain: evacuation:east was changed at 1, after the/,
+      evacuated: ["east"],
+    },
+    {
+      name: "a repeated order with a base that is still to come",
+      before: [evacuate],
+      record: order("evacuate", "east", { identity: "early", baseVersion: 9 }),
+      reason: /base/,
+      evacuated: ["east"],
+    },
     {
       name: "a repeated order with the same identity",
       before: [evacuate],
