Tell the last order of a failure domain from the one in force in its status

Cause: the line of an evacuated failure domain gave the time and author of the first order beside the version of the last one, as if they belonged together. In a trial with two equal orders at once, versions 1 and 2, `status` would have named the first author at version 2. Change: the line says "last order at version N". Before: the case of evacuation_orders_test was red.

--- a/src/features/administration/common/evacuation_orders.ts
+++ b/src/features/administration/common/evacuation_orders.ts
@@ -142,6 +142,6 @@
   return state === "evacuated"
     ? `${failureDomain}: evacuated since ${
       new Date(startedAt!).toISOString()
-    } by ${author}, version ${orderVersion}; ${instances}.`
+    } by ${author}, last order at version ${orderVersion}; ${instances}.`
     : `${failureDomain}: in service; ${instances}.`;
 }
--- a/src/features/administration/common/evacuation_orders_test.ts
+++ b/src/features/administration/common/evacuation_orders_test.ts
@@ -128,7 +128,7 @@
     describeFailureDomains(domains, true),
     "east: in service; instances known here: 1.\n" +
       "north: in service; instances known here: 1.\n" +
-      "west: evacuated since 1970-01-01T00:00:01.000Z by ana, version 7; instances known here: 2.",
+      "west: evacuated since 1970-01-01T00:00:01.000Z by ana, last order at version 7; instances known here: 2.",
   );
   assert.match(describeFailureDomains([], true), /knows no failure domain/);
   assert.match(describeFailureDomains(domains, false), /no current config/);
