--- a/src/features/gate/node/shared_admission_test.ts
+++ b/src/features/gate/node/shared_admission_test.ts
@@ -1,92 +1,14 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { VirtualClock } from "../../../base/common/clock.ts";
-import { SILENT_LOG } from "../../../base/common/event_log.ts";
-import {
-  createFixtureReport,
-  createFixtureRequest,
-  FIXTURE_HEADERS,
-} from "../common/gate_fixture.ts";
-import type { GateOutcome, GateRequest } from "../common/gate_call.ts";
-import type { GateCall } from "../common/gate_call_state.ts";
-import { createInstanceCondition } from "../common/instance_condition.ts";
-import { NO_NOTICES } from "../common/instance_notices.ts";
-import { type CallAdmission, createCallAdmission } from "./call_admission.ts";
-
-/** Admission to an instance whose calls end when the test says so. */
-function createAdmission(
-  slots: number,
-  sharesByAccount: () => boolean,
-) {
-  const clock = new VirtualClock();
-  const started: string[] = [];
-  const running = new Set<GateCall>();
-  const condition = createInstanceCondition({
-    clock,
-    heartbeatMilliseconds: 100_000,
-  });
-  const report = createFixtureReport({ port: 1, slots });
-  condition.tracker.applyReport(report);
-  condition.recordReport(report, clock.now());
-  const admission: CallAdmission = createCallAdmission({
-    clock,
-    log: SILENT_LOG,
-    headers: FIXTURE_HEADERS,
-    heartbeatMilliseconds: 100_000,
-    readNotices: () => NO_NOTICES,
-    afterStall: (callback) => callback(),
-    sharesByAccount,
-  }, {
-    condition,
-    dispatch: () => ({
-      running,
-      start(call) {
-        call.timer?.dispose();
-        call.state = "running";
-        call.startedAt = clock.now();
-        running.add(call);
-        started.push(call.identity);
-      },
-      closeIdleConnections() {},
-      dispose() {},
-    }),
-  });
-
-  function offer(
-    account: string,
-    identity: string,
-    fields: Partial<GateRequest> = {},
-  ): readonly GateOutcome[] {
-    const outcomes: GateOutcome[] = [];
-    const request = createFixtureRequest(identity, 60_000);
-    admission.offer(
-      { ...request, account, ...fields },
-      (outcome) => outcomes.push(outcome),
-    );
-    return outcomes;
-  }
-
-  /** Ends the running calls after this time. */
-  function end(duration: number): void {
-    clock.advance(duration);
-    for (const call of running) {
-      running.delete(call);
-      call.state = "ended";
-      admission.recordEnd(call, clock.now());
-    }
-    admission.startQueued();
-  }
-
-  return { admission, clock, condition, started, offer, end };
-}
+import { createAdmissionFixture } from "./admission_fixture.ts";
 
 describe("accounts that are removed from the configuration while a call runs", () => {
   // Guards against state of an account that counts a call as running forever and is never forgotten.
   test("have the slot time of the call once they are configured again", () => {
     let sharesByAccount = true;
-    const { admission, started, offer, end } = createAdmission(
+    const { admission, started, offer, end } = createAdmissionFixture(
       1,
-      () => sharesByAccount,
+      { sharesByAccount: () => sharesByAccount },
     );
     offer("slow", "slow-1");
     sharesByAccount = false;
@@ -108,7 +30,7 @@
 describe("a call that may be returned", () => {
   // Guards against a gate that callers leave out for all accounts because it returned the call of one of them.
   test("is returned as above its share if its account has used more than its share", () => {
-    const { admission, offer, end } = createAdmission(1, () => true);
+    const { admission, offer, end } = createAdmissionFixture(1);
     for (const account of ["light", "other"]) {
       offer(account, account);
       end(20);
@@ -133,9 +55,9 @@
 
   // Guards against calls that are returned because of others that leave the queue at the same time.
   test("stays in the queue if it starts early enough once calls ahead are returned", () => {
-    const { admission, clock, condition, offer } = createAdmission(
+    const { admission, clock, condition, offer } = createAdmissionFixture(
       1,
-      () => false,
+      { sharesByAccount: () => false },
     );
     offer("a", "running");
     const ahead = Array.from(
@@ -165,7 +87,7 @@
 describe("a slot that is kept from a queued long call", () => {
   // Guards against calls that are refused or wait for the next sweep beside a free slot.
   test("is used at once by a short call that is behind the long one in the queue", () => {
-    const { admission, started, offer, end } = createAdmission(4, () => true);
+    const { admission, started, offer, end } = createAdmissionFixture(4);
     for (let index = 0; index < 60; index += 1) {
       offer("urgent", `urgent-${index}`, {
         rank: 0,
