--- a/src/features/gate/node/room_sharing_replay.ts
+++ b/src/features/gate/node/room_sharing_replay.ts
@@ -20,11 +20,18 @@
   createFixtureReport,
   FIXTURE_HEADERS,
 } from "../common/gate_fixture.ts";
-import type { GateOutcome, GateRequest } from "../common/gate_call.ts";
+import type { GateOutcome } from "../common/gate_call.ts";
 import type { GateCall } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
 import { NO_NOTICES } from "../common/instance_notices.ts";
 import { type CallAdmission, createCallAdmission } from "./call_admission.ts";
+import {
+  createReplayRequest,
+  NESTED_CALLS,
+  NESTED_PROBABILITY,
+  type ReplayKind,
+  ROUTES,
+} from "./room_sharing_routes.ts";
 
 export const FRONT_INSTANCES = 54;
 export const BACK_INSTANCES = 31;
@@ -36,69 +43,6 @@
 const MAXIMUM_FULL_GATES = 3;
 const MAXIMUM_FULL_GATES_OF_NESTED = 5;
 const REPORT_INTERVAL_MS: Milliseconds = 250;
-const NESTED_PROBABILITY = 0.7;
-const NESTED_CALLS = 2;
-
-export type ReplayKind = "read" | "write" | "urgent" | "archive" | "nested";
-
-interface ReplayRoute {
-  readonly perSecond: number;
-  readonly workMilliseconds: Milliseconds;
-  readonly objectiveMilliseconds: Milliseconds;
-  readonly deadlineMilliseconds: Milliseconds;
-  readonly rank: number;
-  readonly benefit: number;
-  readonly lateBenefit: number;
-}
-
-/** The work of a read excludes its nested calls. */
-const ROUTES: Readonly<Record<ReplayKind, ReplayRoute>> = {
-  read: {
-    perSecond: 721,
-    workMilliseconds: 72,
-    objectiveMilliseconds: 123,
-    deadlineMilliseconds: 411,
-    rank: 1,
-    benefit: 1,
-    lateBenefit: 0.2,
-  },
-  write: {
-    perSecond: 272,
-    workMilliseconds: 152,
-    objectiveMilliseconds: 503,
-    deadlineMilliseconds: 1_006,
-    rank: 1,
-    benefit: 1,
-    lateBenefit: 0.2,
-  },
-  urgent: {
-    perSecond: 189,
-    workMilliseconds: 83,
-    objectiveMilliseconds: 258,
-    deadlineMilliseconds: 860,
-    rank: 0,
-    benefit: 4.6,
-    lateBenefit: 0.92,
-  },
-  archive: {
-    perSecond: 97,
-    workMilliseconds: 476,
-    objectiveMilliseconds: 3_008,
-    deadlineMilliseconds: 6_016,
-    rank: 2,
-    benefit: 0.4,
-    lateBenefit: 0.08,
-  },
-  nested: {
-    perSecond: 0,
-    workMilliseconds: 30,
-    objectiveMilliseconds: 100,
-    deadlineMilliseconds: 300,
-    rank: 1,
-    benefit: 0,
-    lateBenefit: 0,
-  },
-};
 const ACCOUNTS = 12;
 
 export interface ReplayOptions {
@@ -396,37 +340,6 @@
   return summarize(kinds, accounts);
 }
 
-function createReplayRequest(
-  identity: string,
-  kind: ReplayKind,
-  account: string,
-  elapsed: Milliseconds,
-): GateRequest {
-  const route = ROUTES[kind];
-  const isRead = kind === "read";
-  return {
-    identity,
-    requestIdentity: identity,
-    service: "booking",
-    version: undefined,
-    route: kind,
-    method: "GET",
-    target: "/",
-    headerLines: "",
-    body: new Uint8Array(),
-    callerService: "booking",
-    account,
-    isNested: kind === "nested",
-    rank: route.rank,
-    objectiveInMilliseconds: route.objectiveMilliseconds - elapsed,
-    deadlineInMilliseconds: route.deadlineMilliseconds - elapsed,
-    meanServiceMilliseconds: route.workMilliseconds +
-      (isRead
-        ? NESTED_PROBABILITY * NESTED_CALLS * ROUTES.nested.workMilliseconds
-        : 0),
-  };
-}
-
 function summarize(
   kinds: Record<ReplayKind, KindResult>,
   accounts: readonly { readonly calls: number; readonly ended: number }[],
--- a/src/features/gate/node/room_sharing_replay_test.ts
+++ b/src/features/gate/node/room_sharing_replay_test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import {
-  type ReplayKind,
   type ReplayOptions,
   type ReplayResult,
   replayRoomSharing,
 } from "./room_sharing_replay.ts";
+import type { ReplayKind } from "./room_sharing_routes.ts";
 
 const DURATION_MS = 8_000;
 const SEEDS = [1, 2];
