Start queued calls from timers only after the input of a stall is processed

Cause: the check for queued calls and the timer of the rate limit started calls directly. After a stall of the event loop a timer runs before the input that arrived meanwhile, so calls started whose clients had already left. Ruled out: the end of a call, which starts queued ones after a stall since before. Change: both timers take the same way as the end of a call. Load pattern: a gate whose process is stopped for some time while calls wait for a slot or for the rate limit.

--- a/src/features/gate/node/queue_checks.ts
+++ b/src/features/gate/node/queue_checks.ts
@@ -67,7 +67,7 @@
     }
     if (room.isShared) {
       // The slots that long calls may use grow when fewer urgent calls arrive.
-      startWaiting();
+      startQueued();
     }
     scheduleSweep();
   }
@@ -108,6 +108,13 @@
     });
   }
 
+  /** Clients that left during a stall of the event loop are known once its input is processed. */
+  function startQueued(): void {
+    if (queue.size > 0) {
+      afterStall(startWaiting);
+    }
+  }
+
   function startWaiting(): void {
     while (queue.size > 0 && room.hasFreeSlot) {
       const now = clock.now();
@@ -130,7 +137,7 @@
   function scheduleRateWait(delay: Milliseconds): void {
     rateTimer ??= clock.schedule(delay, () => {
       rateTimer = undefined;
-      startWaiting();
+      startQueued();
     });
   }
 
@@ -143,11 +150,7 @@
         scheduleRateWait(requestRate.timeUntil(1, now));
       }
     },
-    startQueued() {
-      if (queue.size > 0) {
-        afterStall(startWaiting);
-      }
-    },
+    startQueued,
     dispose() {
       sweepTimer?.dispose();
       rateTimer?.dispose();
