Decide on calls whose nested calls are refused after their admission

Cause: a refusal for nested calls was taken before it was known whether the call would be admitted. At a gate without room, calls that would have been refused anyway used up the refusals, were told not to ask other gates, and the share of refused calls among those that would start was below the one intended. Change: the refusal is taken for calls that would start or wait here. A call refused for its nested calls still does not count as demand for slots, as before. Before: the 2 cases of nested_admission_test failed (four times "nested-refused" instead of "full").

--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -97,21 +97,24 @@
       refuse(call, refusalReason);
       return { cancel() {} };
     }
-    if (room.isShared && nestedRefusals.takeRefusal(request.route, now)) {
-      refuse(call, "nested-refused", NESTED_RETRY_AFTER_MS);
-      return { cancel() {} };
-    }
-    room.recordOffered(call, now);
     const load = room.describeLoad(call, room.findPosition(call, now), now);
     const decision = decideAdmission(call, load, now);
     const expectedWait = decision.type === "wait" ? estimateQueueWait(load) : 0;
+    const isWaitTooLong = request.mayBeReturned === true && isReturned({
+      waited: 0,
+      expectedWait,
+      objective: request.objectiveInMilliseconds,
+    });
+    // After the other decisions, so that calls without room do not use up the refusals of those with room.
     if (
-      request.mayBeReturned === true && isReturned({
-        waited: 0,
-        expectedWait,
-        objective: request.objectiveInMilliseconds,
-      })
+      room.isShared && decision.type !== "refuse" && !isWaitTooLong &&
+      nestedRefusals.takeRefusal(request.route, now)
     ) {
+      refuse(call, "nested-refused", NESTED_RETRY_AFTER_MS);
+      return { cancel() {} };
+    }
+    room.recordOffered(call, now);
+    if (isWaitTooLong) {
       refuse(call, room.recordRefused(call, now), expectedWait);
       return { cancel() {} };
     }
