Let the momentary speed of an instance become unknown with age

Cause: a figure faded to usual, but was defined for as long as the instance lived. A gate whose instance had stopped stating its speed kept reporting one near 1, so callers chose it by speed and allowed it to return calls. Ruled out: the work of calls, which counts figures for 600 ms only; receivers, which take over each report as it is. Change: a figure that was not stated for 10 s is unknown until it is stated again. Load pattern: instances of a service are replaced or reconfigured one after the other and state no speed any more. Before: the new case of momentary_speed_test failed (0.9999999 instead of unknown).

--- a/src/features/gate/common/gate_call.ts
+++ b/src/features/gate/common/gate_call.ts
@@ -65,7 +65,7 @@
   readonly failureRate: number;
   /**
    * How long work takes on the instance's host at this moment, relative to usual; undefined if the instance
-   * does not report it. The older the report, the closer to 1 (`momentary_speed.ts`).
+   * has not reported it lately. The older the report, the closer to 1 (`momentary_speed.ts`).
    */
   readonly currentServiceTime?: number;
 }
--- a/src/features/gate/common/momentary_speed.ts
+++ b/src/features/gate/common/momentary_speed.ts
@@ -14,6 +14,11 @@
 
 /** A host that is slow now is as usual again after about this time. */
 const SPELL_MS: Milliseconds = 600;
+/**
+ * A figure that was not stated for this long is unknown: the instance has had no calls, or states none any more. By
+ * then the largest figure has faded to usual.
+ */
+const UNKNOWN_AFTER_MS: Milliseconds = 10_000;
 /** The speed before the oldest of these periods counts as usual. */
 const MAXIMUM_PERIODS = 128;
 
@@ -27,7 +32,7 @@
 export interface MomentarySpeed {
   /** Records the figure of a response; 1 is as usual, above it is slower. */
   record(ratio: number, now: Milliseconds): void;
-  /** The ratio expected now; undefined if the instance has never stated one. */
+  /** The ratio expected now; undefined if the instance has not stated one lately. */
   current(now: Milliseconds): number | undefined;
   /** How long the work that was done between two instants usually takes. */
   usualTimeBetween(from: Milliseconds, to: Milliseconds): Milliseconds;
@@ -51,7 +56,8 @@
     },
     current(now) {
       const last = periods.at(-1);
-      return last === undefined
+      return last === undefined ||
+          now - last.lastStatedAt >= UNKNOWN_AFTER_MS
         ? undefined
         : fadeServiceTime(last.ratio, now - last.lastStatedAt);
     },
--- a/src/features/gate/common/momentary_speed_test.ts
+++ b/src/features/gate/common/momentary_speed_test.ts
@@ -38,6 +38,18 @@
     assert.equal(fadeServiceTime(SLOWDOWN, -5), SLOWDOWN);
   });
 
+  // Guards against a gate that reports a speed, and returns calls, after its instance has stopped stating one.
+  test("a figure that was not stated for ten seconds is unknown until it is stated again", () => {
+    for (const ratio of [0.5, 1, SLOWDOWN, 20]) {
+      const speed = createMomentarySpeed();
+      speed.record(ratio, 0);
+      assert.ok(Math.abs(speed.current(9_999)! - 1) < 0.001);
+      assert.equal(speed.current(10_000), undefined);
+      speed.record(ratio, 20_000);
+      assert.equal(speed.current(20_000), ratio);
+    }
+  });
+
   test("work done in a spell counts as what it usually takes", () => {
     const speed = createMomentarySpeed();
     speed.record(1, 0);
