Serve small accounts beside large ones that ask for little of their limit

Cause: the shares of accounts follow their limits. Where limits are a thousand times apart and the large account asks for a tenth of its limit, a call of a small one waits until a thousand calls of the large one have started. Change: the gate measures the work that each account offers. An account served less than a third as often as all counts as one that has just become active, and not as above its share. A least weight by the offered work was tried and weakens the protection from a busy account (docs/design/sharing-room.md). Load pattern: too little room for accounts whose limits are far apart.

--- a/src/features/gate/common/account_shares.ts
+++ b/src/features/gate/common/account_shares.ts
@@ -6,7 +6,9 @@
  * account by the slot time that the call is expected to take, and the account that is behind goes first.
  * An account that was idle gets no credit for that time. The shares are those within one rank: more
  * urgent calls go first whoever makes them. Accounts differ in size by two orders of magnitude, so the share of
- * each follows its limit: with equal shares the usual calls of a large account would be refused first.
+ * each follows its limit: with equal shares the usual calls of a large account would be refused first. A large
+ * account may ask for a small part of its limit; small ones would then get hardly any room, although they stay
+ * within theirs. So an account that is served much less often than all counts as one that has just become active.
  *
  * Calls whose objective leaves no time to wait never enter the queue. For these, an account that has used more
  * than twice what the other active accounts use for their weight counts as above its share (`isAboveShare`).
@@ -16,6 +18,7 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountName } from "../../../world/common/names.ts";
+import { createAccountDemand } from "./account_demand.ts";
 import {
   compareCalls,
   comparePriority,
@@ -32,6 +35,11 @@
 const ABOVE_SHARE_FACTOR = 2;
 /** Calls of equal accounts arrive at random; one in forty deviates by more than this many deviations. */
 const TOLERATED_DEVIATIONS = 2;
+/**
+ * An account whose served part of the work that it asks for is below this fraction of that of all accounts goes
+ * before its turn. A third leaves room for random arrivals above the quarter below which an account is starved.
+ */
+const MINIMUM_SERVED_FRACTION = 1 / 3;
 
 interface AccountShare {
   readonly weight: number;
@@ -68,6 +76,8 @@
   ): (left: QueueableCall, right: QueueableCall) => number;
   /** Whether the account of the call has used much more slot time than others of the same rank. */
   isAboveShare(call: QueueableCall, now: Milliseconds): boolean;
+  /** Records a call that arrives, whether it is served or not. */
+  recordOffered(call: QueueableCall, now: Milliseconds): void;
   recordStart(call: QueueableCall, now: Milliseconds): void;
   /** Corrects the slot time of the account by what the call took; ignores a call whose start was not recorded. */
   recordEnd(call: QueueableCall, duration: Milliseconds): void;
@@ -82,6 +92,10 @@
   const ranks = new Map<number, RankShares>();
   /** The calls whose start was recorded and whose end was not. */
   const running = new Set<QueueableCall>();
+  const demand = createAccountDemand({
+    maximumAccounts: MAXIMUM_ACCOUNTS,
+    maximumRanks: MAXIMUM_RANKS,
+  });
 
   function sharesOf(rank: number, now: Milliseconds): RankShares {
     let shares = ranks.get(rank);
@@ -101,12 +115,28 @@
     return shares;
   }
 
-  function nextStartOf(call: QueueableCall): number {
+  function isServedRarely(
+    call: QueueableCall,
+    shares: RankShares,
+    share: AccountShare,
+    now: Milliseconds,
+  ): boolean {
+    const { own, all } = demand.workOf(call.rank, nameOf(call), now);
+    return decay(share, now) * all <
+      MINIMUM_SERVED_FRACTION * decay(shares, now) * own;
+  }
+
+  function nextStartOf(call: QueueableCall, now: Milliseconds): number {
     const shares = ranks.get(call.rank);
-    return shares === undefined ? 0 : Math.max(
-      shares.virtualTime,
-      shares.accounts.get(nameOf(call))?.finishesAt ?? 0,
-    );
+    if (shares === undefined) {
+      return 0;
+    }
+    const { virtualTime, accounts } = shares;
+    const share = accounts.get(nameOf(call));
+    return share === undefined || share.finishesAt <= virtualTime ||
+        isServedRarely(call, shares, share, now)
+      ? virtualTime
+      : share.finishesAt;
   }
 
   return {
@@ -141,7 +171,7 @@
             ofAccount.sort((left, right) => compareCalls(left, right, now));
           }
           const weight = weightOf(ofAccount[0].account);
-          let startsAt = nextStartOf(ofAccount[0]);
+          let startsAt = nextStartOf(ofAccount[0], now);
           for (const call of ofAccount) {
             starts.set(call, startsAt);
             startsAt += call.expectedMilliseconds / weight;
@@ -162,7 +192,7 @@
       forgetIdle(shares, now);
       const own = decay(share, now);
       const otherWeight = shares.weight - share.weight;
-      if (otherWeight <= 0) {
+      if (otherWeight <= 0 || isServedRarely(call, shares, share, now)) {
         return false;
       }
       const fair = Math.max(0, decay(shares, now) - own) * share.weight /
@@ -171,10 +201,15 @@
       const deviation = Math.sqrt(fair * call.expectedMilliseconds);
       return own > ABOVE_SHARE_FACTOR * fair + TOLERATED_DEVIATIONS * deviation;
     },
+    recordOffered: (call, now) =>
+      demand.record(call.rank, nameOf(call), {
+        work: call.expectedMilliseconds,
+        now,
+      }),
     recordStart(call, now) {
       const shares = sharesOf(call.rank, now);
       const name = nameOf(call);
-      const startsAt = nextStartOf(call);
+      const startsAt = nextStartOf(call, now);
       const known = shares.accounts.get(name);
       const share: AccountShare = known ?? {
         weight: weightOf(call.account),
--- a/src/features/gate/common/shared_room.ts
+++ b/src/features/gate/common/shared_room.ts
@@ -94,7 +94,10 @@
       return reservedSlots;
     },
     shares,
-    recordOffered: work.recordOffered,
+    recordOffered(call, now) {
+      work.recordOffered(call, now);
+      shares.recordOffered(call, now);
+    },
     recordAdmitted: work.recordAdmitted,
     recordRefused(call, now) {
       if (shares.isAboveShare(call, now)) {
