Build the order of queued calls once per offer

Cause: an offer asked the queue up to three times for the calls ahead of it, and each question built the order of the queued calls again. Change: the queue lists the calls ahead once, and the room counts in this list; `countAhead` stays for other users. The case for `countSamePriorityAhead`, which is gone, checks the priorities of the listed calls instead.

--- a/src/features/gate/common/account_shares_test.ts
+++ b/src/features/gate/common/account_shares_test.ts
@@ -142,7 +142,10 @@
     }
     const call = createCall({ identity: "new", rank: 1, objectiveAt: 900 });
     assert.equal(queue.countAhead(call, 0), 4);
-    assert.equal(queue.countSamePriorityAhead(call, 0), 1);
+    assert.deepEqual(
+      queue.listAhead(call, 0).map(({ rank }) => rank),
+      [0, 0, 0, 1],
+    );
     assert.equal(ordered, 2);
   });
 });
--- a/src/features/gate/common/call_queue.ts
+++ b/src/features/gate/common/call_queue.ts
@@ -69,14 +69,10 @@
     now: Milliseconds,
     isRemoved: (call: T, ahead: number, samePriorityAhead: number) => boolean,
   ): T[];
-  /** Counts the queued calls that would start before this one, of those that the predicate holds for. */
-  countAhead(
-    call: QueueableCall,
-    now: Milliseconds,
-    isCounted?: (other: T) => boolean,
-  ): number;
-  /** Counts those of them that have the same priority. */
-  countSamePriorityAhead(call: QueueableCall, now: Milliseconds): number;
+  /** Lists the queued calls that would start before this one, in no particular order. */
+  listAhead(call: QueueableCall, now: Milliseconds): readonly T[];
+  /** Counts them. */
+  countAhead(call: QueueableCall, now: Milliseconds): number;
   /** Counts the accounts that have queued calls. */
   countAccounts(): number;
   /** Removes and returns the calls for which the predicate holds. */
@@ -127,21 +123,22 @@
     return removed;
   }
 
-  function countAheadWhere(
+  function listAhead(
     call: QueueableCall,
     now: Milliseconds,
-    isCounted: (other: T) => boolean,
-  ): number {
-    const ofRank = [...calls.values()].filter(({ rank }) => rank === call.rank);
-    const order = createOrder([...ofRank, call], now);
-    let ahead = 0;
-    for (const other of calls.values()) {
-      const difference = other.rank - call.rank || order(other, call);
-      if (difference <= 0 && isCounted(other)) {
-        ahead += 1;
-      }
+  ): readonly T[] {
+    if (calls.size === 0) {
+      return [];
     }
-    return ahead;
+    const others = [...calls.values()];
+    const ofRank: QueueableCall[] = others.filter(({ rank }) =>
+      rank === call.rank
+    );
+    ofRank.push(call);
+    const order = createOrder(ofRank, now);
+    return others.filter((other) =>
+      (other.rank - call.rank || order(other, call)) <= 0
+    );
   }
 
   return {
@@ -180,14 +177,8 @@
             call.deadlineAt,
       ),
     removeInOrder,
-    countAhead: (call, now, isCounted = () => true) =>
-      countAheadWhere(call, now, isCounted),
-    countSamePriorityAhead: (call, now) =>
-      countAheadWhere(
-        call,
-        now,
-        (other) => comparePriority(other, call) === 0,
-      ),
+    listAhead,
+    countAhead: (call, now) => listAhead(call, now).length,
     countAccounts: () =>
       new Set([...calls.values()].map(({ account }) => account)).size,
     removeWhere,
--- a/src/features/gate/common/instance_room.ts
+++ b/src/features/gate/common/instance_room.ts
@@ -11,7 +11,12 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountWeights } from "./account_shares.ts";
 import type { GateLoad } from "./admission_decision.ts";
-import { type CallQueue, compareCalls, createCallQueue } from "./call_queue.ts";
+import {
+  type CallQueue,
+  compareCalls,
+  comparePriority,
+  createCallQueue,
+} from "./call_queue.ts";
 import type { RefusalReason } from "./gate_call.ts";
 import type { GateCall } from "./gate_call_state.ts";
 import type { InstanceCondition } from "./instance_condition.ts";
@@ -83,12 +88,12 @@
       }, now);
   }
 
-  function countAhead(call: GateCall, now: Milliseconds): number {
-    const ahead = queue.size === 0 ? 0 : queue.countAhead(call, now);
-    return ahead > 0 && sharesByAccount() && hasFreeSlot() &&
-        mayStart(call, now) &&
-        queue.countAhead(call, now, (other) => mayStart(other, now)) === 0
-      ? 0
+  /** Lists the queued calls before this one; none if it may use a free slot and none of them may. */
+  function listAhead(call: GateCall, now: Milliseconds): readonly GateCall[] {
+    const ahead = queue.listAhead(call, now);
+    return ahead.length > 0 && sharesByAccount() && hasFreeSlot() &&
+        mayStart(call, now) && !ahead.some((other) => mayStart(other, now))
+      ? []
       : ahead;
   }
 
@@ -101,11 +106,11 @@
       return hasFreeSlot();
     },
     findPosition(call, now) {
-      const ahead = countAhead(call, now);
+      const ahead = listAhead(call, now);
       return {
-        ahead,
+        ahead: ahead.length,
         countSamePriorityAhead: () =>
-          ahead === 0 ? 0 : queue.countSamePriorityAhead(call, now),
+          ahead.filter((other) => comparePriority(other, call) === 0).length,
       };
     },
     describeLoad(call, { ahead, countSamePriorityAhead }, now) {
--- a/src/features/gate/node/shared_admission_test.ts
+++ b/src/features/gate/node/shared_admission_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import type { AccountWeights } from "../common/account_shares.ts";
 import { createAdmissionFixture } from "./admission_fixture.ts";
 
 describe("accounts that are removed from the configuration while a call runs", () => {
@@ -84,10 +85,11 @@
   });
 });
 
-describe("a slot that is kept from a queued long call", () => {
-  // Guards against calls that are refused or wait for the next sweep beside a free slot.
-  test("is used at once by a short call that is behind the long one in the queue", () => {
-    const { admission, started, offer, end } = createAdmissionFixture(4);
+describe("a slot that is kept from queued long calls", () => {
+  /** Offers long calls after urgent ones, so that the last of them wait beside a free slot. */
+  function createKeptSlot(longCalls: number, weighAccount?: AccountWeights) {
+    const fixture = createAdmissionFixture(4, { weighAccount });
+    const { offer, end } = fixture;
     for (let index = 0; index < 60; index += 1) {
       offer("urgent", `urgent-${index}`, {
         rank: 0,
@@ -97,23 +99,46 @@
       });
       end(30);
     }
-    const short = { meanServiceMilliseconds: 30 };
     for (let index = 0; index < 20; index += 1) {
-      offer("short", `short-${index}`, short);
+      offer("short", `short-${index}`, { meanServiceMilliseconds: 30 });
       end(30);
     }
-    for (let index = 0; index < 4; index += 1) {
+    for (let index = 0; index < longCalls; index += 1) {
       offer(`long-${index}`, `long-${index}`, { meanServiceMilliseconds: 500 });
     }
+    return fixture;
+  }
+
+  const SHORT = {
+    meanServiceMilliseconds: 30,
+    objectiveInMilliseconds: 60,
+    deadlineInMilliseconds: 60,
+  };
+
+  // Guards against calls that are refused or wait for the next sweep beside a free slot.
+  test("is used at once by a short call that is behind the long one in the queue", () => {
+    const { admission, started, offer } = createKeptSlot(4);
     assert.equal(started.at(-1), "long-2");
     assert.equal(admission.waiting, 1);
-    offer("short", "last", {
-      ...short,
-      objectiveInMilliseconds: 60,
-      deadlineInMilliseconds: 60,
-    });
+    offer("short", "last", SHORT);
     assert.equal(started.at(-1), "last");
     assert.equal(admission.waiting, 1);
     admission.dispose();
   });
+
+  // Guards against processor time for an order of all queued calls that is built again for each question about it.
+  test("an offer builds the order of the queued calls once", () => {
+    let weighed = 0;
+    const { admission, started, offer } = createKeptSlot(6, () => {
+      weighed += 1;
+      return 1;
+    });
+    assert.equal(admission.waiting, 3);
+    weighed = 0;
+    offer("short", "last", SHORT);
+    assert.equal(started.at(-1), "last");
+    // An order weighs each account once: those of three queued calls and that of the offered one.
+    assert.equal(weighed, 4);
+    admission.dispose();
+  });
 });
