Forget the rank of the accounts' demand without an offer for longest

Cause: the demand of accounts forgot the rank that was offered first when there are too many ranks, although it may be in use. Its accounts then count as without demand, and a small one that is served rarely no longer goes before its turn. Ruled out: accounts within a rank, which are moved to the end with each offer. Change: an offer moves its rank to the end, as it does for its account. Before: the extended case of account_demand_test failed (work 0, 10, 10 instead of 20, 0, 10). After: account_demand_test 2 of 2.

--- a/src/features/gate/common/account_demand.ts
+++ b/src/features/gate/common/account_demand.ts
@@ -43,9 +43,11 @@
   { maximumAccounts, maximumRanks }: {
     /** The most accounts of a rank; the one without an offer for longest is forgotten. */
     readonly maximumAccounts: number;
+    /** The rank without an offer for longest is forgotten. */
     readonly maximumRanks: number;
   },
 ): AccountDemand {
+  /** In the order of their last offers. */
   const ranks = new Map<number, RankDemand>();
 
   function demandOf(rank: number, now: Milliseconds): RankDemand {
@@ -55,8 +57,9 @@
         ranks.delete(ranks.keys().next().value!);
       }
       demand = { total: { work: 0, updatedAt: now }, accounts: new Map() };
-      ranks.set(rank, demand);
     }
+    ranks.delete(rank);
+    ranks.set(rank, demand);
     return demand;
   }
 
--- a/src/features/gate/common/account_demand_test.ts
+++ b/src/features/gate/common/account_demand_test.ts
@@ -35,5 +35,12 @@
       [0, 1, 2].map((rank) => demand.workOf(rank, "a", 0).all),
       [0, 10, 10],
     );
+    for (const rank of [1, 3]) {
+      demand.record(rank, "a", { work: 10, now: 0 });
+    }
+    assert.deepEqual(
+      [1, 2, 3].map((rank) => demand.workOf(rank, "a", 0).all),
+      [20, 0, 10],
+    );
   });
 });
