Revert the refusal of queued calls by the share of failed nested calls

Cause: the share of failures of a route ages only with further runs, so calls that had to wait were refused for failures of a minute ago, against the promise of NESTED_RETRY_AFTER_MS. Ruled out: ageing the share only, which ends the fault but not the losses while calls fail. The new case of nested_admission_test failed before (four of four refused) and passes after.

--- a/src/features/gate/common/nested_refusals.ts
+++ b/src/features/gate/common/nested_refusals.ts
@@ -4,10 +4,8 @@
  * Load pattern: the service that a route calls cannot be reached or has no room for long. Each call of the route
  * then runs until its nested call is refused, and fails: it has used a slot and the time of its caller, and its
  * response is final, while a call that was refused before it started may be made again. While some of the calls
- * succeed, refusing a share of them is worse as long as there are free slots: the room that they leave goes to
- * less urgent calls of the service that they call, not to the nested calls of the others
- * (`room_sharing_replay_test.ts`). Where calls must wait for a slot, those that fail take it from others that would
- * be served, so the share that fails is refused instead of queued (`nested_refusals_replay_test.ts`).
+ * succeed, refusing a share of them is worse: the room that they leave goes to less urgent calls of the
+ * service that they call, not to the nested calls of the others (`room_sharing_replay_test.ts`).
  *
  * @module
  */
@@ -27,8 +25,6 @@
 const RECOVERY_MS: Milliseconds = 100;
 /** At least one call in five is a probe. */
 const MAXIMUM_REFUSED_SHARE = 0.8;
-/** With fewer failures, calls that must wait are queued: few of the slots that they get are wasted. */
-const MINIMUM_FAILED_SHARE = 0.1;
 /** Routes of earlier configurations are forgotten. */
 const MAXIMUM_ROUTES = 256;
 
@@ -48,11 +44,8 @@
 export interface NestedRefusals {
   /** Records a call that has run; `failed` if a nested call of it was refused. */
   recordRun(route: RouteName, failed: boolean, now: Milliseconds): void;
-  /** Returns whether to refuse a call that would otherwise start, or wait for a slot. */
-  takeRefusal(
-    route: RouteName,
-    options: { readonly mustWait: boolean; readonly now: Milliseconds },
-  ): boolean;
+  /** Returns whether to refuse a call that would otherwise start. */
+  takeRefusal(route: RouteName, now: Milliseconds): boolean;
 }
 
 export function createNestedRefusals(): NestedRefusals {
@@ -90,21 +83,15 @@
         ? share >= ENDS_BELOW
         : runs.runs >= MINIMUM_RUNS && share > STARTS_ABOVE;
     },
-    takeRefusal(route, { mustWait, now }) {
+    takeRefusal(route, now) {
       const runs = routes.get(route);
-      if (runs === undefined) {
-        return false;
-      }
-      const failedShare = runs.failed / runs.runs;
-      const isRefusingQueued = mustWait && runs.runs >= MINIMUM_RUNS &&
-        failedShare >= MINIMUM_FAILED_SHARE;
-      if (!runs.isRefusing && !isRefusingQueued) {
+      if (runs === undefined || !runs.isRefusing) {
         return false;
       }
       const recency = Math.exp((runs.lastFailedAt - now) / RECOVERY_MS);
       runs.due += Math.min(
         MAXIMUM_REFUSED_SHARE,
-        isRefusingQueued ? failedShare : recency * failedShare,
+        recency * runs.failed / runs.runs,
       );
       if (runs.due < 1) {
         return false;
--- a/src/features/gate/common/nested_refusals_test.ts
+++ b/src/features/gate/common/nested_refusals_test.ts
@@ -7,12 +7,10 @@
 /** Offers a call every 50 ms; those that start fail with the given share. Returns the share that was refused. */
 function offerCalls(
   refusals: ReturnType<typeof createNestedRefusals>,
-  { from, to, failureShare, mustWait = false }: {
+  { from, to, failureShare }: {
     readonly from: number;
     readonly to: number;
     readonly failureShare: number;
-    /** Whether the calls find no free slot. */
-    readonly mustWait?: boolean;
   },
 ): number {
   let refused = 0;
@@ -20,7 +18,7 @@
   let failures = 0;
   for (let now = from; now < to; now += RUN_INTERVAL_MS) {
     offered += 1;
-    if (refusals.takeRefusal("order", { mustWait, now })) {
+    if (refusals.takeRefusal("order", now)) {
       refused += 1;
       continue;
     }
@@ -70,39 +68,6 @@
     });
   }
 
-  const waitingCases = [
-    {
-      // The first failure counts as one of few runs.
-      name: "at most two in a hundred are refused while one in twenty fails",
-      failureShare: 0.05,
-      minimum: 0,
-      maximum: 0.02,
-    },
-    {
-      name: "about the share that fails is refused while half fail",
-      failureShare: 0.5,
-      minimum: 0.4,
-      maximum: 0.6,
-    },
-    {
-      name: "most are refused while all fail, and some probe",
-      failureShare: 1,
-      minimum: 0.7,
-      maximum: 0.85,
-    },
-  ];
-  for (const { name, failureShare, minimum, maximum } of waitingCases) {
-    test(`without a free slot, ${name}`, () => {
-      const refused = offerCalls(createNestedRefusals(), {
-        from: 0,
-        to: 10_000,
-        failureShare,
-        mustWait: true,
-      });
-      assert.ok(refused >= minimum && refused <= maximum, String(refused));
-    });
-  }
-
   test("few are refused later than 200 ms after the last failure", () => {
     const refusals = createNestedRefusals();
     offerCalls(refusals, { from: 0, to: 5_000, failureShare: 1 });
@@ -118,10 +83,7 @@
     const refusals = createNestedRefusals();
     offerCalls(refusals, { from: 0, to: 5_000, failureShare: 1 });
     for (let index = 0; index < 20; index += 1) {
-      assert.equal(
-        refusals.takeRefusal("lookup", { mustWait: true, now: 5_000 }),
-        false,
-      );
+      assert.equal(refusals.takeRefusal("lookup", 5_000), false);
     }
   });
 
@@ -129,10 +91,7 @@
     const refusals = createNestedRefusals();
     for (let index = 0; index < 3; index += 1) {
       refusals.recordRun("order", true, index);
-      assert.equal(
-        refusals.takeRefusal("order", { mustWait: true, now: index }),
-        false,
-      );
+      assert.equal(refusals.takeRefusal("order", index), false);
     }
   });
 });
--- a/src/features/gate/node/call_admission.ts
+++ b/src/features/gate/node/call_admission.ts
@@ -28,7 +28,6 @@
 import {
   createNestedRefusals,
   NESTED_RETRY_AFTER_MS,
-  type NestedRefusals,
 } from "../common/nested_refusals.ts";
 import type { CallDispatch } from "./call_dispatch.ts";
 import { createCallRefusal } from "./call_refusal.ts";
@@ -60,10 +59,9 @@
 
 export function createCallAdmission(
   options: GateOptions,
-  { condition, dispatch, nestedRefusals = createNestedRefusals() }: {
+  { condition, dispatch }: {
     readonly condition: InstanceCondition;
     readonly dispatch: () => CallDispatch;
-    readonly nestedRefusals?: NestedRefusals;
   },
 ): CallAdmission {
   const { clock, log, isEvacuated = () => false } = options;
@@ -80,6 +78,7 @@
     start,
     refuse,
   });
+  const nestedRefusals = createNestedRefusals();
   let refusedCount = 0;
 
   function offer(
@@ -109,10 +108,7 @@
     // After the other decisions, so that calls without room do not use up the refusals of those with room.
     if (
       room.isShared && decision.type !== "refuse" && !isWaitTooLong &&
-      nestedRefusals.takeRefusal(request.route, {
-        mustWait: decision.type === "wait",
-        now,
-      })
+      nestedRefusals.takeRefusal(request.route, now)
     ) {
       refuse(call, "nested-refused", NESTED_RETRY_AFTER_MS);
       return { cancel() {} };
--- a/src/features/gate/node/nested_admission_test.ts
+++ b/src/features/gate/node/nested_admission_test.ts
@@ -63,3 +63,17 @@
     });
   }
 });
+
+describe("calls that must wait for a slot", () => {
+  // Guards against refusals for failures of nested calls that ended long ago, while no call of the route ran.
+  test("are queued a minute after the last failure of a nested call", () => {
+    const { admission, clock, offer, started } = createFailingRoute();
+    clock.advance(60_000);
+    offer("a", "other", { route: "write" });
+    assert.equal(started.at(-1), "other");
+    const waiting = [1, 2, 3, 4].map((index) => offer("b", `waits-${index}`));
+    assert.deepEqual(reasonsOf(waiting), []);
+    assert.equal(admission.waiting, 4);
+    admission.dispose();
+  });
+});
--- a/src/features/gate/node/room_sharing_replay.ts
+++ b/src/features/gate/node/room_sharing_replay.ts
@@ -9,33 +9,33 @@
  */
 
 import { VirtualClock } from "../../../base/common/clock.ts";
+import { SILENT_LOG } from "../../../base/common/event_log.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import {
   createRandomSource,
   type RandomSource,
 } from "../../../base/common/random_source.ts";
 import { drawServiceTimeFactor } from "../../../base/common/service_time_factor.ts";
+import {
+  createFixtureReport,
+  FIXTURE_HEADERS,
+} from "../common/gate_fixture.ts";
 import type { GateOutcome } from "../common/gate_call.ts";
 import type { GateCall } from "../common/gate_call_state.ts";
-import type { NestedRefusals } from "../common/nested_refusals.ts";
-import {
-  createReplayGate,
-  type ReplayGate,
-  type RunCall,
-  type RunResult,
-  SLOTS,
-} from "./room_sharing_gate.ts";
+import { createInstanceCondition } from "../common/instance_condition.ts";
+import { NO_NOTICES } from "../common/instance_notices.ts";
+import { type CallAdmission, createCallAdmission } from "./call_admission.ts";
 import {
   createReplayRequest,
   NESTED_CALLS,
   NESTED_PROBABILITY,
   type ReplayKind,
-  type ReplayRoutes,
   ROUTES,
 } from "./room_sharing_routes.ts";
 
 export const FRONT_INSTANCES = 54;
 export const BACK_INSTANCES = 31;
+const SLOTS = 4;
 const SPEED_RANGE = [0.6, 1.6] as const;
 const WORK_DEVIATION = 0.4;
 const SAMPLED_GATES = 4;
@@ -44,11 +44,6 @@
 const MAXIMUM_FULL_GATES_OF_NESTED = 5;
 const REPORT_INTERVAL_MS: Milliseconds = 250;
 const ACCOUNTS = 12;
-const SHED_MS: Milliseconds = 1;
-/** Retries of calls that an instance has refused, as a share of all calls, and how many may be saved up. */
-const RETRY_SHARE = 0.2;
-const MAXIMUM_RETRIES = 50;
-const MINIMUM_RETRY_AFTER_MS: Milliseconds = 20;
 
 export interface ReplayOptions {
   readonly seed: number;
@@ -60,15 +55,6 @@
   readonly loadOf?: (kind: ReplayKind, now: Milliseconds) => number;
   /** A factor of the usual rate of one account. */
   readonly loadOfFirstAccount?: (now: Milliseconds) => number;
-  /** The routes; `ROUTES` when absent. */
-  readonly routes?: ReplayRoutes;
-  /** The nested calls of a read that makes some; 2 when absent. */
-  readonly nestedCalls?: number;
-  /** The share of their calls that the instances of the second service refuse; none when absent. */
-  readonly shedShareOf?: (now: Milliseconds) => number;
-  /** Whether a refused caller comes back once, after the time that it is told. */
-  readonly returnsOnce?: boolean;
-  readonly nestedRefusals?: () => NestedRefusals;
 }
 
 export interface KindResult {
@@ -89,15 +75,26 @@
   readonly benefit: number;
 }
 
+interface ReplayGate {
+  readonly admission: CallAdmission;
+  readonly speed: number;
+  reportedLoad: number;
+  readonly running: Set<GateCall>;
+}
+
+type RunCall = (
+  call: GateCall,
+  gate: ReplayGate,
+  done: (failed: boolean) => void,
+) => void;
+
 export function replayRoomSharing(options: ReplayOptions): ReplayResult {
   const clock = new VirtualClock();
   const random = createRandomSource(options.seed);
-  const { routes = ROUTES, nestedCalls = NESTED_CALLS, shedShareOf } = options;
-  let retries = MAXIMUM_RETRIES;
   const front = createGates(FRONT_INSTANCES, runAtFront);
   const back = createGates(BACK_INSTANCES, runAtBack);
   const kinds = Object.fromEntries(
-    Object.keys(routes).map((kind) => [kind, {
+    Object.keys(ROUTES).map((kind) => [kind, {
       calls: 0,
       inObjective: 0,
       ended: 0,
@@ -115,52 +112,96 @@
     return Array.from({ length: count }, (_, index) => {
       const [slow, fast] = SPEED_RANGE;
       const speed = slow + (fast - slow) * index / (count - 1);
-      return createReplayGate({
-        clock,
-        speed,
-        heartbeatMilliseconds: options.duration * 10,
-        sharesByAccount: options.sharesByAccount,
-        nestedRefusals: options.nestedRefusals?.(),
-        run,
-      });
+      return createReplayGate(speed, run);
     });
   }
 
+  function createReplayGate(speed: number, run: RunCall): ReplayGate {
+    const condition = createInstanceCondition({
+      clock,
+      heartbeatMilliseconds: options.duration * 10,
+    });
+    const report = createFixtureReport({ port: 1, slots: SLOTS });
+    condition.tracker.applyReport(report);
+    condition.recordReport(report, clock.now());
+    const running = new Set<GateCall>();
+    const admission: CallAdmission = createCallAdmission({
+      clock,
+      log: SILENT_LOG,
+      headers: FIXTURE_HEADERS,
+      heartbeatMilliseconds: options.duration * 10,
+      readNotices: () => NO_NOTICES,
+      afterStall: (callback) => callback(),
+      sharesByAccount: () => options.sharesByAccount,
+    }, {
+      condition,
+      dispatch: () => ({
+        running,
+        start,
+        closeIdleConnections() {},
+        dispose() {},
+      }),
+    });
+
+    function start(call: GateCall): void {
+      call.timer?.dispose();
+      call.state = "running";
+      call.startedAt = clock.now();
+      running.add(call);
+      run(call, gate, (failed) => {
+        const now = clock.now();
+        call.state = "ended";
+        call.wasNestedRefused = failed;
+        running.delete(call);
+        admission.recordEnd(call, now);
+        const { request } = call;
+        if (!failed) {
+          condition.recordServed(request, { startedAt: call.startedAt, now });
+        }
+        call.settle({
+          type: "answer",
+          status: failed ? 500 : 200,
+          rawHeaders: [],
+          body: new Uint8Array(),
+          serviceMilliseconds: now - call.startedAt,
+          wasNestedRefused: failed,
+        });
+        admission.startQueued();
+      });
+    }
+
+    const gate: ReplayGate = { admission, speed, reportedLoad: 0, running };
+    return gate;
+  }
+
   function workOf(kind: ReplayKind, gate: ReplayGate): Milliseconds {
-    return routes[kind].workMilliseconds / gate.speed *
+    return ROUTES[kind].workMilliseconds / gate.speed *
       drawServiceTimeFactor(random, WORK_DEVIATION);
   }
 
   function runAtBack(
     call: GateCall,
     gate: ReplayGate,
-    done: (result: RunResult) => void,
+    done: (failed: boolean) => void,
   ): void {
-    if (
-      shedShareOf !== undefined &&
-      random.nextFraction() < shedShareOf(clock.now())
-    ) {
-      clock.schedule(SHED_MS, () => done("shed"));
-      return;
-    }
     clock.schedule(
       workOf(call.request.route as ReplayKind, gate),
-      () => done("served"),
+      () => done(false),
     );
   }
 
   function runAtFront(
     call: GateCall,
     gate: ReplayGate,
-    done: (result: RunResult) => void,
+    done: (failed: boolean) => void,
   ): void {
     const kind = call.request.route as ReplayKind;
     const makesNested = kind === "read" &&
       random.nextFraction() < NESTED_PROBABILITY;
-    let nestedLeft = makesNested ? nestedCalls : 0;
+    let nestedLeft = makesNested ? NESTED_CALLS : 0;
     function next(): void {
       if (nestedLeft === 0) {
-        done("served");
+        done(false);
         return;
       }
       nestedLeft -= 1;
@@ -172,7 +213,7 @@
         if (succeeded) {
           next();
         } else {
-          done("nested-refused");
+          done(true);
         }
       });
     }
@@ -211,10 +252,9 @@
     kind: ReplayKind,
     account: string,
     settle: (outcome: GateOutcome) => void,
-    arrivedAt = clock.now(),
   ): void {
-    const route = routes[kind];
-    retries = Math.min(MAXIMUM_RETRIES, retries + RETRY_SHARE);
+    const route = ROUTES[kind];
+    const arrivedAt = clock.now();
     const offered = new Set<ReplayGate>();
     function offerNext(): void {
       const gate = chooseGate(gates, offered);
@@ -222,18 +262,11 @@
       const elapsed = clock.now() - arrivedAt;
       lastIdentity += 1;
       gate.admission.offer(
-        createReplayRequest(String(lastIdentity), {
-          kind,
-          account,
-          elapsed,
-          routes,
-          nestedCalls,
-        }),
+        createReplayRequest(String(lastIdentity), kind, account, elapsed),
         (outcome) => {
           gate.reportedLoad = gate.running.size + gate.admission.waiting;
           if (
             outcome.type === "refused" && outcome.reason !== "nested-refused" &&
-            (!outcome.reachedInstance || takeRetry()) &&
             offered.size < maximumGatesOf(kind) &&
             clock.now() < arrivedAt + route.deadlineMilliseconds
           ) {
@@ -247,35 +280,16 @@
     offerNext();
   }
 
-  function takeRetry(): boolean {
-    if (retries < 1) {
-      return false;
-    }
-    retries -= 1;
-    return true;
-  }
-
   function arrive(kind: ReplayKind, accountIndex: number): void {
-    const route = routes[kind];
+    const route = ROUTES[kind];
     const arrivedAt = clock.now();
     const account = accounts[accountIndex];
     const result = kinds[kind];
     result.calls += 1;
     account.calls += 1;
-    const gates = kind === "read" || kind === "write" ? front : back;
-    let mayReturn = options.returnsOnce ?? false;
-    const attempt = () =>
-      offer(gates, kind, `a${accountIndex}`, settle, arrivedAt);
-    function settle(outcome: GateOutcome): void {
+    const isFront = kind === "read" || kind === "write";
+    offer(isFront ? front : back, kind, `a${accountIndex}`, (outcome) => {
       const duration = clock.now() - arrivedAt;
-      if (outcome.type === "refused") {
-        const returnsIn = Math.max(MINIMUM_RETRY_AFTER_MS, outcome.retryAfter);
-        if (mayReturn && duration + returnsIn < route.deadlineMilliseconds) {
-          mayReturn = false;
-          clock.schedule(returnsIn, attempt);
-        }
-        return;
-      }
       if (outcome.type !== "answer") {
         return;
       }
@@ -291,12 +305,11 @@
         result.ended += 1;
         account.ended += 1;
       }
-    }
-    attempt();
+    });
   }
 
   function scheduleArrivals(kind: ReplayKind): void {
-    const { perSecond } = routes[kind];
+    const { perSecond } = ROUTES[kind];
     const firstLoad = options.loadOfFirstAccount ?? (() => 1);
     const loadOf = options.loadOf ?? (() => 1);
     function next(): void {
@@ -324,18 +337,17 @@
     scheduleArrivals(kind);
   }
   clock.advance(options.duration + 10_000);
-  return summarize(routes, kinds, accounts);
+  return summarize(kinds, accounts);
 }
 
 function summarize(
-  routes: ReplayRoutes,
   kinds: Record<ReplayKind, KindResult>,
   accounts: readonly { readonly calls: number; readonly ended: number }[],
 ): ReplayResult {
   let benefit = 0;
   let worth = 0;
   for (const [kind, result] of Object.entries(kinds)) {
-    const worthOfKind = result.calls * routes[kind as ReplayKind].benefit;
+    const worthOfKind = result.calls * ROUTES[kind as ReplayKind].benefit;
     benefit += result.benefit;
     worth += worthOfKind;
     result.benefit = roundShare(result.benefit / worthOfKind);
--- a/src/features/gate/node/room_sharing_routes.ts
+++ b/src/features/gate/node/room_sharing_routes.ts
@@ -22,10 +22,8 @@
   readonly lateBenefit: number;
 }
 
-export type ReplayRoutes = Readonly<Record<ReplayKind, ReplayRoute>>;
-
 /** The work of a read excludes its nested calls. */
-export const ROUTES: ReplayRoutes = {
+export const ROUTES: Readonly<Record<ReplayKind, ReplayRoute>> = {
   read: {
     perSecond: 721,
     workMilliseconds: 72,
@@ -72,47 +70,13 @@
     lateBenefit: 0,
   },
 };
-/** Routes with more time to wait, whose reads make one nested call. */
-export const PATIENT_ROUTES: ReplayRoutes = {
-  read: {
-    ...ROUTES.read,
-    workMilliseconds: 114,
-    objectiveMilliseconds: 403,
-    deadlineMilliseconds: 1_512,
-    lateBenefit: 0.5,
-  },
-  write: {
-    ...ROUTES.write,
-    deadlineMilliseconds: 2_014,
-    benefit: 2,
-    lateBenefit: 1,
-  },
-  urgent: {
-    ...ROUTES.urgent,
-    deadlineMilliseconds: 1_549,
-  },
-  archive: { ...ROUTES.archive, lateBenefit: 0.3 },
-  nested: {
-    ...ROUTES.nested,
-    objectiveMilliseconds: 123,
-    deadlineMilliseconds: 411,
-  },
-};
-
-export interface ReplayCall {
-  readonly kind: ReplayKind;
-  readonly account: string;
-  /** The time since the call arrived. */
-  readonly elapsed: Milliseconds;
-  readonly routes: ReplayRoutes;
-  readonly nestedCalls: number;
-}
-
 export function createReplayRequest(
   identity: string,
-  { kind, account, elapsed, routes, nestedCalls }: ReplayCall,
+  kind: ReplayKind,
+  account: string,
+  elapsed: Milliseconds,
 ): GateRequest {
-  const route = routes[kind];
+  const route = ROUTES[kind];
   const isRead = kind === "read";
   return {
     identity,
@@ -132,7 +96,7 @@
     deadlineInMilliseconds: route.deadlineMilliseconds - elapsed,
     meanServiceMilliseconds: route.workMilliseconds +
       (isRead
-        ? NESTED_PROBABILITY * nestedCalls * routes.nested.workMilliseconds
+        ? NESTED_PROBABILITY * NESTED_CALLS * ROUTES.nested.workMilliseconds
         : 0),
   };
 }
