Free accounts sooner after a restart of all daemons, and credit the time without a granter

Cause: no daemon was a granter before its list of hosts had been unchanged for 1 s; reports to one that was not ready waited for a further call, and the calls in them were lost; the first granter counted all calls since the start as debt and limited each account for at least 1 s; a host began to save its share with its first call. A granter that took over counted the calls of the gap as debt.

Change: a list is complete after 0.3 s if links to more than half of its hosts are open; a report that was not accepted is repeated after 200 ms with its calls; the shares since the start are credited, and the account is free 0.25 s after the first report if its demand is below the limit; shares count from the start of a daemon, that of the first second in advance; first calls follow from the hosts that have a call at 8 times the usual demand. A granter that takes over credits what the limit gave the reachable hosts within 1.5 s, which is revoked when the demand exceeds the limit. account_pace.ts is split off account_share.ts.

--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -136,7 +136,9 @@
     return {
       ...network,
       get peers() {
-        return network.peers;
+        return network.peers.filter(({ process }) =>
+          lostSince(host, process.host) !== -Infinity
+        );
       },
       send,
       sendToAll: (targets, message) =>
--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -19,6 +19,7 @@
   computeAdmittedPart,
   computeGrant,
   computeReachablePart,
+  computeTakeoverCredit,
   createLedger,
   type GrantingHosts,
   recordGrant,
@@ -52,6 +53,7 @@
   readonly hosts: (isForLimited: boolean) => GrantingHosts;
   /** Whether this daemon has been running for long enough to know what was admitted. */
   readonly isEstablished: () => boolean;
+  readonly uptime: () => Milliseconds;
   readonly announce: (rows: readonly NoticeRow[]) => void;
 }
 
@@ -74,7 +76,8 @@
 }
 
 export function createAccountGranter(
-  { clock, log, limits, hosts, isEstablished, announce }: AccountGranterOptions,
+  { clock, log, limits, hosts, isEstablished, uptime, announce }:
+    AccountGranterOptions,
 ): AccountGranter {
   const accounts = new Map<AccountName, GrantedAccount>();
   const notices = new Map<AccountName, number>();
@@ -190,7 +193,12 @@
     let account = accounts.get(name);
     if (account === undefined) {
       account = {
-        ledger: createLedger(limit, { now, isEstablished: isEstablished() }),
+        ledger: createLedger(limit, {
+          now,
+          isEstablished: isEstablished(),
+          uptime: uptime(),
+          reachablePart: computeReachablePart(hosts(true)),
+        }),
         reportedAt: now,
         // A new granter limits accounts until it knows more, which only daemons with demand need to know.
         noticedAt: isEstablished() ? -Infinity : now,
@@ -224,8 +232,14 @@
         }
         const account = getAccount(name, limit);
         account.reportedAt = now;
+        account.ledger = updateLedger(
+          account.ledger,
+          limit,
+          hostsFor(account),
+          now,
+        );
         account.ledger = recordReport(
-          updateLedger(account.ledger, limit, hostsFor(account), now),
+          account.ledger,
           {
             host,
             demand,
@@ -234,6 +248,11 @@
               heldRate,
               isLimited: wasLimited === 1,
               debt: (debt ?? 0) * computeReachablePart(hostsFor(account)),
+              credit: computeTakeoverCredit(
+                account.ledger,
+                limit,
+                hostsFor(account),
+              ),
             },
           },
           now,
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -33,6 +33,17 @@
  * each 200 ms. Proportional rates among the first that report would sum to a multiple of the limit.
  */
 export const SETTLING_MS: Milliseconds = 500;
+/**
+ * The same for the first granter after a restart of all daemons. Reports have waited for it and come within a report
+ * interval.
+ */
+const STARTING_SETTLING_MS: Milliseconds = 250;
+/** Daemons that were slow to start tell what they have admitted by then. */
+const CREDIT_MS: Milliseconds = 1_000;
+/** Daemons are without a granter for up to this time when one is lost. */
+const LOST_GRANTER_MS: Milliseconds = 1_500;
+/** Daemons keep to their shares for so long before a granter is known. */
+const MAXIMUM_STARTING_MS: Milliseconds = 3_000;
 /** Debt is repaid, and unused calls are granted, at this pace; within the 5 s in which limits are measured. */
 const CORRECTION_MS: Milliseconds = 2_000;
 /** Debt down to this part of the tolerance is not repaid; a small account would be refused for seconds. */
@@ -75,6 +86,12 @@
   /** When a daemon first reported that comes from another granter. */
   readonly takenOverAt: Milliseconds;
   readonly isTakeoverAnnounced: boolean;
+  /** Calls that daemons may have admitted while there was no granter; they are no debt. */
+  readonly credit: number;
+  /** Calls that the credit of a takeover has covered; they are debt if the demand exceeds the limit after all. */
+  readonly covered: number;
+  /** Whether the credit holds only while the demand is below the limit. */
+  readonly isCreditBound: boolean;
 }
 
 export interface AccountReport {
@@ -89,6 +106,8 @@
       readonly isLimited: boolean;
       /** The calls beyond the limit that this side of a cut has to repay. */
       readonly debt: number;
+      /** What this side was allowed while no granter responded. */
+      readonly credit: number;
     }
     | undefined;
 }
@@ -121,18 +140,27 @@
  */
 export function createLedger(
   limit: AccountLimit,
-  { now, isEstablished }: {
+  { now, isEstablished, uptime, reachablePart }: {
     readonly now: Milliseconds;
     readonly isEstablished: boolean;
+    readonly uptime: Milliseconds;
+    readonly reachablePart: number;
   },
 ): AccountLedger {
+  const startingTime = Math.min(uptime, MAXIMUM_STARTING_MS);
   return {
     bucket: { level: isEstablished ? limit.burst : 0, updatedAt: now },
     reporters: new Map(),
-    limitedAt: isEstablished ? undefined : now,
-    settlesAt: isEstablished ? now : now + SETTLING_MS,
+    // The account is freed as soon as all reports have come, if they are below the limit.
+    limitedAt: isEstablished ? undefined : now - MINIMUM_LIMITED_MS,
+    settlesAt: isEstablished ? now : now + STARTING_SETTLING_MS,
     takenOverAt: isEstablished ? -Infinity : now,
     isTakeoverAnnounced: true,
+    credit: isEstablished
+      ? 0
+      : limit.requestsPerSecond * reachablePart * startingTime / SECOND_MS,
+    covered: 0,
+    isCreditBound: false,
   };
 }
 
@@ -153,6 +181,16 @@
     computeFallbackRate(limit, Math.max(1, hosts.known)) * sharing;
 }
 
+/** Returns the calls that the reachable hosts were allowed while they had lost their granter. */
+export function computeTakeoverCredit(
+  ledger: Pick<AccountLedger, "reporters">,
+  limit: AccountLimit,
+  hosts: GrantingHosts,
+): number {
+  return computeReachableRate(ledger, limit, hosts) * LOST_GRANTER_MS /
+    SECOND_MS;
+}
+
 /** Each side of a cut has its part of the burst and of the tolerance only. */
 export function computeReachablePart(
   { known, unreachable }: GrantingHosts,
@@ -175,13 +213,24 @@
   }
   const requestsPerSecond = computeReachableRate({ reporters }, limit, hosts);
   const reachablePart = computeReachablePart(hosts);
-  const bucket = refillBucket(ledger.bucket, {
+  const demand = sumDemand(reporters);
+  const isExceeded = demand >= requestsPerSecond * FREE_DEMAND_PART;
+  const isCreditLost = now >= ledger.settlesAt + CREDIT_MS ||
+    (ledger.isCreditBound && isExceeded);
+  const refilled = refillBucket(ledger.bucket, {
     requestsPerSecond: requestsPerSecond -
       sumMissingRates(reporters, hosts, now),
     capacity: limit.burst * reachablePart,
   }, now);
-  const next = { ...ledger, bucket };
-  const demand = sumDemand(reporters);
+  const bucket = ledger.isCreditBound && isExceeded
+    ? takeFromBucket(refilled, ledger.covered)
+    : refilled;
+  const next = {
+    ...ledger,
+    bucket,
+    credit: isCreditLost ? 0 : ledger.credit,
+    covered: isCreditLost ? 0 : ledger.covered,
+  };
   const tolerance = computeTolerance(limit) * reachablePart;
   if (ledger.limitedAt === undefined) {
     const growth = (requestsPerSecond - demand) * REACTION_MS / SECOND_MS;
@@ -191,7 +240,7 @@
   const isFree = now - ledger.limitedAt >= MINIMUM_LIMITED_MS &&
     now >= ledger.settlesAt &&
     bucket.level >= 0 &&
-    demand < requestsPerSecond * FREE_DEMAND_PART;
+    !isExceeded;
   return isFree ? { ...next, limitedAt: undefined } : next;
 }
 
@@ -210,18 +259,42 @@
   } else {
     reporters.delete(host);
   }
-  const bucket = takeFromBucket(ledger.bucket, admitted);
   if (takeover === undefined || now - ledger.takenOverAt < TAKEOVER_MS) {
-    return { ...ledger, bucket };
+    // A daemon that holds a rate shows that there was a granter, which has counted its calls.
+    const isCredited = ledger.isCreditBound || (takeover?.heldRate ?? 0) === 0;
+    return takeWithCredit(ledger, admitted, isCredited ? ledger.credit : 0);
   }
+  const isBelowLimit = !takeover.isLimited && takeover.debt === 0;
+  const next = takeWithCredit(
+    { ...ledger, covered: 0 },
+    admitted,
+    isBelowLimit ? takeover.credit : 0,
+  );
   // What other granters have let pass is known as of their last response only, so nothing of the burst is left.
+  const level = Math.min(-takeover.debt, next.bucket.level);
   return {
-    ...ledger,
-    bucket: { ...bucket, level: Math.min(-takeover.debt, bucket.level) },
+    ...next,
+    bucket: { ...next.bucket, level },
     limitedAt: ledger.limitedAt ?? (takeover.isLimited ? now : undefined),
     settlesAt: now + SETTLING_MS,
     takenOverAt: now,
     isTakeoverAnnounced: false,
+    isCreditBound: true,
+  };
+}
+
+/** Takes calls from the credit, and the others from the bucket. */
+function takeWithCredit(
+  ledger: AccountLedger,
+  calls: number,
+  credit: number,
+): AccountLedger {
+  const covered = Math.max(0, Math.min(credit, calls));
+  return {
+    ...ledger,
+    bucket: takeFromBucket(ledger.bucket, calls - covered),
+    credit: credit - covered,
+    covered: ledger.covered + covered,
   };
 }
 
--- a/src/features/account/common/account_granting_test.ts
+++ b/src/features/account/common/account_granting_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { describe, test } from "node:test";
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import {
   computeGrant,
@@ -20,9 +20,14 @@
     host,
     demand: 80,
     admitted: 10,
-    takeover: { heldRate: 20, isLimited: true, debt: 70 },
+    takeover: { heldRate: 20, isLimited: true, debt: 70, credit: 60 },
+  });
+  let ledger = createLedger(LIMIT, {
+    now: 0,
+    isEstablished: true,
+    uptime: 20_000,
+    reachablePart: 1,
   });
-  let ledger = createLedger(LIMIT, { now: 0, isEstablished: true });
   ledger = recordReport(ledger, report("h1"), 0);
   assert.equal(ledger.bucket.level, -70);
   ledger = updateLedger(ledger, LIMIT, HOSTS, 400);
@@ -55,7 +60,13 @@
   };
   const report = (host: string, now: number) => {
     for (let call = 0; call < 3; call += 1) {
-      share.admit({ limit: LIMIT, hosts: 10, isInTouch: true, now });
+      share.admit({
+        limit: LIMIT,
+        hosts: 10,
+        isInTouch: true,
+        uptime: 20_000,
+        now,
+      });
     }
     const granter = { host, process: `${host}@1` };
     return createReportRow("press", account, { granter, now })[2];
@@ -82,3 +93,29 @@
   share.changeLimit(LIMIT, { requestsPerSecond: 25, burst: 10 });
   assert.equal(share.heldRate(100), 10);
 });
+
+// Guards against an account that is limited at its usual demand since a new granter counts the calls of a gap as debt.
+describe("calls that were admitted while no granter responded", () => {
+  const cases: readonly [string, number, number][] = [
+    ["are no debt below the limit", 80, 10],
+    ["are a debt above the limit", 120, -30],
+  ];
+  for (const [name, demand, expected] of cases) {
+    test(name, () => {
+      const established = createLedger(LIMIT, {
+        now: 0,
+        isEstablished: true,
+        uptime: 20_000,
+        reachablePart: 1,
+      });
+      const ledger = recordReport(established, {
+        host: "h1",
+        demand,
+        admitted: 40,
+        takeover: { heldRate: 60, isLimited: false, debt: 0, credit: 100 },
+      }, 0);
+      const { bucket } = updateLedger(ledger, LIMIT, HOSTS, 100);
+      assert.equal(bucket.level, expected);
+    });
+  }
+});
--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -72,6 +72,7 @@
     self,
     startedAt,
     listHosts: options.listHosts,
+    countLinks: () => network.peers.length,
   });
   let limits: ReadonlyMap<AccountName, AccountLimit> = new Map();
   const reporter = disposables.add(createAccountReporter({
@@ -94,6 +95,7 @@
       return contacts.hosts;
     },
     isEstablished,
+    uptime: () => clock.now() - startedAt,
     announce(rows) {
       const message: AccountNoticeMessage = { kind: ACCOUNT_NOTICE_KIND, rows };
       network.sendToAll(
@@ -151,6 +153,7 @@
       limit,
       hosts: contacts.sharingHosts,
       isInTouch: isInTouch(name, share),
+      uptime: now - startedAt,
       now,
     });
     const interval = chooseReportInterval({
--- a/src/features/account/common/account_reporter_test.ts
+++ b/src/features/account/common/account_reporter_test.ts
@@ -28,6 +28,7 @@
     self: "h0",
     startedAt: 0,
     listHosts: () => HOSTS.map((host) => ({ host, isReachable: true })),
+    countLinks: () => HOSTS.length - 1,
   });
   contacts.update(clock.now());
   const reporter = createAccountReporter({
@@ -55,6 +56,7 @@
       limit: LIMIT,
       hosts: 3,
       isInTouch: true,
+      uptime: 20_000,
       now: clock.now(),
     });
     used.set(name, {
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -25,25 +25,26 @@
   takeFromBucket,
 } from "./account_bucket.ts";
 import { computeTolerance, LEASE_MS } from "./account_granting.ts";
-import { chooseInitialCalls, computeFallbackRate } from "./fallback_share.ts";
+import {
+  choosePace,
+  computeSavedCalls,
+  createPaceBucket,
+  type Pace,
+  type PaceSource,
+  usesBucket,
+} from "./account_pace.ts";
 
 /**
  * Demand is averaged over about the time for which a granter keeps a report, so that the sum over many hosts
  * with a call every few seconds is right.
  */
 const DEMAND_DECAY_MS: Milliseconds = 2_000;
-/** A daemon may save up the calls of this time, since calls arrive at random. */
-const SAVED_MS: Milliseconds = 500;
-/** What a daemon has saved of its rate when its granter becomes silent: accounts that are not limited use less. */
-const INITIAL_MS: Milliseconds = 250;
 /** A report without a response for this long shows that the granter is silent. */
 export const SILENT_MS: Milliseconds = 500;
 /** What a granter said of the demand on all hosts is not known any more after this time. */
 const USED_PART_MS: Milliseconds = 10_000;
 /** Reports further apart say nothing of the time between them: a new granter may have been chosen. */
 const STREAK_MS: Milliseconds = 3_000;
-/** Below this rate a bucket would rarely contain a whole call when one arrives. */
-const MINIMUM_BUCKET_RATE = 3;
 /** Bounds the promised delay, since demand may fall at any time. */
 const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 2_000;
 /** A daemon without a rate for an account has one after this time, from the granter of the moment. */
@@ -57,6 +58,8 @@
   readonly hosts: number;
   /** Whether the granter responds. */
   readonly isInTouch: boolean;
+  /** How long this daemon has been running. */
+  readonly uptime: Milliseconds;
   readonly now: Milliseconds;
 }
 
@@ -116,18 +119,6 @@
   changeLimit(before: AccountLimit, after: AccountLimit): void;
 }
 
-/** How calls are admitted: all, a part by chance, at the rate of the granter, or at the fallback share. */
-type PaceSource = "free" | "part" | "grant" | "fallback";
-
-interface Pace {
-  readonly source: PaceSource;
-  readonly requestsPerSecond: number;
-}
-
-function usesBucket(source: PaceSource): boolean {
-  return source === "grant" || source === "fallback";
-}
-
 export function createAccountShare(
   limit: AccountLimit,
   { now: createdAt, random }: {
@@ -170,39 +161,22 @@
     return recentDemand.current(now) * SECOND_MS / DEMAND_DECAY_MS;
   }
 
-  function choosePace(context: ShareContext): Pace {
-    const { now } = context;
-    const rate = heldRate(now);
-    if (context.isInTouch && now >= limitedUntil) {
-      return { source: "free", requestsPerSecond: Infinity };
-    }
-    if (context.isInTouch && rate < MINIMUM_BUCKET_RATE) {
-      return { source: "part", requestsPerSecond: rate };
-    }
-    return rate > 0 ? { source: "grant", requestsPerSecond: rate } : {
-      source: "fallback",
-      requestsPerSecond: computeFallbackRate(context.limit, context.hosts),
-    };
-  }
-
   function enterPace(pace: Pace, context: ShareContext): void {
-    const { hosts, now } = context;
+    const { limit: current, hosts, uptime, now } = context;
     if (pace.source === source) {
       return;
     }
-    const fraction = random.nextFraction();
-    const initial = chooseInitialCalls(context.limit, {
-      hosts,
-      fraction,
-      chance: random.nextFraction(),
-    });
-    const saved = pace.source === "grant"
-      ? pace.requestsPerSecond * INITIAL_MS / SECOND_MS
-      : 0;
     // The level is kept from the rate of the granter to the share.
     if (usesBucket(pace.source) && !usesBucket(source)) {
-      const isLimited = now < limitedUntil;
-      own = { level: isLimited ? fraction : initial + saved, updatedAt: now };
+      own = createPaceBucket(pace, {
+        limit: current,
+        hosts,
+        isLimited: now < limitedUntil,
+        uptime,
+        fraction: random.nextFraction(),
+        chance: random.nextFraction(),
+        now,
+      });
     }
     source = pace.source;
     nextRoomAt = -Infinity;
@@ -243,10 +217,14 @@
       requestsPerSecond,
       capacity: burst + computeTolerance(current),
     }, now);
-    const pace = choosePace(context);
+    const pace = choosePace({
+      ...context,
+      isLimited: now < limitedUntil,
+      heldRate: heldRate(now),
+    });
     enterPace(pace, context);
     if (usesBucket(source)) {
-      const saved = pace.requestsPerSecond * SAVED_MS / SECOND_MS;
+      const saved = computeSavedCalls(pace, context.uptime);
       const capacity = Math.max(own.level, 1, saved);
       own = refillBucket(own, { ...pace, capacity }, now);
     }
@@ -352,6 +330,8 @@
     },
     postpone() {
       unansweredSince = undefined;
+      unreportedAdmitted += unansweredAdmitted;
+      unansweredAdmitted = 0;
       hasUnreported = true;
     },
     applyNotice(part, now) {
--- a/src/features/account/common/fallback_share.ts
+++ b/src/features/account/common/fallback_share.ts
@@ -20,6 +20,17 @@
 const INITIAL_CALLS = 40;
 /** Larger accounts begin with their burst and with three fifths of what their limit may be exceeded by within 5 s. */
 const INITIAL_EXCESS_PART = 0.6;
+/**
+ * The same for hosts that start. Until a granter is known, no host learns what the others admit, and most accounts
+ * have calls on a part of the hosts only.
+ */
+const STARTING_EXCESS_PART = 0.8;
+/** Hosts that get their links late tell no granter what they began with, so it is bounded. */
+const MAXIMUM_STARTING_CALLS = 2;
+/** A granter is known after about this time. */
+const STARTING_SECONDS = 2;
+/** The largest sudden demand for which limits hold: 8 times five eighths of the limit. */
+const SUDDEN_DEMAND_PART = 5;
 const EXCESS_PART = 0.1;
 const EXCESS_CALLS = 20;
 const EXCESS_WINDOW_SECONDS = 5;
@@ -30,19 +41,26 @@
 const ASSUMED_HOSTS = 100;
 /** Hosts come from the store or from a peer all at once, so a list that has not changed for this long is complete. */
 const HOSTS_STABLE_MS: Milliseconds = 1_000;
+/** The same if links to most of the listed hosts are open, so that these would have told of further hosts. */
+const LINKED_HOSTS_STABLE_MS: Milliseconds = 300;
+const LINKED_PART = 0.5;
 /** The list of hosts comes within this time if the store or a peer can be reached. */
 const HOSTS_UNKNOWN_MS: Milliseconds = 5_000;
 
 /** Returns whether the list of known hosts can be taken for complete. */
 export function isHostListComplete(
   knownHosts: number,
-  { uptime, unchangedFor }: {
+  { uptime, unchangedFor, linkedHosts }: {
     readonly uptime: Milliseconds;
     readonly unchangedFor: Milliseconds;
+    readonly linkedHosts: number;
   },
 ): boolean {
+  const stableTime = linkedHosts > (knownHosts - 1) * LINKED_PART
+    ? LINKED_HOSTS_STABLE_MS
+    : HOSTS_STABLE_MS;
   return uptime >= HOSTS_UNKNOWN_MS ||
-    (knownHosts > 1 && unchangedFor >= HOSTS_STABLE_MS);
+    (knownHosts > 1 && unchangedFor >= stableTime);
 }
 
 /** Returns among how many hosts a limit is divided. */
@@ -69,19 +87,37 @@
   return requestsPerSecond / hosts;
 }
 
+/**
+ * Returns the calls with which each host begins after a restart of all hosts, on average. At the largest sudden
+ * demand, the hosts that have a call before a granter is known use what the limit leaves for the time.
+ */
+function computeStartingCalls(limit: AccountLimit, hosts: number): number {
+  const { requestsPerSecond, burst } = limit;
+  const calls = burst + computeAllowedExcess(limit) * STARTING_EXCESS_PART;
+  const demand = requestsPerSecond * SUDDEN_DEMAND_PART;
+  const usedPart = 1 - Math.exp(-demand * STARTING_SECONDS / hosts);
+  return Math.max(INITIAL_CALLS / hosts, calls / (hosts * usedPart));
+}
+
 /**
  * Returns the calls with which one of the hosts begins; `fraction` and `chance` are random, from 0 to 1. Random
  * fractions of a call keep the sum over many hosts exact on average.
  */
 export function chooseInitialCalls(
   limit: AccountLimit,
-  { hosts, fraction, chance }: {
+  { hosts, isStarting, fraction, chance }: {
     readonly hosts: number;
+    /** Whether the daemon has just started; it may have lost its granter instead. */
+    readonly isStarting: boolean;
     readonly fraction: number;
     readonly chance: number;
   },
 ): number {
   const excess = computeAllowedExcess(limit) * INITIAL_EXCESS_PART;
   const calls = Math.max(INITIAL_CALLS, limit.burst + excess);
-  return fraction + (chance < calls / hosts ? 1 : 0);
+  const perHost = isStarting
+    ? Math.min(MAXIMUM_STARTING_CALLS, computeStartingCalls(limit, hosts))
+    : Math.min(1, calls / hosts);
+  const whole = Math.floor(perHost);
+  return fraction + whole + (chance < perHost - whole ? 1 : 0);
 }
--- a/src/features/account/common/gone_hosts_test.ts
+++ b/src/features/account/common/gone_hosts_test.ts
@@ -45,6 +45,7 @@
   const contacts = createGranterContacts({
     self: "h0",
     startedAt: 0,
+    countLinks: () => 2,
     listHosts: () => [
       { host: "h0", isReachable: true },
       { host: "h1", isReachable },
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -81,10 +81,11 @@
 }
 
 export function createGranterContacts(
-  { self, startedAt, listHosts }: {
+  { self, startedAt, listHosts, countLinks }: {
     readonly self: HostName;
     readonly startedAt: Milliseconds;
     readonly listHosts: () => readonly KnownHost[];
+    readonly countLinks: () => number;
   },
 ): GranterContacts {
   const contacts = new Map<HostName, Contact>();
@@ -166,6 +167,7 @@
     isComplete = isHostListComplete(listed.length, {
       uptime: now - startedAt,
       unchangedFor: now - changedAt,
+      linkedHosts: countLinks(),
     });
     const unreachable = trackUnreachable(listed, now);
     if (
--- a/src/features/account/common/granter_contacts_test.ts
+++ b/src/features/account/common/granter_contacts_test.ts
@@ -16,6 +16,7 @@
   const contacts = createGranterContacts({
     self: "h0",
     startedAt: 0,
+    countLinks: () => HOSTS.length - 1,
     listHosts() {
       reads += 1;
       return HOSTS.map((host) => ({
