--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -14,10 +14,9 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountLimit } from "../../../world/common/client_account.ts";
 import type { AccountName, HostName } from "../../../world/common/names.ts";
+import { computeAdmittedPart, computeGrant } from "./account_granting.ts";
 import {
   type AccountLedger,
-  computeAdmittedPart,
-  computeGrant,
   computeReachablePart,
   computeTakeoverCredit,
   createLedger,
@@ -25,7 +24,7 @@
   recordGrant,
   recordReport,
   updateLedger,
-} from "./account_granting.ts";
+} from "./account_ledger.ts";
 import {
   FREE,
   type GrantRow,
@@ -265,7 +264,7 @@
           hostsFor(account),
           now,
         );
-        recordGrant(account.ledger, host, grant);
+        recordGrant(account.ledger, host, grant.requestsPerSecond);
         const rate = roundRate(grant.requestsPerSecond);
         grants.push(
           grant.isLimited
--- a/src/features/account/common/account_granting_test.ts
+++ b/src/features/account/common/account_granting_test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { createRandomSource } from "../../../base/common/random_source.ts";
+import { computeGrant } from "./account_granting.ts";
 import {
-  computeGrant,
   createLedger,
   type GrantingHosts,
   recordReport,
   updateLedger,
-} from "./account_granting.ts";
+} from "./account_ledger.ts";
 import { createReportRow } from "./account_report_row.ts";
 import { createAccountShare } from "./account_share.ts";
 
--- a/src/features/account/common/account_share.ts
+++ b/src/features/account/common/account_share.ts
@@ -24,7 +24,7 @@
   refillBucket,
   takeFromBucket,
 } from "./account_bucket.ts";
-import { computeTolerance, LEASE_MS } from "./account_granting.ts";
+import { computeTolerance, LEASE_MS } from "./account_ledger.ts";
 import {
   choosePace,
   computeSavedCalls,
--- a/src/features/account/common/fallback_share.ts
+++ b/src/features/account/common/fallback_share.ts
@@ -50,17 +50,17 @@
 /** Returns whether the list of known hosts can be taken for complete. */
 export function isHostListComplete(
   knownHosts: number,
-  { uptime, unchangedFor, linkedHosts }: {
+  { uptime, unchangedFor, countLinks }: {
     readonly uptime: Milliseconds;
     readonly unchangedFor: Milliseconds;
-    readonly linkedHosts: number;
+    readonly countLinks: () => number;
   },
 ): boolean {
-  const stableTime = linkedHosts > (knownHosts - 1) * LINKED_PART
-    ? LINKED_HOSTS_STABLE_MS
-    : HOSTS_STABLE_MS;
   return uptime >= HOSTS_UNKNOWN_MS ||
-    (knownHosts > 1 && unchangedFor >= stableTime);
+    (knownHosts > 1 &&
+      (unchangedFor >= HOSTS_STABLE_MS ||
+        (unchangedFor >= LINKED_HOSTS_STABLE_MS &&
+          countLinks() > (knownHosts - 1) * LINKED_PART)));
 }
 
 /** Returns among how many hosts a limit is divided. */
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -10,7 +10,7 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountName, HostName } from "../../../world/common/names.ts";
-import type { GrantingHosts } from "./account_granting.ts";
+import type { GrantingHosts } from "./account_ledger.ts";
 import { SILENT_MS } from "./silence.ts";
 import { countSharingHosts, isHostListComplete } from "./fallback_share.ts";
 import { chooseGrantingHosts } from "./granter_choice.ts";
@@ -177,7 +177,7 @@
     isComplete = isHostListComplete(listed.length, {
       uptime: now - startedAt,
       unchangedFor: now - changedAt,
-      linkedHosts: countLinks(),
+      countLinks,
     });
     const unreachable = trackUnreachable(listed, now);
     if (
