--- a/src/features/account/common/fallback_share.ts
+++ b/src/features/account/common/fallback_share.ts
@@ -44,6 +44,8 @@
 /** The same if links to most of the listed hosts are open, so that these would have told of further hosts. */
 const LINKED_HOSTS_STABLE_MS: Milliseconds = 300;
 const LINKED_PART = 0.5;
+/** A shorter list may be what a daemon has learnt from its first links, before the list of the store. */
+const MINIMUM_LINKED_LIST = 8;
 /** The list of hosts comes within this time if the store or a peer can be reached. */
 const HOSTS_UNKNOWN_MS: Milliseconds = 5_000;
 
@@ -60,6 +62,7 @@
     (knownHosts > 1 &&
       (unchangedFor >= HOSTS_STABLE_MS ||
         (unchangedFor >= LINKED_HOSTS_STABLE_MS &&
+          knownHosts >= MINIMUM_LINKED_LIST &&
           countLinks() > (knownHosts - 1) * LINKED_PART)));
 }
 
