Wait 1 s for a list of hosts that is learnt from links before granting

Cause: a list of at least 8 hosts counts as complete after 0.3 s if links to more than half of them are open. While the store is down, each link adds its own host to the list, so this condition always holds, and two daemons that know different hosts can grant an account at the same time.

Change: the 0.3 s hold for a list that was read from the store. Lists that are learnt from links wait for 1 s, as before.

Ruled out: the list of the store in a cut. It contains the hosts of all sides, and a side with half of the hosts or fewer waits for 1 s. Not shown: an excess in a fleet of real daemons while the store is down.

Tests: "incomplete after 0.3 s if it was learnt from links" and "can grant 1 s after it has learnt the list from links" fail before.

--- a/src/features/account/common/account_admission.ts
+++ b/src/features/account/common/account_admission.ts
@@ -53,4 +53,6 @@
   readonly loopDelay: () => Milliseconds;
   /** This daemon and all known ones. */
   readonly listHosts: () => readonly KnownHost[];
+  /** Whether the list of the store has been read; hosts are learnt from links before. */
+  readonly areHostsListed: () => boolean;
 }
--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -186,6 +186,7 @@
         : wrapNetwork(network, pausable),
       random: createRandomSource(seed + startedAt + Number(host.slice(1))),
       loopDelay: () => 0,
+      areHostsListed: () => true,
       listHosts() {
         bytes.hostReads += 1;
         return clock.now() - startedAt < HOSTS_READ_MS && startedAt > 1_000_000
--- a/src/features/account/common/account_limits.ts
+++ b/src/features/account/common/account_limits.ts
@@ -73,6 +73,7 @@
     self,
     startedAt,
     listHosts: options.listHosts,
+    areHostsListed: options.areHostsListed,
     countLinks: () => network.peers.length,
   });
   let limits: ReadonlyMap<AccountName, AccountLimit> = new Map();
--- a/src/features/account/common/account_reporter_test.ts
+++ b/src/features/account/common/account_reporter_test.ts
@@ -29,6 +29,7 @@
     startedAt: 0,
     listHosts: () => HOSTS.map((host) => ({ host, isReachable: true })),
     countLinks: () => HOSTS.length - 1,
+    areHostsListed: () => true,
   });
   contacts.update(clock.now());
   const reporter = createAccountReporter({
--- a/src/features/account/common/fallback_share.ts
+++ b/src/features/account/common/fallback_share.ts
@@ -41,10 +41,13 @@
 const ASSUMED_HOSTS = 100;
 /** Hosts come from the store or from a peer all at once, so a list that has not changed for this long is complete. */
 const HOSTS_STABLE_MS: Milliseconds = 1_000;
-/** The same if links to most of the listed hosts are open, so that these would have told of further hosts. */
+/**
+ * The same for a list of the store, if links to most of its hosts are open. Each link adds its host to a list that is
+ * learnt from links, so links don't show that such a list is complete.
+ */
 const LINKED_HOSTS_STABLE_MS: Milliseconds = 300;
 const LINKED_PART = 0.5;
-/** A shorter list may be what a daemon has learnt from its first links, before the list of the store. */
+/** A shorter list may be that of a fleet whose first hosts are still being added to the store. */
 const MINIMUM_LINKED_LIST = 8;
 /** The list of hosts comes within this time if the store or a peer can be reached. */
 const HOSTS_UNKNOWN_MS: Milliseconds = 5_000;
@@ -52,16 +55,18 @@
 /** Returns whether the list of known hosts can be taken for complete. */
 export function isHostListComplete(
   knownHosts: number,
-  { uptime, unchangedFor, countLinks }: {
+  { uptime, unchangedFor, isListed, countLinks }: {
     readonly uptime: Milliseconds;
     readonly unchangedFor: Milliseconds;
+    /** Whether the store lists the hosts; they are learnt from links otherwise. */
+    readonly isListed: boolean;
     readonly countLinks: () => number;
   },
 ): boolean {
   return uptime >= HOSTS_UNKNOWN_MS ||
     (knownHosts > 1 &&
       (unchangedFor >= HOSTS_STABLE_MS ||
-        (unchangedFor >= LINKED_HOSTS_STABLE_MS &&
+        (isListed && unchangedFor >= LINKED_HOSTS_STABLE_MS &&
           knownHosts >= MINIMUM_LINKED_LIST &&
           countLinks() > (knownHosts - 1) * LINKED_PART)));
 }
--- a/src/features/account/common/fallback_share_test.ts
+++ b/src/features/account/common/fallback_share_test.ts
@@ -7,7 +7,7 @@
   const cases: readonly [
     string,
     number,
-    { uptime: number; unchangedFor: number; links: number },
+    { uptime: number; unchangedFor: number; links: number; isListed?: false },
     boolean,
   ][] = [
     ["incomplete before it is read", 1, {
@@ -35,6 +35,18 @@
       unchangedFor: 300,
       links: 2,
     }, false],
+    ["incomplete after 0.3 s if it was learnt from links", 40, {
+      uptime: 1_300,
+      unchangedFor: 300,
+      links: 39,
+      isListed: false,
+    }, false],
+    ["complete after 1 s if it was learnt from links", 40, {
+      uptime: 2_000,
+      unchangedFor: 1_000,
+      links: 39,
+      isListed: false,
+    }, true],
     ["incomplete while it changes", 85, {
       uptime: 2_000,
       unchangedFor: 200,
@@ -49,7 +61,11 @@
   for (const [name, hosts, { links, ...times }, expected] of cases) {
     test(name, () =>
       assert.equal(
-        isHostListComplete(hosts, { ...times, countLinks: () => links }),
+        isHostListComplete(hosts, {
+          isListed: true,
+          ...times,
+          countLinks: () => links,
+        }),
         expected,
       ));
   }
--- a/src/features/account/common/gone_hosts_test.ts
+++ b/src/features/account/common/gone_hosts_test.ts
@@ -46,6 +46,7 @@
     self: "h0",
     startedAt: 0,
     countLinks: () => 2,
+    areHostsListed: () => true,
     listHosts: () => [
       { host: "h0", isReachable: true },
       { host: "h1", isReachable },
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -90,10 +90,12 @@
 }
 
 export function createGranterContacts(
-  { self, startedAt, listHosts, countLinks }: {
+  { self, startedAt, listHosts, areHostsListed, countLinks }: {
     readonly self: HostName;
     readonly startedAt: Milliseconds;
     readonly listHosts: () => readonly KnownHost[];
+    /** Whether the list of the store has been read. */
+    readonly areHostsListed: () => boolean;
     readonly countLinks: () => number;
   },
 ): GranterContacts {
@@ -177,6 +179,7 @@
     isComplete = isHostListComplete(listed.length, {
       uptime: now - startedAt,
       unchangedFor: now - changedAt,
+      isListed: areHostsListed(),
       countLinks,
     });
     const unreachable = trackUnreachable(listed, now);
--- a/src/features/account/common/granter_contacts_test.ts
+++ b/src/features/account/common/granter_contacts_test.ts
@@ -17,6 +17,7 @@
     self: "h0",
     startedAt: 0,
     countLinks: () => HOSTS.length - 1,
+    areHostsListed: () => true,
     listHosts() {
       reads += 1;
       return HOSTS.map((host) => ({
@@ -69,3 +70,28 @@
       assert.equal(countReads(act), expected));
   }
 });
+
+// Guards against two granters of an account while the store is down: each daemon knows the hosts that have linked to it.
+describe("a daemon with links to all hosts of its list", () => {
+  const cases: readonly [string, boolean, number][] = [
+    ["can grant 0.3 s after it has read the list", true, 300],
+    ["can grant 1 s after it has learnt the list from links", false, 1_000],
+  ];
+  for (const [name, isListed, expected] of cases) {
+    test(name, () => {
+      const hosts = Array.from({ length: 40 }, (_, index) => `h${index}`);
+      const contacts = createGranterContacts({
+        self: "h0",
+        startedAt: 0,
+        countLinks: () => hosts.length - 1,
+        areHostsListed: () => isListed,
+        listHosts: () => hosts.map((host) => ({ host, isReachable: true })),
+      });
+      let now = 0;
+      for (contacts.update(now); !contacts.isComplete; now += 100) {
+        contacts.update(now + 100);
+      }
+      assert.equal(now, expected);
+    });
+  }
+});
--- a/src/features/account/common/loop_delay_test.ts
+++ b/src/features/account/common/loop_delay_test.ts
@@ -37,6 +37,7 @@
       network,
       random: createRandomSource(1),
       loopDelay: () => currentDelay,
+      areHostsListed: () => true,
       listHosts: () =>
         HOSTS.map((other) => ({ host: other, isReachable: true })),
     });
--- a/src/features/account/common/single_daemon_test.ts
+++ b/src/features/account/common/single_daemon_test.ts
@@ -29,6 +29,7 @@
       }),
     random: createRandomSource(1),
     loopDelay: () => 0,
+    areHostsListed: () => true,
     listHosts: () => [{ host: self.host, isReachable: true }],
   });
   const limit = { requestsPerSecond: 10, burst: 10 };
--- a/src/features/fleet/common/fleet.ts
+++ b/src/features/fleet/common/fleet.ts
@@ -69,6 +69,8 @@
   /** Daemons with an open link that have sent a status. */
   readonly members: readonly FleetMember[];
   readonly hosts: readonly LinkTarget[];
+  /** Whether the hosts that the store lists have been added. */
+  readonly hasListedHosts: boolean;
   readonly onStatusReceived: Event<{ peer: Peer; status: HostStatus }>;
   /** Fires when another daemon reports instances that have departed from the own host. */
   readonly onDepartedReported: Event<readonly DepartedInstance[]>;
@@ -302,6 +304,9 @@
     get hosts() {
       return [...targets.values()];
     },
+    get hasListedHosts() {
+      return hasListedHosts;
+    },
     onStatusReceived: statusReceived.event,
     onDepartedReported: departedReported.event,
     onRateLimitReported: rateLimitReported.event,
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -285,6 +285,7 @@
     network,
     random,
     loopDelay: () => loopDelay.current,
+    areHostsListed: () => fleet.hasListedHosts,
     listHosts() {
       const reachable = new Set(
         listAllCoordinators().filter(({ isReachable }) => isReachable).map((
