--- a/src/features/account/common/report_interval.ts
+++ b/src/features/account/common/report_interval.ts
@@ -18,7 +18,7 @@
 
 export const REPORT_MS: Milliseconds = 200;
 export const EARLY_REPORT_MS: Milliseconds = 50;
-/** With 1 s, 6 % fewer messages pass far below the limits, but small accounts are limited by calls reported at a time. */
+/** With 1 s, 6 % fewer messages pass far below the limits, but a granter learns of larger jumps half a second later. */
 const MAXIMUM_REPORT_MS: Milliseconds = 500;
 /** More calls than this part of what is expected are reported early; a few calls may be chance. */
 const EARLY_PART = 1.5;
