--- a/src/features/account/common/account_fleet.ts
+++ b/src/features/account/common/account_fleet.ts
@@ -81,10 +81,19 @@
 }
 
 export function createAccountFleet(
-  { hosts, accounts, seed, oldHosts = [], unconfiguredHosts = [] }: {
+  {
+    hosts,
+    accounts,
+    seed,
+    latency = 4,
+    oldHosts = [],
+    unconfiguredHosts = [],
+  }: {
     readonly hosts: readonly HostName[];
     readonly accounts: readonly FleetAccount[];
     readonly seed: number;
+    /** How long a message takes. */
+    readonly latency?: Milliseconds;
     /** Hosts whose daemons know no account messages. */
     readonly oldHosts?: readonly HostName[];
     /** Hosts whose daemons have no configuration yet. */
@@ -93,8 +102,11 @@
 ) {
   const clock = new VirtualClock(1_000_000);
   const random = createRandomSource(seed);
-  const bytes = { all: 0, acrossDomains: 0, messages: 0 };
-  const transport = createMemoryTransport({ clock, latencyMilliseconds: 4 });
+  const bytes = { all: 0, acrossDomains: 0, messages: 0, hostReads: 0 };
+  const transport = createMemoryTransport({
+    clock,
+    latencyMilliseconds: latency,
+  });
   const daemons = new Map<HostName, Daemon>();
   const killedAt = new Map<HostName, Milliseconds>();
   const cutDomains = new Map<string, Milliseconds>();
@@ -136,7 +148,9 @@
     return {
       ...network,
       get peers() {
-        return network.peers;
+        return network.peers.filter(({ process }) =>
+          lostSince(host, process.host) !== -Infinity
+        );
       },
       send,
       sendToAll: (targets, message) =>
@@ -172,13 +186,16 @@
         : wrapNetwork(network, pausable),
       random: createRandomSource(seed + startedAt + Number(host.slice(1))),
       loopDelay: () => 0,
-      listHosts: () =>
-        clock.now() - startedAt < HOSTS_READ_MS && startedAt > 1_000_000
+      areHostsListed: () => true,
+      listHosts() {
+        bytes.hostReads += 1;
+        return clock.now() - startedAt < HOSTS_READ_MS && startedAt > 1_000_000
           ? [{ host, isReachable: true }]
           : hosts.map((other) => ({
             host: other,
             isReachable: other === host || !isKnownAsLost(host, other),
-          })),
+          }));
+      },
     });
     if (!unconfiguredHosts.includes(host)) {
       limits.setAccounts(configured);
--- a/src/features/account/common/account_granter.ts
+++ b/src/features/account/common/account_granter.ts
@@ -14,17 +14,17 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountLimit } from "../../../world/common/client_account.ts";
 import type { AccountName, HostName } from "../../../world/common/names.ts";
+import { computeAdmittedPart, computeGrant } from "./account_granting.ts";
 import {
   type AccountLedger,
-  computeAdmittedPart,
-  computeGrant,
   computeReachablePart,
+  computeTakeoverCredit,
   createLedger,
   type GrantingHosts,
   recordGrant,
   recordReport,
   updateLedger,
-} from "./account_granting.ts";
+} from "./account_ledger.ts";
 import {
   FREE,
   type GrantRow,
@@ -49,9 +49,10 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly limits: () => ReadonlyMap<AccountName, AccountLimit>;
-  readonly hosts: () => GrantingHosts;
+  readonly hosts: (isForLimited: boolean) => GrantingHosts;
   /** Whether this daemon has been running for long enough to know what was admitted. */
   readonly isEstablished: () => boolean;
+  readonly uptime: () => Milliseconds;
   readonly announce: (rows: readonly NoticeRow[]) => void;
 }
 
@@ -74,13 +75,18 @@
 }
 
 export function createAccountGranter(
-  { clock, log, limits, hosts, isEstablished, announce }: AccountGranterOptions,
+  { clock, log, limits, hosts, isEstablished, uptime, announce }:
+    AccountGranterOptions,
 ): AccountGranter {
   const accounts = new Map<AccountName, GrantedAccount>();
   const notices = new Map<AccountName, number>();
   let timer: Disposable | undefined;
   let noticeTimer: Disposable | undefined;
 
+  function hostsFor({ ledger }: GrantedAccount): GrantingHosts {
+    return hosts(ledger.limitedAt !== undefined);
+  }
+
   /** Brings an account up to date and queues the notice that is due, if any. */
   function update(
     name: AccountName,
@@ -89,7 +95,12 @@
   ): void {
     const now = clock.now();
     const wasLimited = account.noticedAt > -Infinity;
-    account.ledger = updateLedger(account.ledger, limit, hosts(), now);
+    account.ledger = updateLedger(
+      account.ledger,
+      limit,
+      hostsFor(account),
+      now,
+    );
     const isLimited = account.ledger.limitedAt !== undefined;
     if (isLimited !== wasLimited) {
       log.write("info", isLimited ? "account.limited" : "account.unlimited", {
@@ -101,7 +112,11 @@
     }
     if (isLimited && isNoticeDue(account, limit)) {
       account.noticedAt = now;
-      const part = computeAdmittedPart(account.ledger, limit, hosts());
+      const part = computeAdmittedPart(
+        account.ledger,
+        limit,
+        hostsFor(account),
+      );
       account.noticedPart = part;
       queueNotice(name, Math.min(MAXIMUM_LIMITED_PART, roundRate(part)));
     } else if (
@@ -158,14 +173,15 @@
   }
 
   function isNoticeDue(
-    { ledger, noticedAt, noticedPart }: GrantedAccount,
+    account: GrantedAccount,
     limit: AccountLimit,
   ): boolean {
+    const { ledger, noticedAt, noticedPart } = account;
     const elapsed = clock.now() - noticedAt;
     if (elapsed < NOTICE_CHANGE_MS) {
       return false;
     }
-    const part = computeAdmittedPart(ledger, limit, hosts());
+    const part = computeAdmittedPart(ledger, limit, hostsFor(account));
     return elapsed >= NOTICE_REPEAT_MS ||
       part > noticedPart * NOTICE_CHANGE_FACTOR ||
       part < noticedPart / NOTICE_CHANGE_FACTOR;
@@ -176,7 +192,12 @@
     let account = accounts.get(name);
     if (account === undefined) {
       account = {
-        ledger: createLedger(limit, { now, isEstablished: isEstablished() }),
+        ledger: createLedger(limit, {
+          now,
+          isEstablished: isEstablished(),
+          uptime: uptime(),
+          reachablePart: computeReachablePart(hosts(true)),
+        }),
         reportedAt: now,
         // A new granter limits accounts until it knows more, which only daemons with demand need to know.
         noticedAt: isEstablished() ? -Infinity : now,
@@ -210,8 +231,14 @@
         }
         const account = getAccount(name, limit);
         account.reportedAt = now;
+        account.ledger = updateLedger(
+          account.ledger,
+          limit,
+          hostsFor(account),
+          now,
+        );
         account.ledger = recordReport(
-          updateLedger(account.ledger, limit, hosts(), now),
+          account.ledger,
           {
             host,
             demand,
@@ -219,14 +246,25 @@
             takeover: heldRate === undefined ? undefined : {
               heldRate,
               isLimited: wasLimited === 1,
-              debt: (debt ?? 0) * computeReachablePart(hosts()),
+              debt: (debt ?? 0) * computeReachablePart(hostsFor(account)),
+              credit: computeTakeoverCredit(
+                account.ledger,
+                limit,
+                hostsFor(account),
+              ),
             },
           },
           now,
         );
         update(name, account, limit);
-        const grant = computeGrant(account.ledger, host, limit, hosts(), now);
-        account.ledger = recordGrant(account.ledger, host, grant);
+        const grant = computeGrant(
+          account.ledger,
+          host,
+          limit,
+          hostsFor(account),
+          now,
+        );
+        recordGrant(account.ledger, host, grant.requestsPerSecond);
         const rate = roundRate(grant.requestsPerSecond);
         grants.push(
           grant.isLimited
--- a/src/features/account/common/account_granting.ts
+++ b/src/features/account/common/account_granting.ts
@@ -17,86 +17,19 @@
 import type { AccountLimit } from "../../../world/common/client_account.ts";
 import type { HostName } from "../../../world/common/names.ts";
 import {
-  type AccountBucket,
-  refillBucket,
-  takeFromBucket,
-} from "./account_bucket.ts";
+  type AccountLedger,
+  computeReachablePart,
+  computeReachableRate,
+  computeTolerance,
+  type GrantingHosts,
+  sumDemand,
+} from "./account_ledger.ts";
 import { computeFallbackRate } from "./fallback_share.ts";
 
-/**
- * How long a daemon keeps to its rate without a further response. It bridges the time until a new granter is
- * known: an unreachable host is known as such after up to 1.5 s in a fleet of 85.
- */
-export const LEASE_MS: Milliseconds = 3_000;
-/**
- * A new granter confirms the rates that daemons hold until all of them have reported: a daemon with calls reports
- * each 200 ms. Proportional rates among the first that report would sum to a multiple of the limit.
- */
-export const SETTLING_MS: Milliseconds = 500;
 /** Debt is repaid, and unused calls are granted, at this pace; within the 5 s in which limits are measured. */
 const CORRECTION_MS: Milliseconds = 2_000;
 /** Debt down to this part of the tolerance is not repaid; a small account would be refused for seconds. */
 const KEPT_DEBT_PART = 0.5;
-/** Demand of this time ahead counts as admitted: it is what passes until daemons know that they are limited. */
-const REACTION_MS: Milliseconds = 200;
-/** Keeps an account from being limited and freed with each report. */
-const MINIMUM_LIMITED_MS: Milliseconds = 1_000;
-/** An account is not freed above this part of its limit, since it would be limited again immediately. */
-const FREE_DEMAND_PART = 0.95;
-/** Debt that random arrival times explain. It is a quarter of what a limit may be exceeded by within 5 s. */
-const TOLERANCE_CALLS = 5;
-const TOLERANCE_SECONDS = 0.025 * 5;
-const TOLERANCE_BURST_PART = 0.025;
-
-/** A daemon from which this many calls should have been reported since its last report is cut off or paused. */
-const MISSING_CALLS = 5;
-const MISSING_MS: Milliseconds = 500;
-/** Daemons with few calls come over from another granter one after the other for this long. */
-const TAKEOVER_MS: Milliseconds = 10_000;
-
-export interface Reporter {
-  /** Calls asked for per second. */
-  readonly demand: number;
-  /** Calls per second that it may still use from the granter before; 0 if there was none. */
-  readonly heldRate: number;
-  /** Calls per second that it was granted last. */
-  readonly grantedRate: number;
-  readonly reportedAt: Milliseconds;
-}
-
-/** What a granter knows of an account. */
-export interface AccountLedger {
-  readonly bucket: AccountBucket;
-  readonly reporters: ReadonlyMap<HostName, Reporter>;
-  /** When the account was limited; undefined while daemons admit freely. */
-  readonly limitedAt: Milliseconds | undefined;
-  readonly settlesAt: Milliseconds;
-  /** When a daemon first reported that comes from another granter. */
-  readonly takenOverAt: Milliseconds;
-  readonly isTakeoverAnnounced: boolean;
-}
-
-export interface AccountReport {
-  readonly host: HostName;
-  readonly demand: number;
-  /** Calls admitted since the last report, less those that no instance has run. */
-  readonly admitted: number;
-  /** Present in the first report after another granter. */
-  readonly takeover:
-    | {
-      readonly heldRate: number;
-      readonly isLimited: boolean;
-      /** The calls beyond the limit that this side of a cut has to repay. */
-      readonly debt: number;
-    }
-    | undefined;
-}
-
-/** The hosts among which a limit is divided. */
-export interface GrantingHosts {
-  readonly known: number;
-  readonly unreachable: ReadonlySet<HostName>;
-}
 
 export interface AccountGrant {
   readonly requestsPerSecond: number;
@@ -105,145 +38,6 @@
   readonly debt: number;
 }
 
-/** Returns the debt up to which an account is not limited. */
-export function computeTolerance(
-  { requestsPerSecond, burst }: AccountLimit,
-): number {
-  return TOLERANCE_CALLS + TOLERANCE_SECONDS * requestsPerSecond +
-    TOLERANCE_BURST_PART * burst;
-}
-
-/**
- * Creates the ledger of a granter. Only a granter that has been one for a while knows that an account without
- * reports has not used its calls; any other begins with an empty bucket, and limits the account until reports
- * have come.
- */
-export function createLedger(
-  limit: AccountLimit,
-  { now, isEstablished }: {
-    readonly now: Milliseconds;
-    readonly isEstablished: boolean;
-  },
-): AccountLedger {
-  return {
-    bucket: { level: isEstablished ? limit.burst : 0, updatedAt: now },
-    reporters: new Map(),
-    limitedAt: isEstablished ? undefined : now,
-    settlesAt: isEstablished ? now : now + SETTLING_MS,
-    takenOverAt: isEstablished ? -Infinity : now,
-    isTakeoverAnnounced: true,
-  };
-}
-
-/**
- * Returns the calls per second that the reachable hosts may use: an unreachable host may use its fallback
- * share, unless it still holds a rate and counts as a reporter.
- */
-export function computeReachableRate(
-  { reporters }: Pick<AccountLedger, "reporters">,
-  limit: AccountLimit,
-  hosts: GrantingHosts,
-): number {
-  let sharing = 0;
-  for (const host of hosts.unreachable) {
-    sharing += reporters.has(host) ? 0 : 1;
-  }
-  return limit.requestsPerSecond -
-    computeFallbackRate(limit, Math.max(1, hosts.known)) * sharing;
-}
-
-/** Each side of a cut has its part of the burst and of the tolerance only. */
-export function computeReachablePart(
-  { known, unreachable }: GrantingHosts,
-): number {
-  return 1 - unreachable.size / Math.max(1, known);
-}
-
-/** Brings a ledger to the present: refills the bucket, forgets daemons, limits or frees the account. */
-export function updateLedger(
-  ledger: AccountLedger,
-  limit: AccountLimit,
-  hosts: GrantingHosts,
-  now: Milliseconds,
-): AccountLedger {
-  const expired = [...ledger.reporters].filter(([, { reportedAt }]) =>
-    now - reportedAt > LEASE_MS
-  );
-  let { reporters } = ledger;
-  if (expired.length > 0) {
-    const kept = new Map(reporters);
-    expired.forEach(([host]) => kept.delete(host));
-    reporters = kept;
-  }
-  const requestsPerSecond = computeReachableRate({ reporters }, limit, hosts);
-  const reachablePart = computeReachablePart(hosts);
-  const bucket = refillBucket(ledger.bucket, {
-    requestsPerSecond: requestsPerSecond -
-      sumMissingRates(reporters, hosts, now),
-    capacity: limit.burst * reachablePart,
-  }, now);
-  const next = { ...ledger, reporters, bucket };
-  const demand = sumDemand(reporters);
-  const tolerance = computeTolerance(limit) * reachablePart;
-  if (ledger.limitedAt === undefined) {
-    const growth = (requestsPerSecond - demand) * REACTION_MS / SECOND_MS;
-    const expected = bucket.level + Math.min(0, growth);
-    return expected < -tolerance ? { ...next, limitedAt: now } : next;
-  }
-  const isFree = now - ledger.limitedAt >= MINIMUM_LIMITED_MS &&
-    now >= ledger.settlesAt &&
-    bucket.level >= 0 &&
-    demand < requestsPerSecond * FREE_DEMAND_PART;
-  return isFree ? { ...next, limitedAt: undefined } : next;
-}
-
-/** Adds a report; the ledger must be up to date. */
-export function recordReport(
-  ledger: AccountLedger,
-  { host, demand, admitted, takeover }: AccountReport,
-  now: Milliseconds,
-): AccountLedger {
-  const reporters = new Map(ledger.reporters);
-  const present = reporters.get(host);
-  const heldRate = takeover?.heldRate ?? present?.heldRate ?? 0;
-  if (demand > 0) {
-    const grantedRate = present?.grantedRate ?? heldRate;
-    reporters.set(host, { demand, heldRate, grantedRate, reportedAt: now });
-  } else {
-    reporters.delete(host);
-  }
-  const bucket = takeFromBucket(ledger.bucket, admitted);
-  if (takeover === undefined || now - ledger.takenOverAt < TAKEOVER_MS) {
-    return { ...ledger, reporters, bucket };
-  }
-  // What other granters have let pass is known as of their last response only, so nothing of the burst is left.
-  return {
-    ...ledger,
-    reporters,
-    bucket: { ...bucket, level: Math.min(-takeover.debt, bucket.level) },
-    limitedAt: ledger.limitedAt ?? (takeover.isLimited ? now : undefined),
-    settlesAt: now + SETTLING_MS,
-    takenOverAt: now,
-    isTakeoverAnnounced: false,
-  };
-}
-
-/** Notes what a daemon was granted, which it may use also while it can't report. */
-export function recordGrant(
-  ledger: AccountLedger,
-  host: HostName,
-  { requestsPerSecond }: AccountGrant,
-): AccountLedger {
-  const reporter = ledger.reporters.get(host);
-  return reporter === undefined ? ledger : {
-    ...ledger,
-    reporters: new Map(ledger.reporters).set(host, {
-      ...reporter,
-      grantedRate: requestsPerSecond,
-    }),
-  };
-}
-
 /** Returns the part of the calls that may be admitted, for daemons without a rate of their own. */
 export function computeAdmittedPart(
   ledger: AccountLedger,
@@ -300,27 +94,3 @@
     debt,
   };
 }
-
-/** Sums the rates that daemons probably use whose reports are missing. */
-function sumMissingRates(
-  reporters: AccountLedger["reporters"],
-  { unreachable }: GrantingHosts,
-  now: Milliseconds,
-): number {
-  let sum = 0;
-  for (const [host, { demand, grantedRate, reportedAt }] of reporters) {
-    const silence = now - reportedAt;
-    const isMissing = unreachable.has(host) ||
-      (silence > MISSING_MS && silence * demand > MISSING_CALLS * SECOND_MS);
-    sum += isMissing ? Math.min(demand, grantedRate) : 0;
-  }
-  return sum;
-}
-
-function sumDemand(reporters: AccountLedger["reporters"]): number {
-  let sum = 0;
-  for (const { demand } of reporters.values()) {
-    sum += demand;
-  }
-  return sum;
-}
--- a/src/features/account/common/granter_contacts.ts
+++ b/src/features/account/common/granter_contacts.ts
@@ -10,15 +10,22 @@
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { AccountName, HostName } from "../../../world/common/names.ts";
-import type { GrantingHosts } from "./account_granting.ts";
-import { SILENT_MS } from "./account_share.ts";
+import type { GrantingHosts } from "./account_ledger.ts";
+import { SILENT_MS } from "./silence.ts";
 import { countSharingHosts, isHostListComplete } from "./fallback_share.ts";
+import { chooseGrantingHosts } from "./granter_choice.ts";
 import { createGranterRanking } from "./granter_ranking.ts";
 
 const EXCLUDED_MS: Milliseconds = 1_000;
 /** A granter that does not respond to this many reports is silent anyway. */
 const MAXIMUM_UNANSWERED = 16;
 const UPDATE_MS: Milliseconds = 100;
+/** The list of a fleet in which nothing changes is read less often: it is as long as the fleet. */
+const SETTLED_UPDATE_MS: Milliseconds = 1_000;
+/** After a change of the hosts, or of a link, further ones are likely for this long. */
+const UNSETTLED_MS: Milliseconds = 3_000;
+/** A report without a response for this long may be the first sign of a cut. */
+const SUSPICIOUS_MS: Milliseconds = 250;
 const PROBE_MS: Milliseconds = 2_000;
 /** A daemon that has just started is a granter within a second or two. */
 const STARTING_PROBE_MS: Milliseconds = 300;
@@ -31,6 +38,9 @@
 /** What happened to a host is not known if the hosts were not read for this long; an idle daemon does not read them. */
 const UNOBSERVED_MS: Milliseconds = 5_000;
 
+/** With each further response, a slow one counts for this part. */
+const RESPONSE_DECAY = 0.9;
+
 export interface KnownHost {
   readonly host: HostName;
   readonly isReachable: boolean;
@@ -47,8 +57,11 @@
 }
 
 export interface GranterContacts {
-  /** Reads the list of hosts again; called before reports are sent or handled. */
-  update(now: Milliseconds): void;
+  /**
+   * Reads the list of hosts again; called before reports are sent or handled. The granter of a limited account needs
+   * the present list, since it divides the limit among the hosts.
+   */
+  update(now: Milliseconds, isForLimited?: boolean): void;
   /** Whether the list of hosts can be taken for complete; a daemon is no granter before. */
   readonly isComplete: boolean;
   /** Among how many hosts limits are divided without a granter. */
@@ -58,7 +71,13 @@
   recordSent(host: HostName, sequence: number, now: Milliseconds): void;
   recordUnsent(host: HostName, now: Milliseconds): void;
   /** Returns when the report was sent; undefined if it is not known. */
-  recordResponse(host: HostName, sequence: number): Milliseconds | undefined;
+  recordResponse(
+    host: HostName,
+    sequence: number,
+    now: Milliseconds,
+  ): Milliseconds | undefined;
+  /** How long responses took lately, the slow ones of the last dozen above all; 0 before the first. */
+  readonly responseTime: Milliseconds;
   isSilent(host: HostName, now: Milliseconds): boolean;
   /** Passes a host over that is not ready, until it is asked again. */
   exclude(host: HostName): void;
@@ -71,10 +90,13 @@
 }
 
 export function createGranterContacts(
-  { self, startedAt, listHosts }: {
+  { self, startedAt, listHosts, areHostsListed, countLinks }: {
     readonly self: HostName;
     readonly startedAt: Milliseconds;
     readonly listHosts: () => readonly KnownHost[];
+    /** Whether the list of the store has been read. */
+    readonly areHostsListed: () => boolean;
+    readonly countLinks: () => number;
   },
 ): GranterContacts {
   const contacts = new Map<HostName, Contact>();
@@ -87,7 +109,10 @@
   let isUpdateDue = true;
   let listedHosts = 1;
   let changedAt = startedAt;
+  let unsettledUntil = -Infinity;
+  let hasLinkChanged = false;
   let isComplete = false;
+  let responseTime: Milliseconds = 0;
 
   function getContact(host: HostName): Contact {
     let contact = contacts.get(host);
@@ -105,6 +130,20 @@
     return contact;
   }
 
+  /** Returns for how long the list that was read last is taken for the present one. */
+  function chooseUpdateInterval(now: Milliseconds): Milliseconds {
+    if (!isComplete || hasLinkChanged || now < unsettledUntil) {
+      return UPDATE_MS;
+    }
+    for (const { isExcluded, silentSince } of contacts.values()) {
+      const silence = silentSince === undefined ? 0 : now - silentSince;
+      if (!isExcluded && silence >= SUSPICIOUS_MS) {
+        return UPDATE_MS;
+      }
+    }
+    return SETTLED_UPDATE_MS;
+  }
+
   /** Returns the hosts that are unreachable, but may still use their shares. */
   function trackUnreachable(
     listed: readonly KnownHost[],
@@ -124,19 +163,33 @@
     );
   }
 
-  function update(now: Milliseconds): void {
-    if (!isUpdateDue && now - updatedAt < UPDATE_MS) {
+  function update(now: Milliseconds, isForLimited = false): void {
+    const elapsed = now - updatedAt;
+    const interval = isForLimited || elapsed < UPDATE_MS
+      ? UPDATE_MS
+      : chooseUpdateInterval(now);
+    if (!isUpdateDue && elapsed < interval) {
       return;
     }
     isUpdateDue = false;
     const listed = listHosts();
     changedAt = listed.length === listedHosts ? changedAt : now;
+    const lostBefore = unreachableSince.size;
     listedHosts = listed.length;
     isComplete = isHostListComplete(listed.length, {
       uptime: now - startedAt,
       unchangedFor: now - changedAt,
+      isListed: areHostsListed(),
+      countLinks,
     });
     const unreachable = trackUnreachable(listed, now);
+    if (
+      changedAt === now || unreachableSince.size !== lostBefore ||
+      hasLinkChanged
+    ) {
+      unsettledUntil = now + UNSETTLED_MS;
+    }
+    hasLinkChanged = false;
     updatedAt = now;
     let known = listed.length;
     const next: HostName[] = [];
@@ -162,7 +215,8 @@
       next.some((host, index) => host !== candidates[index])
     ) {
       candidates = next;
-      ranking.setCandidates(next);
+      unsettledUntil = now + UNSETTLED_MS;
+      ranking.setCandidates(chooseGrantingHosts(next));
     }
   }
 
@@ -188,9 +242,15 @@
     recordUnsent(host, now) {
       getContact(host).silentSince ??= now - SILENT_MS;
     },
-    recordResponse(host, sequence) {
+    get responseTime() {
+      return responseTime;
+    },
+    recordResponse(host, sequence, now) {
       const contact = getContact(host);
       const sentAt = contact.unanswered.get(sequence);
+      if (sentAt !== undefined) {
+        responseTime = Math.max(now - sentAt, responseTime * RESPONSE_DECAY);
+      }
       for (const number of [...contact.unanswered.keys()]) {
         if (number <= sequence) {
           contact.unanswered.delete(number);
@@ -232,6 +292,9 @@
       }
       return due;
     },
-    reset: (host) => contacts.delete(host),
+    reset(host) {
+      contacts.delete(host);
+      hasLinkChanged = true;
+    },
   };
 }
