Spread the first calls of the soak's callers that pause longest

Cause: the "recovered" violations. Callers of a run start together, and pauses are cut at 12 s, so that 13.5 % of all callers (about 80 of 600) ended their first pause in the same moment, 12 s after the start. With the calls of that moment they ask for more than the 48 slots of "booking". Change: the maximum of the pause differs from caller to caller, from 8 s to 12 s. The check and its bounds are as before.

--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -10,6 +10,7 @@
 import { FIXTURE_HOST } from "../platform/stand_in/mesh_fixture.ts";
 import type { Milliseconds } from "../src/base/common/milliseconds.ts";
 import type { RandomSource } from "../src/base/common/random_source.ts";
+import { drawPause, MEAN_IDLE_MS } from "./caller_pauses.ts";
 import { type CallerConnection, openConnection } from "./caller_connection.ts";
 import type { CallKind, ObservedCall } from "./observations.ts";
 import { findAccount } from "./soak_accounts.ts";
@@ -20,10 +21,6 @@
 /** A caller without a response then closes its connection; route timeouts are far shorter. */
 const CALLER_TIMEOUT_MS: Milliseconds = 6_000;
 const UPLOAD_BYTES = 60_000;
-/** Many connections are then idle from the start of a stop until its last second, the sixth. */
-const MEAN_IDLE_MS: Milliseconds = 6_000;
-/** Four fifths of the idle timeout of a connection, which is 15 s. */
-const MAXIMUM_IDLE_MS: Milliseconds = 12_000;
 /** Share of the calls that use a route of the newest configuration. */
 const NUMBERED_ROUTE_SHARE = 0.15;
 /** Share of the calls after which the caller closes its connection. */
@@ -171,13 +168,11 @@
   }
 
   /** Runs one caller, which uses one connection at a time. */
-  async function runCaller(host: SoakHost): Promise<void> {
+  async function runCaller(host: SoakHost, index: number): Promise<void> {
     let connection: CallerConnection | undefined;
     while (!stopping.signal.aborted) {
-      const pause = -Math.log(1 - random.nextFraction()) * MEAN_IDLE_MS;
-      await sleep(Math.min(pause, MAXIMUM_IDLE_MS), undefined, {
-        signal: stopping.signal,
-      });
+      const pause = drawPause(random, index / callersPerHost);
+      await sleep(pause, undefined, { signal: stopping.signal });
       if (connection?.isIdle !== true) {
         connection && discard(connection);
         connection = connect(host);
@@ -201,7 +196,7 @@
 
   for (const host of hosts) {
     for (let each = 0; each < callersPerHost; each += 1) {
-      runCaller(host).catch((error) => {
+      runCaller(host, each).catch((error) => {
         if (!stopping.signal.aborted) {
           throw error;
         }
