--- a/soak/soak_host.ts
+++ b/soak/soak_host.ts
@@ -17,6 +17,7 @@
 } from "../platform/stand_in/instance_stand_in.ts";
 import {
   createSettings,
+  sendRequest,
   startStoreStandIn,
 } from "../platform/stand_in/mesh_fixture.ts";
 import type { Milliseconds } from "../src/base/common/milliseconds.ts";
@@ -35,6 +36,7 @@
 const PROGRAM = fileURLToPath(new URL("../platform/main.js", import.meta.url));
 const FAILURE_DOMAINS = 3;
 const SLOTS = 24;
+const READY_TIMEOUT_MS: Milliseconds = 20_000;
 /** Approximate time that an instance continues to serve after its drain is acknowledged. */
 const DRAIN_DURATION_MS: Milliseconds = 2_600;
 /** An instance that leaves first completes its running calls; the longest route timeout is 3 s. */
@@ -318,6 +320,21 @@
   return host;
 }
 
+export async function waitUntilReady(host: SoakHost): Promise<void> {
+  const until = performance.now() + READY_TIMEOUT_MS;
+  while (performance.now() < until) {
+    const { status } = await sendRequest(host.readiness, {
+      path: "/readyz",
+      identity: "readiness",
+    });
+    if (status === 200) {
+      return;
+    }
+    await sleep(50);
+  }
+  throw new Error(`${host.name} is not ready within ${READY_TIMEOUT_MS} ms`);
+}
+
 function drawServiceTime(path: string): Milliseconds {
   const { from, to } = path.startsWith("/slow/")
     ? SLOW_ROUTE_WORK_MS
