--- a/src/features/claim/common/claim_sockets_test.ts
+++ b/src/features/claim/common/claim_sockets_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
-import { test } from "node:test";
-import { SILENT_LOG } from "../../../base/common/event_log.ts";
+import { test, type TestContext } from "node:test";
+import { createEventBuffer } from "../../../base/common/event_log.ts";
 import { createRandomSource } from "../../../base/common/random_source.ts";
 import { SYSTEM_CLOCK } from "../../../base/node/system_clock.ts";
 import type { LinkTarget } from "../../link/common/peer_network.ts";
@@ -10,6 +10,8 @@
 import { createKey } from "./claim_fleet.ts";
 import { createClaimClient } from "./create_claim_client.ts";
 
+const MAXIMUM_EVENTS = 2_000;
+
 async function findPort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) =>
@@ -25,6 +27,7 @@
   failureDomain: string,
   seeds: readonly LinkTarget[],
 ) {
+  const buffer = createEventBuffer(MAXIMUM_EVENTS, () => SYSTEM_CLOCK.now());
   const base = {
     self: {
       process: { host, startedAt: SYSTEM_CLOCK.now() },
@@ -38,13 +41,14 @@
     },
     clock: SYSTEM_CLOCK,
     random: createRandomSource(port),
-    log: SILENT_LOG,
+    log: buffer.log,
   };
   const network = createPeerNetwork(base);
   const directory = createDirectory({ ...base, network, seeds });
   const client = createClaimClient({ ...base, network, directory });
   return {
     host,
+    events: buffer.events,
     directory,
     client,
     dispose() {
@@ -55,6 +59,41 @@
   };
 }
 
+type TestDaemon = ReturnType<typeof startDaemon>;
+
+/** Claims the key at a daemon; tells when and how it ended, and what the daemon then knew of its failure domain. */
+async function traceClaim(
+  { host, client, directory }: TestDaemon,
+  key: string,
+) {
+  const claimedAt = SYSTEM_CLOCK.now();
+  const answer = await client.claim("customer", key);
+  const members = directory.localMembers.map(({ process }) => process.host);
+  return {
+    kind: answer.kind,
+    description: [
+      `${host}: ${answer.kind}`,
+      "reason" in answer ? answer.reason : "",
+      `${SYSTEM_CLOCK.now() - claimedAt} ms after ${claimedAt}`,
+      `local members ${members.join()}`,
+    ].join("; "),
+  };
+}
+
+function printEvents(
+  context: TestContext,
+  daemons: readonly TestDaemon[],
+  since: number,
+): void {
+  for (const { host, events } of daemons) {
+    for (const { at, event, fields } of events) {
+      if (at >= since) {
+        context.diagnostic(`${host} ${at} ${event} ${JSON.stringify(fields)}`);
+      }
+    }
+  }
+}
+
 async function waitFor(
   description: string,
   condition: () => boolean,
@@ -70,7 +109,7 @@
   }
 }
 
-test("links, membership and claims work together over real sockets", async () => {
+test("links, membership and claims work together over real sockets", async (context) => {
   const targets: LinkTarget[] = [];
   for (const host of ["a1", "a2", "a3", "b1", "b2"]) {
     targets.push({ host, address: "127.0.0.1", port: await findPort() });
@@ -124,8 +163,12 @@
     }
     assert.equal(first.kind, "granted");
     const repeats = await Promise.all(
-      daemons.map(({ client }) => client.claim("customer", key)),
+      daemons.map((daemon) => traceClaim(daemon, key)),
     );
+    if (repeats.some(({ kind }) => kind !== "claimed")) {
+      repeats.forEach(({ description }) => context.diagnostic(description));
+      printEvents(context, daemons, startedWaitingAt);
+    }
     assert.deepEqual(
       repeats.map(({ kind }) => kind),
       daemons.map(() => "claimed"),
