--- a/soak/recovery_check_test.ts
+++ b/soak/recovery_check_test.ts
@@ -106,6 +106,14 @@
     },
     violated: "recovered",
   },
+  {
+    name: "the same with more calls and an instance that takes some of them",
+    observations: {
+      ...observeCalls({ perSecond: 70, refusedShare: 0.1 }),
+      reductions: [{ ...REDUCTION, perSecond: 70 }],
+    },
+    violated: "recovered",
+  },
   {
     name: "a tenth refused while an instance of another service gets none",
     observations: {
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -188,15 +188,6 @@
       from,
       until: now(),
     });
-    recordReduction(host, { perSecond: NAMED_LIMIT_PER_SECOND, from });
-  }
-
-  /** Records that the instance of a host has had little room until now. */
-  function recordReduction(
-    { name }: SoakHost,
-    { perSecond, from }: Pick<ReducedRoom, "perSecond" | "from">,
-  ): void {
-    reductions.push({ host: name, perSecond, from, until: now() });
   }
 
   async function becomeCold(
@@ -239,10 +230,16 @@
     store.writeBytes("keyed.op", key, Buffer.alloc(0));
     isEvacuating = false;
     evacuations.push({ failureDomain, acceptedAt, until });
-    hosts.filter((host) => host.failureDomain === failureDomain)
-      .forEach((host) =>
-        recordReduction(host, { perSecond: 0, from: acceptedAt })
-      );
+    for (const host of hosts) {
+      if (host.failureDomain === failureDomain) {
+        reductions.push({
+          host: host.name,
+          perSecond: 0,
+          from: acceptedAt,
+          until,
+        });
+      }
+    }
   }
 
   async function injectStoreFault(
