--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -10,6 +10,7 @@
 import { FIXTURE_HOST } from "../platform/stand_in/mesh_fixture.ts";
 import type { Milliseconds } from "../src/base/common/milliseconds.ts";
 import type { RandomSource } from "../src/base/common/random_source.ts";
+import { drawPause, MEAN_IDLE_MS } from "./caller_pauses.ts";
 import { type CallerConnection, openConnection } from "./caller_connection.ts";
 import type { CallKind, ObservedCall } from "./observations.ts";
 import { findAccount } from "./soak_accounts.ts";
@@ -20,10 +21,6 @@
 /** A caller without a response then closes its connection; route timeouts are far shorter. */
 const CALLER_TIMEOUT_MS: Milliseconds = 6_000;
 const UPLOAD_BYTES = 60_000;
-/** Many connections are then idle from the start of a stop until its last second, the sixth. */
-const MEAN_IDLE_MS: Milliseconds = 6_000;
-/** Four fifths of the idle timeout of a connection, which is 15 s. */
-const MAXIMUM_IDLE_MS: Milliseconds = 12_000;
 /** Share of the calls that use a route of the newest configuration. */
 const NUMBERED_ROUTE_SHARE = 0.15;
 /** Share of the calls after which the caller closes its connection. */
@@ -65,6 +62,7 @@
 interface PlannedCall {
   readonly identity: string;
   readonly kind: CallKind;
+  readonly service: string;
   readonly path: string;
   readonly deadline: Milliseconds;
   readonly bodyBytes?: number;
@@ -75,14 +73,30 @@
 }
 
 const ROUTES: readonly (
-  & Pick<PlannedCall, "kind" | "path" | "bodyBytes" | "routeTimeout">
+  & Pick<
+    PlannedCall,
+    "kind" | "service" | "path" | "bodyBytes" | "routeTimeout"
+  >
   & { readonly share: number }
 )[] = [
-  { kind: "safe", share: 0.54, path: "/lookup/unit" },
-  { kind: "unsafe", share: 0.25, path: "/reserve/unit", bodyBytes: 1_200 },
-  { kind: "upload", share: 0.15, path: "/photo/unit", bodyBytes: UPLOAD_BYTES },
+  { kind: "safe", service: "booking", share: 0.54, path: "/lookup/unit" },
   {
     kind: "unsafe",
+    service: "booking",
+    share: 0.25,
+    path: "/reserve/unit",
+    bodyBytes: 1_200,
+  },
+  {
+    kind: "upload",
+    service: "dispatch",
+    share: 0.15,
+    path: "/photo/unit",
+    bodyBytes: UPLOAD_BYTES,
+  },
+  {
+    kind: "unsafe",
+    service: "booking",
     share: 0.06,
     path: "/slow/unit",
     bodyBytes: 100,
@@ -118,7 +132,12 @@
   function drawRoute(): Omit<PlannedCall, "identity" | "deadline"> {
     if (random.nextFraction() < NUMBERED_ROUTE_SHARE) {
       const routeNumber = options.newestConfiguration();
-      return { kind: "safe", path: `/epoch-${routeNumber}/unit`, routeNumber };
+      return {
+        kind: "safe",
+        service: serviceOfNumberedRoute(routeNumber),
+        path: `/epoch-${routeNumber}/unit`,
+        routeNumber,
+      };
     }
     let remainder = random.nextFraction();
     return ROUTES.find(({ share }) => (remainder -= share) < 0) ?? ROUTES[0];
@@ -144,7 +163,7 @@
     connection: CallerConnection,
     planned: PlannedCall,
   ): Promise<number> {
-    const { identity, kind, path, deadline } = planned;
+    const { identity, kind, service, path, deadline } = planned;
     callsInFlight += 1;
     const sentAt = now();
     const { processNumber } = host;
@@ -156,6 +175,7 @@
       ...response,
       identity,
       kind,
+      service,
       host: host.name,
       processNumber,
       routeNumber: planned.routeNumber,
@@ -171,13 +191,11 @@
   }
 
   /** Runs one caller, which uses one connection at a time. */
-  async function runCaller(host: SoakHost): Promise<void> {
+  async function runCaller(host: SoakHost, index: number): Promise<void> {
     let connection: CallerConnection | undefined;
     while (!stopping.signal.aborted) {
-      const pause = -Math.log(1 - random.nextFraction()) * MEAN_IDLE_MS;
-      await sleep(Math.min(pause, MAXIMUM_IDLE_MS), undefined, {
-        signal: stopping.signal,
-      });
+      const pause = drawPause(random, index / callersPerHost);
+      await sleep(pause, undefined, { signal: stopping.signal });
       if (connection?.isIdle !== true) {
         connection && discard(connection);
         connection = connect(host);
@@ -201,7 +219,7 @@
 
   for (const host of hosts) {
     for (let each = 0; each < callersPerHost; each += 1) {
-      runCaller(host).catch((error) => {
+      runCaller(host, each).catch((error) => {
         if (!stopping.signal.aborted) {
           throw error;
         }
@@ -220,6 +238,7 @@
       const status = await call(host, connection, {
         identity: `${parent}-${sentCalls += 1}`,
         kind: "safe",
+        service: "dispatch",
         path: NESTED_PATH,
         deadline,
       });
@@ -236,6 +255,11 @@
   };
 }
 
+/** The service of the route that this configuration adds. */
+export function serviceOfNumberedRoute(number: number): string {
+  return number % 2 === 0 ? "booking" : "dispatch";
+}
+
 function formatRequest(
   { identity, path, deadline, bodyBytes, key }: PlannedCall,
 ): Buffer {
