Join overlapping cold times of an instance in the check of its arrivals

Cause: each cold time was checked alone, so a second that spans two overlapping ones of an instance could hold twice what is allowed. Change: overlapping cold times of an instance count as one. Before: the new case of instance_guarantees_test red, 15 others passed. After: 16 passed.

--- a/soak/guarantee_check.ts
+++ b/soak/guarantee_check.ts
@@ -6,6 +6,7 @@
 
 import type { Milliseconds } from "../src/base/common/milliseconds.ts";
 import {
+  type ColdTime,
   createCallViolation,
   groupRunsByCall,
   type GuaranteeBounds,
@@ -233,7 +234,8 @@
   { runs, coldTimes }: Observations,
   { coldWindow, coldFactor, coldExtra }: GuaranteeBounds,
 ): Violation[] {
-  return coldTimes.flatMap(({ instance, perSecond, from, until }) => {
+  return joinColdTimes(coldTimes).flatMap((coldTime) => {
+    const { instance, perSecond, from, until } = coldTime;
     const arrivals = runs.filter((run) => run.instance === instance)
       .map(({ at, observerDelay }) => ({ earliest: at - observerDelay, at }))
       .filter(({ earliest, at }) => earliest >= from && at <= until);
@@ -254,6 +256,24 @@
   });
 }
 
+/** An instance that becomes cold again while it is cold stays cold, so a second may span both times. */
+function joinColdTimes(coldTimes: readonly ColdTime[]): readonly ColdTime[] {
+  const joined: ColdTime[] = [];
+  for (const each of coldTimes.toSorted((a, b) => a.from - b.from)) {
+    const index = joined.findIndex(({ instance, until }) =>
+      instance === each.instance && each.from <= until
+    );
+    if (index < 0) {
+      joined.push(each);
+    } else {
+      const before = joined[index];
+      const until = Math.max(before.until, each.until);
+      joined[index] = { ...before, until };
+    }
+  }
+  return joined;
+}
+
 function checkEvacuations(
   observations: Observations,
   { evacuateWithin, stableFor }: GuaranteeBounds,
--- a/soak/instance_guarantees_test.ts
+++ b/soak/instance_guarantees_test.ts
@@ -100,6 +100,18 @@
       coldTimes: [COLD_TIME],
     },
   },
+  {
+    name:
+      "more runs in a second than tolerated, while another cold time follows",
+    observations: {
+      ...observeRunsAt([
+        ...repeatTime(12_700, 6),
+        ...repeatTime(13_500, 6),
+      ]),
+      coldTimes: [COLD_TIME, { ...COLD_TIME, from: 12_900, until: 15_000 }],
+    },
+    violated: "cold-limited",
+  },
   {
     name: "more runs at an instance before it becomes cold and after that",
     observations: {
