Excuse no call after the faults for a cold start

Cause: the check of the recovery required fewer calls to be served while an instance was cold and for 4 s after, and no trace has shown that this is needed. Ruled out: that cold starts cost calls after the faults. Change: the check takes evacuations from their records; the separate list of reduced room is gone. The case of an instance that takes some calls is replaced by one of a cold instance, which excuses nothing.

--- a/soak/guarantee_fixture.ts
+++ b/soak/guarantee_fixture.ts
@@ -60,7 +60,7 @@
 };
 
 /** Two hosts of each service, one of them in each failure domain. */
-const HOSTS: readonly ObservedHost[] = [0, 1, 2, 3].map((index) => ({
+export const HOSTS: readonly ObservedHost[] = [0, 1, 2, 3].map((index) => ({
   name: `host-${index}`,
   service: index % 2 === 0 ? "booking" : "dispatch",
   failureDomain: index < 2 ? "east" : "west",
@@ -79,7 +79,6 @@
     peakMemoryMegabytes: 100,
     coldTimes: [],
     evacuations: [],
-    reductions: [],
     hosts: HOSTS,
     accountOf: () => "press",
     ...fields,
--- a/soak/observations.ts
+++ b/soak/observations.ts
@@ -108,14 +108,6 @@
   readonly until: Milliseconds;
 }
 
-/** A time in which the instance of a host takes less than its slots allow; callers may be refused for it. */
-export interface ReducedRoom {
-  readonly host: string;
-  readonly perSecond: number;
-  readonly from: Milliseconds;
-  readonly until: Milliseconds;
-}
-
 export interface AcceptedConfiguration {
   readonly number: number;
   readonly acceptedAt: Milliseconds;
@@ -139,7 +131,6 @@
   readonly namedLimits: readonly NamedLimit[];
   readonly coldTimes: readonly ColdTime[];
   readonly evacuations: readonly Evacuation[];
-  readonly reductions: readonly ReducedRoom[];
   readonly hosts: readonly ObservedHost[];
   readonly configurations: readonly AcceptedConfiguration[];
   readonly disruptions: readonly Disruption[];
--- a/soak/recovery_check.ts
+++ b/soak/recovery_check.ts
@@ -10,7 +10,6 @@
   isDisrupted,
   type Observations,
   type ObservedCall,
-  type ObservedHost,
   type Violation,
 } from "./observations.ts";
 
@@ -98,9 +97,9 @@
   ).reduce((product, share) => product * share, 1);
 }
 
-/** 1 while all instances of the service take what their slots allow. */
+/** 1 while no instance of the service is evacuated. */
 function estimateServiceShare(
-  { hosts, reductions }: Observations,
+  { hosts, evacuations }: Observations,
   { service, load, from, until }: {
     readonly service: string;
     readonly load: ServiceLoad;
@@ -108,22 +107,20 @@
     readonly until: Milliseconds;
   },
 ): number {
-  const current = reductions.filter((each) =>
-    each.from <= until && each.until >= from
+  const evacuated = new Set(
+    evacuations.filter((each) => each.acceptedAt <= until && each.until >= from)
+      .map(({ failureDomain }) => failureDomain),
   );
   const ofService = hosts.filter((host) => host.service === service);
-  const isReduced = ({ name }: ObservedHost) =>
-    current.some(({ host }) => host === name);
-  if (!ofService.some(isReduced)) {
+  const left = ofService.filter(({ failureDomain }) =>
+    !evacuated.has(failureDomain)
+  );
+  if (left.length === ofService.length) {
     return 1;
   }
-  const slots = ofService.map((host) => {
-    const limits = current.filter((each) => each.host === host.name)
-      .map(({ perSecond }) => perSecond * load.meanRunMilliseconds / 1_000);
-    return Math.min(host.slots, ...limits);
-  }).reduce((sum, each) => sum + each, 0);
+  const slots = left.reduce((sum, host) => sum + host.slots, 0);
   const offered = load.callsPerSecond * load.meanRunMilliseconds / 1_000;
-  return 1 - computeBlockedShare(Math.floor(slots), offered);
+  return 1 - computeBlockedShare(slots, offered);
 }
 
 /**
--- a/soak/recovery_check_test.ts
+++ b/soak/recovery_check_test.ts
@@ -1,14 +1,28 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { call, type Case, kill, run, testCases } from "./guarantee_fixture.ts";
-import type { ObservedCall, ReducedRoom } from "./observations.ts";
+import {
+  call,
+  type Case,
+  HOSTS,
+  kill,
+  run,
+  testCases,
+} from "./guarantee_fixture.ts";
+import type { ColdTime, Evacuation, ObservedCall } from "./observations.ts";
 import { computeBlockedShare } from "./recovery_check.ts";
 
 /** Each service has two instances of 8 slots, and each call occupies one for 100 ms. */
 const RUN_MS = 100;
-const REDUCTION: ReducedRoom = {
-  host: "host-0",
-  perSecond: 0,
+/** Leaves one instance of each service. */
+const EVACUATION: Evacuation = {
+  failureDomain: "east",
+  acceptedAt: 60_000,
+  until: 99_000,
+};
+
+const COLD_TIME: ColdTime = {
+  instance: "host-0-i1",
+  perSecond: 10,
   from: 60_000,
   until: 99_000,
 };
@@ -87,14 +101,14 @@
     name: "the same while one instance of the service gets none",
     observations: {
       ...observeCalls({ perSecond: 70, refusedShare: 0.1 }),
-      reductions: [REDUCTION],
+      evacuations: [EVACUATION],
     },
   },
   {
     name: "three tenths refused while one instance of the service gets none",
     observations: {
       ...observeCalls({ perSecond: 70, refusedShare: 0.3 }),
-      reductions: [REDUCTION],
+      evacuations: [EVACUATION],
     },
     violated: "recovered",
   },
@@ -102,23 +116,26 @@
     name: "a tenth refused of calls that the other instance has room for",
     observations: {
       ...observeCalls({ perSecond: 20, refusedShare: 0.1 }),
-      reductions: [REDUCTION],
+      evacuations: [EVACUATION],
     },
     violated: "recovered",
   },
   {
-    name: "the same with more calls and an instance that takes some of them",
+    name: "a tenth refused while one instance of the service is cold",
     observations: {
       ...observeCalls({ perSecond: 70, refusedShare: 0.1 }),
-      reductions: [{ ...REDUCTION, perSecond: 70 }],
+      coldTimes: [COLD_TIME],
     },
     violated: "recovered",
   },
   {
-    name: "a tenth refused while an instance of another service gets none",
+    name: "a tenth refused while only an instance of another service gets none",
     observations: {
       ...observeCalls({ perSecond: 70, refusedShare: 0.1 }),
-      reductions: [{ ...REDUCTION, host: "host-1" }],
+      hosts: HOSTS.map((host) =>
+        host.service === "booking" ? { ...host, failureDomain: "west" } : host
+      ),
+      evacuations: [EVACUATION],
     },
     violated: "recovered",
   },
@@ -126,7 +143,7 @@
     name: "a tenth refused more than four seconds after an instance got calls",
     observations: {
       ...observeCalls({ perSecond: 70, refusedShare: 0.1 }),
-      reductions: [{ ...REDUCTION, until: 81_900 }],
+      evacuations: [{ ...EVACUATION, until: 81_900 }],
     },
     violated: "recovered",
   },
@@ -134,7 +151,7 @@
     name: "all refused while no instance of the service gets any",
     observations: {
       ...observeCalls({ perSecond: 70, refusedShare: 0.999 }),
-      reductions: [REDUCTION, { ...REDUCTION, host: "host-2" }],
+      evacuations: [EVACUATION, { ...EVACUATION, failureDomain: "west" }],
     },
   },
 ];
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -17,7 +17,6 @@
   type Evacuation,
   type NamedLimit,
   type ObservedSignal,
-  type ReducedRoom,
 } from "./observations.ts";
 import { COLD_START } from "./soak_configuration.ts";
 import { type SoakHost, waitUntilReady } from "./soak_host.ts";
@@ -55,7 +54,6 @@
   readonly namedLimits: readonly NamedLimit[];
   readonly coldTimes: readonly ColdTime[];
   readonly evacuations: readonly Evacuation[];
-  readonly reductions: readonly ReducedRoom[];
 }
 
 export interface FaultInjection {
@@ -77,11 +75,10 @@
   const namedLimits: NamedLimit[] = [];
   const coldTimes: ColdTime[] = [];
   const evacuations: Evacuation[] = [];
-  const reductions: ReducedRoom[] = [];
   let isEvacuating = false;
   const openDisruptions = new Set<Promise<void>>();
-  /** What only changes the room of instances, and excuses nothing else. */
-  const openReductions = new Set<Promise<void>>();
+  /** What changes the room of instances and is no disruption. */
+  const openRoomChanges = new Set<Promise<void>>();
   const limitedHosts = new Set<string>();
 
   /** Records a fault that ends when `until` resolves. */
@@ -210,7 +207,6 @@
     const until = from + duration;
     const perSecond = COLD_START.cold_per_s;
     coldTimes.push({ instance, perSecond, from, until });
-    reductions.push({ host: host.name, perSecond, from, until });
   }
 
   /** Evacuates one failure domain at a time, so that calls can be served elsewhere. */
@@ -230,16 +226,6 @@
     store.writeBytes("keyed.op", key, Buffer.alloc(0));
     isEvacuating = false;
     evacuations.push({ failureDomain, acceptedAt, until });
-    for (const host of hosts) {
-      if (host.failureDomain === failureDomain) {
-        reductions.push({
-          host: host.name,
-          perSecond: 0,
-          from: acceptedAt,
-          until,
-        });
-      }
-    }
   }
 
   async function injectStoreFault(
@@ -295,7 +281,6 @@
       namedLimits,
       coldTimes,
       evacuations,
-      reductions,
     },
     recordCold,
     inject({ kind, hosts: affected, duration }) {
@@ -324,17 +309,17 @@
           break;
         case "instance-limit":
           for (const index of affected) {
-            openReductions.add(nameRateLimit(hosts[index], duration));
+            openRoomChanges.add(nameRateLimit(hosts[index], duration));
           }
           break;
         case "instance-cold":
           for (const index of affected) {
-            openReductions.add(becomeCold(hosts[index], duration));
+            openRoomChanges.add(becomeCold(hosts[index], duration));
           }
           break;
         case "evacuation":
           for (const index of affected) {
-            openReductions.add(evacuate(hosts[index], duration));
+            openRoomChanges.add(evacuate(hosts[index], duration));
           }
           break;
         default:
@@ -349,7 +334,7 @@
     },
     async waitUntilEnded() {
       await Promise.all(openDisruptions);
-      await Promise.all(openReductions);
+      await Promise.all(openRoomChanges);
     },
   };
 }
