--- a/soak/caller_pauses.ts
+++ b/soak/caller_pauses.ts
@@ -13,7 +13,8 @@
 const MAXIMUM_IDLE_MS: Milliseconds = 12_000;
 /**
  * The maxima of the callers differ: more than an eighth of all callers, which start together, would otherwise end
- * their first pause at the same moment, and no service has room for so many calls.
+ * their first pause at the same moment. Such a burst occupies all slots, and gates refuse calls that would be queued
+ * beyond their goal of 0.3 s, although the instances could serve them within the timeout.
  */
 const MAXIMUM_IDLE_SPREAD_MS: Milliseconds = 4_000;
 
