Review: take ports below those of outgoing connections

Cause: a port that was free could be taken by an outgoing connection while its daemon was down. Ruled out: none was seen; it is a precaution.

--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -39,17 +39,32 @@
   };
 }
 
+/** Below the ports of outgoing connections, which could take a port while its daemon is down. */
+const LOWEST_PORT = 20_000;
+const HIGHEST_PORT = 32_000;
+let nextPort = LOWEST_PORT +
+  Math.floor(Math.random() * (HIGHEST_PORT - LOWEST_PORT));
+
+async function isFree(port) {
+  const server = createTcpServer();
+  const isBound = await new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, ADDRESS, () => resolve(true));
+  });
+  if (isBound) {
+    await new Promise((resolve) => server.close(resolve));
+  }
+  return isBound;
+}
+
 async function findFreePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index += 1) {
-    const server = createTcpServer();
-    await new Promise((resolve) => server.listen(0, ADDRESS, resolve));
-    servers.push(server);
+  const ports = [];
+  while (ports.length < count) {
+    nextPort = nextPort < HIGHEST_PORT ? nextPort + 1 : LOWEST_PORT;
+    if (await isFree(nextPort)) {
+      ports.push(nextPort);
+    }
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
   return ports;
 }
 
