Never take a request with a client key for a nested call

Cause: findParent took each request whose identity contains that of a running call anywhere for a call of the instance, and identifyCaller took the account of that parent before it looked at the key.

Change: only a request without a key can be nested; an identity counts as a whole part only, between separators; the longest match wins, and calls of different accounts that match equally well are refused as not run where a key would be needed. On a public route the instance gets no account name for a nested call. The parent is looked up once for each request. The nested identity of gate_sharing_test now has a separator.

Why it works: calls of instances carry no key (PROTOCOL.md), so the key decides wherever there is one.

--- a/src/features/account/common/account_test.ts
+++ b/src/features/account/common/account_test.ts
@@ -19,6 +19,7 @@
   key: undefined,
   route: { rank: 2 },
   parent: undefined,
+  hasUnclearParent: () => false,
   uptime: 60_000,
 };
 
@@ -33,6 +34,19 @@
       account: "press",
       rank: 2,
     }],
+    // Guards against a client that counts as the instance on its host.
+    ["a key, with an identity that looks nested", {
+      key: "k1",
+      parent: { account: "county", rank: 0 },
+    }, { type: "identified", account: "press", rank: 2 }],
+    ["a key without accounts, with an identity that looks nested", {
+      directory: undefined,
+      key: "k1",
+      parent: { account: undefined, rank: 7 },
+    }, { type: "identified", account: undefined, rank: 2 }],
+    ["no key, nested in one of several calls", {
+      hasUnclearParent: () => true,
+    }, { type: "unknown-parent" }],
     ["another key of the account", { key: "k2" }, {
       type: "identified",
       account: "press",
--- a/src/features/account/common/caller_identification.ts
+++ b/src/features/account/common/caller_identification.ts
@@ -25,6 +25,8 @@
   readonly route: Pick<MeshRoute, "rank" | "isPublic">;
   /** The running call for which the instance on this host makes the request. */
   readonly parent: CallerIdentity | undefined;
+  /** Whether the request may be nested in one of several calls. */
+  readonly hasUnclearParent: () => boolean;
   /** Time since the start of the daemon. */
   readonly uptime: Milliseconds;
 }
@@ -44,9 +46,10 @@
   | { readonly type: "unknown-parent" };
 
 export function identifyCaller(
-  { directory, key, route, parent, uptime }: CallerRequest,
+  { directory, key, route, parent, hasUnclearParent, uptime }: CallerRequest,
 ): CallerIdentification {
-  if (parent !== undefined) {
+  // Nested calls carry no key.
+  if (parent !== undefined && key === undefined) {
     return {
       type: "identified",
       account: parent.account,
@@ -59,7 +62,7 @@
     return { type: "identified", account: undefined, rank: route.rank };
   }
   if (key === undefined) {
-    return uptime < UNKNOWN_PARENT_MS
+    return uptime < UNKNOWN_PARENT_MS || hasUnclearParent()
       ? { type: "unknown-parent" }
       : { type: "unauthorized", reason: "no-key" };
   }
--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -84,10 +84,12 @@
   /** Restores the rate limit that a peer has kept, after this daemon has restarted. */
   restoreRateLimit(limit: NamedRateLimit): void;
   /**
-   * Finds the running call on whose behalf the instance makes a nested call. Instances derive the
-   * identity of a nested call from that of its parent.
+   * Finds the running call on whose behalf the instance makes a nested call without a client key. A client
+   * may have chosen an identity that looks like that of a nested call.
    */
   findParent(requestIdentity: string): ParentCall | undefined;
+  /** Whether a nested call may belong to several running calls, of different accounts. */
+  hasUnclearParent(requestIdentity: string): boolean;
   /** Offers a call to the gate. `settle` is called exactly once, possibly before this returns. */
   offer(
     request: GateRequest,
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -9,9 +9,10 @@
 import type { CallRecord, Gate, ParentCall } from "../common/gate.ts";
 import type { ColdPhase } from "../common/cold_start_rate.ts";
 import type { GateLoadReport, RefusalReason } from "../common/gate_call.ts";
-import { isOverdue } from "../common/gate_call_state.ts";
+import { type GateCall, isOverdue } from "../common/gate_call_state.ts";
 import { createInstanceCondition } from "../common/instance_condition.ts";
 import type { ReportOutcome } from "../common/instance_tracker.ts";
+import { findClosestParents } from "../common/nested_identity.ts";
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import { type CallAdmission, createCallAdmission } from "./call_admission.ts";
 import { type CallDispatch, createCallDispatch } from "./call_dispatch.ts";
@@ -163,22 +164,24 @@
   }
 
   function findParent(requestIdentity: string): ParentCall | undefined {
-    for (const call of dispatch.running) {
-      const { request } = call;
-      if (
-        request.requestIdentity.length < requestIdentity.length &&
-        requestIdentity.includes(request.requestIdentity)
-      ) {
-        return {
-          rank: call.rank,
-          account: request.account,
-          recordNestedRefusal() {
-            call.wasNestedRefused = true;
-          },
-        };
-      }
+    const parents = findClosestParents(requestIdentity, dispatch.running);
+    if (parents.length === 0 || areOfDifferentAccounts(parents)) {
+      return undefined;
     }
-    return undefined;
+    const [parent] = parents;
+    return {
+      rank: parent.rank,
+      account: parent.account,
+      recordNestedRefusal() {
+        parent.wasNestedRefused = true;
+      },
+    };
+  }
+
+  function hasUnclearParent(requestIdentity: string): boolean {
+    return areOfDifferentAccounts(
+      findClosestParents(requestIdentity, dispatch.running),
+    );
   }
 
   return {
@@ -250,6 +253,7 @@
     restoreRateLimit: (restored) =>
       rateLimit.restore(restored, tracker.instance, clock.now()),
     findParent,
+    hasUnclearParent,
     offer: (request, settle) =>
       admission.offer(request, (outcome) => {
         settle(outcome);
@@ -268,3 +272,7 @@
     },
   };
 }
+
+function areOfDifferentAccounts(calls: readonly GateCall[]): boolean {
+  return calls.some(({ account }) => account !== calls[0].account);
+}
--- a/src/features/gate/node/gate_sharing_test.ts
+++ b/src/features/gate/node/gate_sharing_test.ts
@@ -93,7 +93,7 @@
     );
     const reasons: (RefusalReason | undefined)[] = [];
     for (let index = 0; index < 12; index += 1) {
-      const ended = offer(createFixtureRequest(`call-${index}.`, 2_000));
+      const ended = offer(createFixtureRequest(`call-${index}`, 2_000));
       gate.findParent(`call-${index}.nested`)?.recordNestedRefusal();
       const outcome = await ended;
       if (outcome.type === "refused") {
--- a/src/features/ingress/node/account_admission_test.ts
+++ b/src/features/ingress/node/account_admission_test.ts
@@ -5,6 +5,7 @@
 import type { ClientAccount } from "../../../world/common/client_account.ts";
 import { buildAccountDirectory } from "../../account/common/account_directory.ts";
 import type { AccountAdmission } from "../../account/common/account_limits.ts";
+import type { ParentCall } from "../../gate/common/gate.ts";
 import type { GateOutcome } from "../../gate/common/gate_call.ts";
 import { FIXTURE_HEADERS } from "../../gate/common/gate_fixture.ts";
 import {
@@ -32,6 +33,12 @@
   reachedInstance: false,
 };
 
+const PARENT: ParentCall = {
+  account: "press",
+  rank: 1,
+  recordNestedRefusal() {},
+};
+
 interface Observed {
   readonly status: number;
   readonly retryAfter: string | undefined;
@@ -42,8 +49,12 @@
 
 /** Sends one call; the ingress asks for a permit with `admission`, and the gate settles with `outcome`. */
 async function send(
-  { admission, outcome = ANSWER, ...options }:
-    & { admission?: AccountAdmission; outcome?: GateOutcome }
+  { admission, outcome = ANSWER, hasKey = true, ...options }:
+    & {
+      admission?: AccountAdmission;
+      outcome?: GateOutcome;
+      hasKey?: boolean;
+    }
     & Partial<FixtureIngressOptions>,
 ): Promise<Observed> {
   let offers = 0;
@@ -78,7 +89,7 @@
         path: "/x",
         headers: {
           [FIXTURE_HEADERS.requestIdentity]: "call-1",
-          [FIXTURE_HEADERS.clientKey]: "k1",
+          ...(hasKey ? { [FIXTURE_HEADERS.clientKey]: "k1" } : {}),
         },
       }, (response) => {
         response.resume();
@@ -122,12 +133,13 @@
       outcome: { type: "failed", reason: "link" },
     }, { status: 502, asked: 1, givenBack: 0 }],
     ["a nested call needs no permit", {
-      findParent: () => ({
-        account: "press",
-        rank: 1,
-        recordNestedRefusal() {},
-      }),
+      hasKey: false,
+      findParent: () => PARENT,
     }, { status: 200, asked: 0 }],
+    // Guards against clients that get around the limit with identities that look nested.
+    ["a call with a key counts, whatever its identity looks like", {
+      findParent: () => PARENT,
+    }, { status: 200, asked: 1 }],
     ["a call of a public route needs no permit", {
       routes: () => ({ find: () => ({ ...FIXTURE_ROUTE, isPublic: true }) }),
     }, { status: 200, asked: 0 }],
--- a/src/features/ingress/node/call_offers.ts
+++ b/src/features/ingress/node/call_offers.ts
@@ -84,7 +84,8 @@
       return formatHeaderLines(copyEndToEndHeaders(rawHeaders, droppedHeaders));
     }
     const kept = copyEndToEndHeaders(rawHeaders, droppedAccountHeaders);
-    if (call.account !== undefined) {
+    // The instance learns of an account only from a key, or from a parent where a key would be needed.
+    if (call.account !== undefined && call.route.isPublic !== true) {
       kept.push(headers.clientAccount, call.account);
     }
     return formatHeaderLines(kept);
--- a/src/features/ingress/node/call_start.ts
+++ b/src/features/ingress/node/call_start.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { MeshRoute } from "../../../world/common/mesh_configuration.ts";
 import type { CallerIdentity } from "../../account/common/caller_identification.ts";
+import type { ParentCall } from "../../gate/common/gate.ts";
 import { createNotRunReply } from "../common/local_reply.ts";
 import {
   type BodyReservation,
@@ -28,6 +29,8 @@
   readonly identity: string;
   readonly route: MeshRoute;
   readonly caller: CallerIdentity;
+  /** The running call for which the instance on this host makes the request. */
+  readonly parent: ParentCall | undefined;
   /** How long the request may have waited for the event loop of this process. */
   readonly delay: Milliseconds;
 }
@@ -59,7 +62,7 @@
   function beginCall(
     request: IncomingMessage,
     response: ServerResponse,
-    { identity, route, caller, delay }: AcceptedRequest,
+    { identity, route, caller, parent, delay }: AcceptedRequest,
   ): void {
     const arrivedAt = clock.now() - delay;
     const clientTimeout = Number(request.headers[headers.deadline] ?? NaN);
@@ -75,7 +78,6 @@
       });
       return;
     }
-    const parent = options.findParent(identity);
     const admission = caller.account === undefined || parent !== undefined
       ? undefined
       : options.admitCall(caller.account);
--- a/src/features/ingress/node/client_accounts_test.ts
+++ b/src/features/ingress/node/client_accounts_test.ts
@@ -14,8 +14,9 @@
 
 const { clientKey, clientAccount, requestIdentity } = FIXTURE_HEADERS;
 const PRESS: ClientAccount = { name: "press", keys: ["k1"], rank: 3 };
+const COUNTY: ClientAccount = { name: "county", keys: ["k2"], rank: 1 };
 const DIRECTORY = buildAccountDirectory({
-  accounts: new Map([[PRESS.name, PRESS]]),
+  accounts: new Map([PRESS, COUNTY].map((account) => [account.name, account])),
 });
 const PUBLIC_ROUTE = { ...FIXTURE_ROUTE, isPublic: true };
 
@@ -95,6 +96,7 @@
   }),
 };
 const PRESS_LINE = `${clientAccount}: press`;
+const COUNTY_LINE = `${clientAccount}: county`;
 
 const CASES: readonly Case[] = [
   {
@@ -135,6 +137,41 @@
     account: [PRESS_LINE],
     rank: 0,
   },
+  // Guards against requests of clients that run under the account of another client, because their identity
+  // looks like that of a nested call.
+  {
+    name:
+      "with a key, whose identity looks nested in a call of another account",
+    headers: { [clientKey]: "k2" },
+    options: NESTED,
+    account: [COUNTY_LINE],
+    rank: 1.001,
+  },
+  {
+    name: "with an unknown key, whose identity looks nested",
+    headers: { [clientKey]: "k9" },
+    options: NESTED,
+    status: 401,
+  },
+  {
+    name: "with an empty key, whose identity looks nested",
+    headers: { [clientKey]: "" },
+    options: NESTED,
+    status: 401,
+  },
+  {
+    name: "nested in a call of an account, on a public route",
+    headers: {},
+    options: { ...NESTED, routes: () => ({ find: () => PUBLIC_ROUTE }) },
+    account: [],
+    rank: 0,
+  },
+  {
+    name: "without a key, that may be nested in calls of several accounts",
+    headers: {},
+    options: { hasUnclearParent: () => true },
+    status: 503,
+  },
   {
     name: "without accounts in the configuration",
     headers: { [clientAccount]: "other" },
--- a/src/features/ingress/node/ingress_fixture.ts
+++ b/src/features/ingress/node/ingress_fixture.ts
@@ -42,6 +42,7 @@
       | "admitCall"
       | "uptime"
       | "findParent"
+      | "hasUnclearParent"
     >
   > {
   readonly log?: EventLog;
@@ -79,6 +80,7 @@
     admitCall: () => ({ type: "admitted", permit: { giveBack() {} } }),
     uptime: () => FIXTURE_UPTIME_MS,
     findParent: () => undefined,
+    hasUnclearParent: () => false,
     loopDelay: () => 0,
     stopPhase: () => "serving",
     timeUntilStopped: () => Infinity,
--- a/src/features/ingress/node/request_acceptance.ts
+++ b/src/features/ingress/node/request_acceptance.ts
@@ -80,7 +80,9 @@
       });
       return;
     }
-    const parent = options.findParent(identity);
+    const key = readHeader(request, headers.clientKey);
+    // Whatever its identity looks like, a request with a key is a client's.
+    const parent = key === undefined ? options.findParent(identity) : undefined;
     if (!admitsCall(options.stopPhase(), { isNested: parent !== undefined })) {
       refusals.refuseWithoutBody(request, response, {
         reason: "stopping",
@@ -109,9 +111,10 @@
     }
     const caller = identifyCaller({
       directory: options.accounts(),
-      key: readHeader(request, headers.clientKey),
+      key,
       route,
       parent,
+      hasUnclearParent: () => options.hasUnclearParent(identity),
       uptime: options.uptime(),
     });
     if (caller.type !== "identified") {
@@ -139,6 +142,7 @@
         identity,
         route,
         caller,
+        parent,
         delay: 0,
       });
       return;
@@ -161,6 +165,7 @@
               identity,
               route,
               caller,
+              parent,
               delay: isStalled ? delay : 0,
             }),
         );
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -332,6 +332,7 @@
       }),
     hostDelays,
     findParent: gate.findParent,
+    hasUnclearParent: gate.hasUnclearParent,
     loopDelay: () => loopDelay.current,
     stopPhase: () => stopPhase,
     timeUntilStopped: () => stopDeadline - clock.now(),
