Refuse nested calls of an ended call as not run, not as unauthorized

Cause: only running calls were looked up as parents, so the nested call was a request without a key.

--- a/src/features/account/common/caller_identification.ts
+++ b/src/features/account/common/caller_identification.ts
@@ -4,7 +4,8 @@
  * Load pattern: instances make nested calls without a key while they serve calls of an account. A daemon that
  * has just started does not know the calls that its instance was already serving, so a request without a key
  * that belongs to no known call may still be a nested call: it is refused as not run, since "unauthorized"
- * would be a final answer to a caller that is entitled to the call.
+ * would be a final answer to a caller that is entitled to the call. The same holds for a call whose client has
+ * left while the instance goes on with it.
  *
  * @module
  */
@@ -25,7 +26,7 @@
   readonly route: Pick<MeshRoute, "rank" | "isPublic">;
   /** The running call for which the instance on this host makes the request. */
   readonly parent: CallerIdentity | undefined;
-  /** Whether the request may be nested in one of several calls. */
+  /** Whether the request may be nested in one of several calls, or in a call that has ended. */
   readonly hasUnclearParent: () => boolean;
   /** Time since the start of the daemon. */
   readonly uptime: Milliseconds;
--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -88,7 +88,10 @@
    * may have chosen an identity that looks like that of a nested call.
    */
   findParent(requestIdentity: string): ParentCall | undefined;
-  /** Whether a nested call may belong to several running calls, of different accounts. */
+  /**
+   * Whether a nested call may belong to several running calls, of different accounts, or to one that has ended
+   * without a response.
+   */
   hasUnclearParent(requestIdentity: string): boolean;
   /** Offers a call to the gate. `settle` is called exactly once, possibly before this returns. */
   offer(
--- a/src/features/gate/node/call_dispatch.ts
+++ b/src/features/gate/node/call_dispatch.ts
@@ -33,6 +33,8 @@
   readonly evaluation: ExchangeEvaluation;
   /** Called with each call that has left the instance. */
   readonly onEnded: (call: GateCall, now: Milliseconds) => void;
+  /** Called with each call that was sent and ended without a response; the instance may go on with it. */
+  readonly onUnanswered: (call: GateCall) => void;
   /** Called when a slot may be free. */
   readonly onFinished: () => void;
 }
@@ -54,7 +56,8 @@
 
 export function createCallDispatch(
   { clock, log, headers }: GateOptions,
-  { condition, evaluation, onEnded, onFinished }: CallDispatchParts,
+  { condition, evaluation, onEnded, onUnanswered, onFinished }:
+    CallDispatchParts,
 ): CallDispatch {
   const { tracker } = condition;
   const running = new Set<GateCall>();
@@ -121,6 +124,9 @@
     call.timer?.dispose();
     call.state = "ended";
     runStep(log, call, () => onEnded(call, now));
+    if (outcome.type === "broken") {
+      runStep(log, call, () => onUnanswered(call));
+    }
     let gateOutcome: GateOutcome = {
       type: "failed",
       reason: "the response could not be evaluated",
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -16,15 +16,22 @@
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import { type CallAdmission, createCallAdmission } from "./call_admission.ts";
 import { type CallDispatch, createCallDispatch } from "./call_dispatch.ts";
+import { createUnansweredCalls } from "../common/unanswered_calls.ts";
 import { createExchangeEvaluation } from "./exchange_evaluation.ts";
 import type { GateOptions } from "./gate_options.ts";
 import { isSameEndpoint } from "./idle_connections.ts";
 
 export function createGate(options: GateOptions): Gate {
-  const { clock, log, isEvacuated = () => false } = options;
+  const {
+    clock,
+    log,
+    isEvacuated = () => false,
+    sharesByAccount = () => false,
+  } = options;
   const condition = createInstanceCondition(options);
   const { tracker, rateLimit, coldStart, requestRate } = condition;
   const changed = createEmitter<void>();
+  const unansweredCalls = createUnansweredCalls();
   const callCompleted = createEmitter<CallRecord>();
   const callRefused = createEmitter<RefusalReason>();
   let wasServing = false;
@@ -45,6 +52,11 @@
     condition,
     evaluation,
     onEnded: admission.recordEnd,
+    onUnanswered({ request, abortAt }) {
+      if (sharesByAccount()) {
+        unansweredCalls.record(request.requestIdentity, abortAt);
+      }
+    },
     onFinished() {
       updateColdPhase();
       admission.startQueued();
@@ -181,7 +193,7 @@
   function hasUnclearParent(requestIdentity: string): boolean {
     return areOfDifferentAccounts(
       findClosestParents(requestIdentity, dispatch.running),
-    );
+    ) || unansweredCalls.mayHaveParent(requestIdentity, clock.now());
   }
 
   return {
--- a/src/features/ingress/node/ingress_options.ts
+++ b/src/features/ingress/node/ingress_options.ts
@@ -57,7 +57,7 @@
   readonly findParent: (
     requestIdentity: string,
   ) => ParentCall | undefined;
-  /** Whether a request without a key may be nested in one of several calls. */
+  /** Whether a request without a key may be nested in one of several calls, or in a call that has ended. */
   readonly hasUnclearParent: (requestIdentity: string) => boolean;
   /** How long a request that is read now may have waited for the event loop of this process. */
   readonly loopDelay: () => Milliseconds;
