Ignore heartbeats of services that nothing names

Cause: the tracker took each report with a later start for the instance on the host. Every later report of the real instance was then superseded, and a draining one also recorded a departure.

Change: a report is ignored before anything else unless the settings of the host or the configuration in force name its service. It is not acknowledged (503). If a configuration removes the service of the tracked instance, any report of a known service replaces it; its draining is still recorded.

Why it works: what names no instance to use can no longer replace, end or shut out one, and the answer to what is known is asked anew with each report, so nothing has to be repaired after a configuration.

--- a/src/features/gate/common/gate.ts
+++ b/src/features/gate/common/gate.ts
@@ -77,6 +77,8 @@
   readonly onCallRefused: Event<RefusalReason>;
   /** Refuses the queued calls of an instance that gets no more calls, or lets it get calls again. */
   handleEvacuation(isActive: boolean): void;
+  /** Whether a report is one of an instance that calls may be for. Others change nothing. */
+  acceptsReport(report: InstanceReport): boolean;
   applyReport(report: InstanceReport): ReportOutcome;
   applyDeparture(departure: InstanceDeparture): ReportOutcome;
   /** Restores the departures that a peer has kept, after this daemon has restarted. */
--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -97,6 +97,7 @@
     readColdStartLimit = () => undefined,
     loopDelay = () => 0,
     sharesByAccount = () => false,
+    isKnownService = () => true,
   }: {
     readonly clock: Clock;
     readonly heartbeatMilliseconds: Milliseconds;
@@ -106,9 +107,11 @@
       service: ServiceName,
     ) => KnownColdStartLimit;
     readonly sharesByAccount?: () => boolean;
+    /** Whether instances of a service are used; absent if all are. */
+    readonly isKnownService?: (service: ServiceName) => boolean;
   },
 ): InstanceCondition {
-  const tracker = createInstanceTracker();
+  const tracker = createInstanceTracker({ isKnownService });
   const rateLimit = createInstanceRateLimit();
   const coldStart = createColdStartRate(() =>
     tracker.instance === undefined
--- a/src/features/gate/common/instance_tracker.ts
+++ b/src/features/gate/common/instance_tracker.ts
@@ -1,11 +1,12 @@
 /**
- * Tracks the state of the local instance from heartbeats, which may be late, duplicated, out of order or
- * from an earlier instance at the same address.
+ * Tracks the state of the local instance from heartbeats, which may be late, duplicated, out of order, from an
+ * earlier instance at the same address, or from a writer that is no instance of this deployment.
  *
  * @module
  */
 
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
+import type { ServiceName } from "../../../world/common/names.ts";
 import {
   type DepartedInstance,
   type InstanceDeparture,
@@ -14,7 +15,11 @@
 } from "../../../world/common/mesh_instance.ts";
 
 /** Why a report was ignored. */
-export type IgnoredReason = "older" | "departed" | "superseded";
+export type IgnoredReason =
+  | "older"
+  | "departed"
+  | "superseded"
+  | "unknown-service";
 
 export type ReportOutcome =
   | { readonly type: "new" | "changed" | "unchanged" }
@@ -23,6 +28,8 @@
 export interface InstanceTracker {
   readonly instance: InstanceReport | undefined;
   readonly departed: readonly DepartedInstance[];
+  /** Whether a report is one of an instance that calls may be for. Others change nothing. */
+  accepts(report: InstanceReport): boolean;
   applyReport(report: InstanceReport): ReportOutcome;
   applyDeparture(departure: InstanceDeparture): ReportOutcome;
   /** Records that the current instance has announced its departure in a response. */
@@ -34,10 +41,35 @@
 /** The number of most recent departures that are kept. */
 const MAXIMUM_DEPARTURES = 16;
 
-export function createInstanceTracker(): InstanceTracker {
+export interface InstanceTrackerOptions {
+  /** Whether instances of a service are used now; the answer may change at any time. */
+  readonly isKnownService: (service: ServiceName) => boolean;
+}
+
+export function createInstanceTracker(
+  { isKnownService }: InstanceTrackerOptions,
+): InstanceTracker {
   let instance: InstanceReport | undefined;
   let departed: DepartedInstance[] = [];
 
+  function isOfInstance(
+    { identity, startedAt, service }: InstanceReport,
+  ): boolean {
+    return instance?.identity === identity &&
+      instance.startedAt === startedAt && instance.service === service;
+  }
+
+  function accepts(report: InstanceReport): boolean {
+    // The service of the instance may have been removed since; its departure must still be known.
+    return isKnownService(report.service) || isOfInstance(report);
+  }
+
+  /** Whether a report is compared with that of the instance; one of a removed service gives way to any other. */
+  function isComparable(report: InstanceReport): boolean {
+    return instance !== undefined &&
+      (isKnownService(instance.service) || isOfInstance(report));
+  }
+
   function hasDeparted(identity: string, startedAt: Milliseconds): boolean {
     return departed.some((entry) =>
       entry.identity === identity && startedAt <= entry.startedAt
@@ -77,7 +109,11 @@
     get departed() {
       return departed;
     },
+    accepts,
     applyReport(report) {
+      if (!accepts(report)) {
+        return { type: "ignored", reason: "unknown-service" };
+      }
       if (report.state !== "ready") {
         recordDeparture({
           identity: report.identity,
@@ -86,7 +122,7 @@
       } else if (hasDeparted(report.identity, report.startedAt)) {
         return { type: "ignored", reason: "departed" };
       }
-      if (instance !== undefined) {
+      if (instance !== undefined && isComparable(report)) {
         if (report.startedAt < instance.startedAt) {
           return { type: "ignored", reason: "superseded" };
         }
--- a/src/features/gate/common/instance_tracker_test.ts
+++ b/src/features/gate/common/instance_tracker_test.ts
@@ -7,6 +7,14 @@
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import { createInstanceTracker } from "./instance_tracker.ts";
 
+const KNOWN_SERVICES = ["booking", "billing"];
+
+function createFixtureTracker(services: readonly string[] = KNOWN_SERVICES) {
+  return createInstanceTracker({
+    isKnownService: (service) => services.includes(service),
+  });
+}
+
 function report(fields: Partial<InstanceReport>): InstanceReport {
   return {
     identity: "i-1",
@@ -87,6 +95,51 @@
     ],
     expected: "i-2 ready",
   },
+  // Guards against an instance that is shut out by a message that names no instance to use.
+  ...["ready" as const, "draining" as const].flatMap((state) =>
+    ["i-1", "i-2"].map((identity) => ({
+      name:
+        `a ${state} report of ${identity} with an unknown service changes nothing`,
+      steps: [
+        { report: { sequence: 5 }, outcome: "new" },
+        {
+          report: {
+            identity,
+            state,
+            service: "other",
+            startedAt: 9_000,
+            sequence: 9,
+          },
+          outcome: "ignored",
+        },
+        { report: { sequence: 6 }, outcome: "unchanged" },
+      ],
+      expected: "i-1 ready",
+    }))
+  ),
+  {
+    name: "an unknown service before any other report changes nothing",
+    steps: [
+      {
+        report: { identity: "i-2", service: "other", startedAt: 9_000 },
+        outcome: "ignored",
+      },
+      { report: { sequence: 5 }, outcome: "new" },
+    ],
+    expected: "i-1 ready",
+  },
+  {
+    name: "a later start of another known service replaces the instance",
+    steps: [
+      { report: { sequence: 5 }, outcome: "new" },
+      {
+        report: { identity: "i-2", service: "billing", startedAt: 9_000 },
+        outcome: "new",
+      },
+      { report: { sequence: 6 }, outcome: "ignored" },
+    ],
+    expected: "i-2 ready",
+  },
   {
     name: "a departure that arrives before any heartbeat is kept",
     steps: [
@@ -117,10 +170,52 @@
   },
 ];
 
+// Guards against an instance that stays shut out, or in use, after a configuration names other services.
+describe("the tracked instance when services change", () => {
+  const later = { identity: "i-2", service: "later", startedAt: 9_000 };
+
+  test("is one of a service that is named only after its first report", () => {
+    const services = ["booking"];
+    const tracker = createFixtureTracker(services);
+    tracker.applyReport(report({ sequence: 1 }));
+    assert.equal(tracker.applyReport(report(later)).type, "ignored");
+    services.push("later");
+    assert.equal(
+      tracker.applyReport(report({ ...later, sequence: 2 })).type,
+      "new",
+    );
+    assert.equal(tracker.instance?.identity, "i-2");
+  });
+
+  test("gives way to an earlier start once its service is removed", () => {
+    const services = ["booking", "later"];
+    const tracker = createFixtureTracker(services);
+    tracker.applyReport(report({ sequence: 1 }));
+    tracker.applyReport(report(later));
+    services.pop();
+    assert.equal(tracker.applyReport(report({ sequence: 2 })).type, "new");
+    assert.equal(tracker.instance?.identity, "i-1");
+  });
+
+  test("may announce its departure after its service is removed", () => {
+    const services = ["later"];
+    const tracker = createFixtureTracker(services);
+    tracker.applyReport(report(later));
+    services.pop();
+    const draining = report({ ...later, sequence: 2, state: "draining" });
+    assert.equal(tracker.applyReport(draining).type, "changed");
+    services.push("later");
+    assert.equal(
+      tracker.applyReport(report({ ...later, sequence: 3 })).type,
+      "ignored",
+    );
+  });
+});
+
 describe("the tracked state of an instance", () => {
   for (const { name, steps, expected } of CASES) {
     test(name, () => {
-      const tracker = createInstanceTracker();
+      const tracker = createFixtureTracker();
       for (const step of steps) {
         const outcome = "report" in step
           ? tracker.applyReport(report(step.report))
@@ -138,13 +233,13 @@
   }
 
   test("a departure without a start time is known after a restart, also through the codec of the links", () => {
-    const before = createInstanceTracker();
+    const before = createFixtureTracker();
     before.applyDeparture({
       identity: "i-1",
       startedAt: undefined,
       receivedAt: 5_000,
     });
-    const restarted = createInstanceTracker();
+    const restarted = createFixtureTracker();
     const { departed } = decodeMessage(
       encodeMessage({ departed: before.departed }),
       "test",
@@ -161,10 +256,10 @@
   });
 
   test("a restarted daemon restores the departure of its instance from a peer", () => {
-    const before = createInstanceTracker();
+    const before = createFixtureTracker();
     before.applyReport(report({ sequence: 1 }));
     before.applyReport(report({ sequence: 2, state: "draining" }));
-    const restarted = createInstanceTracker();
+    const restarted = createFixtureTracker();
     restarted.applyReport(report({ sequence: 1 }));
     restarted.restoreDepartures(before.departed);
     assert.equal(restarted.instance?.state, "draining");
--- a/src/features/gate/node/gate.ts
+++ b/src/features/gate/node/gate.ts
@@ -248,6 +248,7 @@
         fireChanged();
       }
     },
+    acceptsReport: tracker.accepts,
     applyReport,
     applyDeparture(departure) {
       const outcome = tracker.applyDeparture(departure);
--- a/src/features/gate/node/gate_options.ts
+++ b/src/features/gate/node/gate_options.ts
@@ -19,6 +19,8 @@
   readonly headers: MeshHeaders;
   readonly heartbeatMilliseconds: Milliseconds;
   readonly readNotices: (rawHeaders: readonly string[]) => InstanceNotices;
+  /** Whether instances of a service are used; absent if all are. */
+  readonly isKnownService?: (service: ServiceName) => boolean;
   /** Whether client accounts share the room of the instance; absent means that they don't. */
   readonly sharesByAccount?: () => boolean;
   /** The weight of an account where accounts share the room; absent if all are equal. */
--- a/src/programs/node/mesh_daemon.ts
+++ b/src/programs/node/mesh_daemon.ts
@@ -138,6 +138,10 @@
         state.configuration === undefined
           ? "unknown"
           : state.configuration.services.get(service)?.coldStart,
+      // Until a configuration is known, only the service of the settings is.
+      isKnownService: (service) =>
+        service === settings.service ||
+        state.configuration?.services.has(service) === true,
       isEvacuated: () => evacuations.isEvacuated(settings.failureDomain),
       afterStall: (callback) => deferAfterStall(loopDelay.current, callback),
       sharesByAccount: () => state.accounts !== undefined,
@@ -406,6 +410,10 @@
       listenHttp(
         platform.createInstanceHandler({
           async applyReport(report) {
+            if (!gate.acceptsReport(report)) {
+              applyReport(report);
+              return false;
+            }
             reportHold.handle(report);
             return report.state === "ready" ||
               await confirmDeparture(report.identity);
