Return to an instance whose reports keep coming while the tracked one is silent

What callers would see: one report of a known service with a start in the future, or with the identity of the instance and a very high sequence number, shuts the instance on the host out until its daemon restarts.

Cause: a report that is older than the tracked one was ignored however long the tracked one had been silent.

Change: an instance whose reports are ignored replaces the tracked one after three reports with rising sequence numbers over 1.5 intervals, once the tracked one has been silent for 3.5, after which it counts as lost anyway. Departures stay final. Reports that were delayed together do not suffice, so a crashed predecessor does not come back.

--- a/src/features/gate/common/instance_condition.ts
+++ b/src/features/gate/common/instance_condition.ts
@@ -111,7 +111,11 @@
     readonly isKnownService?: (service: ServiceName) => boolean;
   },
 ): InstanceCondition {
-  const tracker = createInstanceTracker({ isKnownService });
+  const tracker = createInstanceTracker({
+    isKnownService,
+    clock,
+    heartbeatMilliseconds,
+  });
   const rateLimit = createInstanceRateLimit();
   const coldStart = createColdStartRate(() =>
     tracker.instance === undefined
--- a/src/features/gate/common/instance_tracker.ts
+++ b/src/features/gate/common/instance_tracker.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { Clock } from "../../../base/common/clock.ts";
 import type { Milliseconds } from "../../../base/common/milliseconds.ts";
 import type { ServiceName } from "../../../world/common/names.ts";
 import {
@@ -13,6 +14,7 @@
   type InstanceReport,
   isSameDeparture,
 } from "../../../world/common/mesh_instance.ts";
+import { createReportContender } from "./report_contender.ts";
 
 /** Why a report was ignored. */
 export type IgnoredReason =
@@ -44,11 +46,14 @@
 export interface InstanceTrackerOptions {
   /** Whether instances of a service are used now; the answer may change at any time. */
   readonly isKnownService: (service: ServiceName) => boolean;
+  readonly clock: Clock;
+  readonly heartbeatMilliseconds: Milliseconds;
 }
 
 export function createInstanceTracker(
-  { isKnownService }: InstanceTrackerOptions,
+  { isKnownService, clock, heartbeatMilliseconds }: InstanceTrackerOptions,
 ): InstanceTracker {
+  const contender = createReportContender(heartbeatMilliseconds);
   let instance: InstanceReport | undefined;
   let departed: DepartedInstance[] = [];
 
@@ -122,30 +127,26 @@
       } else if (hasDeparted(report.identity, report.startedAt)) {
         return { type: "ignored", reason: "departed" };
       }
-      if (instance !== undefined && isComparable(report)) {
-        if (report.startedAt < instance.startedAt) {
-          return { type: "ignored", reason: "superseded" };
+      const before = instance;
+      const now = clock.now();
+      if (before !== undefined && isComparable(report)) {
+        const reason = findStaleness(report, before);
+        if (reason !== undefined && !contender.recordIgnored(report, now)) {
+          return { type: "ignored", reason };
         }
-        if (report.startedAt === instance.startedAt) {
-          const isSame = report.identity === instance.identity;
-          if (isSame && report.sequence <= instance.sequence) {
-            return { type: "ignored", reason: "older" };
-          }
-          if (isSame && instance.state === "gone") {
-            return { type: "ignored", reason: "departed" };
-          }
-          const isUnchanged = isSame && report.state === instance.state &&
-            report.version === instance.version &&
-            report.service === instance.service &&
-            report.slots === instance.slots;
-          instance = report;
-          return {
-            type: isSame ? (isUnchanged ? "unchanged" : "changed") : "new",
-          };
+        if (isSameStart(report, before) && before.state === "gone") {
+          return { type: "ignored", reason: "departed" };
         }
       }
+      contender.recordAccepted(now);
       instance = report;
-      return { type: "new" };
+      if (before === undefined || !isSameStart(report, before)) {
+        return { type: "new" };
+      }
+      const isUnchanged = report.state === before.state &&
+        report.version === before.version &&
+        report.service === before.service && report.slots === before.slots;
+      return { type: isUnchanged ? "unchanged" : "changed" };
     },
     applyDeparture,
     markLeaving() {
@@ -169,3 +170,20 @@
     },
   };
 }
+
+function isSameStart(left: InstanceReport, right: InstanceReport): boolean {
+  return left.identity === right.identity && left.startedAt === right.startedAt;
+}
+
+/** Why a report does not replace that of the tracked instance; undefined if it does. */
+function findStaleness(
+  report: InstanceReport,
+  instance: InstanceReport,
+): "superseded" | "older" | undefined {
+  if (report.startedAt < instance.startedAt) {
+    return "superseded";
+  }
+  return isSameStart(report, instance) && report.sequence <= instance.sequence
+    ? "older"
+    : undefined;
+}
--- a/src/features/gate/common/instance_tracker_test.ts
+++ b/src/features/gate/common/instance_tracker_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { VirtualClock } from "../../../base/common/clock.ts";
 import {
   decodeMessage,
   encodeMessage,
@@ -7,11 +8,14 @@
 import type { InstanceReport } from "../../../world/common/mesh_instance.ts";
 import { createInstanceTracker } from "./instance_tracker.ts";
 
+const HEARTBEAT_MS = 1_000;
 const KNOWN_SERVICES = ["booking", "billing"];
 
 function createFixtureTracker(services: readonly string[] = KNOWN_SERVICES) {
   return createInstanceTracker({
     isKnownService: (service) => services.includes(service),
+    clock: new VirtualClock(),
+    heartbeatMilliseconds: HEARTBEAT_MS,
   });
 }
 
