Keep a departure with a start in the far future from shutting out later starts

Cause: the start time of a departure was recorded as it was received.

Change: it is recorded as at most a minute after its receipt, unless the tracked instance itself started later than that by the clock of the host, which may have been set back.

--- a/src/features/gate/common/instance_tracker.ts
+++ b/src/features/gate/common/instance_tracker.ts
@@ -40,6 +40,11 @@
   restoreDepartures(departed: readonly DepartedInstance[]): void;
 }
 
+/**
+ * An instance that has departed started at most this much after now by the clock of this host, which may have been
+ * set back meanwhile. Otherwise a departure could shut out starts of the far future.
+ */
+const MAXIMUM_CLOCK_STEP_MS: Milliseconds = 60_000;
 /** The number of most recent departures that are kept. */
 const MAXIMUM_DEPARTURES = 16;
 
@@ -92,10 +97,17 @@
     const isCurrent = instance?.identity === departure.identity &&
       (departure.startedAt === undefined ||
         departure.startedAt >= instance.startedAt);
+    const latestStart = Math.max(
+      departure.receivedAt + MAXIMUM_CLOCK_STEP_MS,
+      isCurrent ? instance!.startedAt : -Infinity,
+    );
     recordDeparture({
       identity: departure.identity,
-      startedAt: departure.startedAt ??
-        (isCurrent ? instance!.startedAt : departure.receivedAt),
+      startedAt: Math.min(
+        latestStart,
+        departure.startedAt ??
+          (isCurrent ? instance!.startedAt : departure.receivedAt),
+      ),
     });
     if (!isCurrent) {
       return { type: "ignored", reason: "older" };
--- a/src/features/gate/common/instance_tracker_test.ts
+++ b/src/features/gate/common/instance_tracker_test.ts
@@ -162,6 +162,32 @@
     ],
     expected: "i-1 ready",
   },
+  // Guards against an identity that is shut out for good.
+  {
+    name:
+      "a departure with a start in the future does not shut out later starts",
+    steps: [
+      {
+        depart: { identity: "i-1", startedAt: 90_000_000 },
+        outcome: "ignored",
+      },
+      { report: { startedAt: 64_000 }, outcome: "ignored" },
+      { report: { startedAt: 66_000 }, outcome: "new" },
+    ],
+    expected: "i-1 ready",
+  },
+  {
+    name: "a departure counts although the clock of the host was set back",
+    steps: [
+      { report: { startedAt: 90_000_000 }, outcome: "new" },
+      {
+        depart: { identity: "i-1", startedAt: 90_000_000 },
+        outcome: "changed",
+      },
+      { report: { startedAt: 90_000_000, sequence: 2 }, outcome: "ignored" },
+    ],
+    expected: "i-1 gone",
+  },
   {
     name: "a departure without a start time is that of the present start",
     steps: [
