Take nested calls late in a stop only if their deadline passes before its end

Cause: nested calls were taken until the end of a stop if 1.6 times the average time of their route was left. The calls of the case take nine times the average.

Evidence: the calls end together at 5.5 s, whenever they were sent, with one daemon that stops. Ruled out with that: the deadlines of their parents, and gates that stop as well.

Change: from 2.8 s on a nested call is taken only if its deadline passes before the daemon ends the remaining calls; else it is refused at once as not run. Checked again when its body is complete.

Whatever is taken after 2.8 s now reaches its own deadline first.

--- a/src/features/ingress/common/stop_plan.ts
+++ b/src/features/ingress/common/stop_plan.ts
@@ -4,8 +4,9 @@
  * Load pattern: rolling restarts that overlap. Clients are moved away from a daemon that is not ready,
  * unless too few daemons of the failure domain are ready; then calls keep arriving until the process
  * exits, and those in flight at that time would be cut off. So from some point of a stop on, calls are
- * refused as not run, early enough that every call accepted before can complete. Nested calls of the
- * instance are accepted as long as their parent call runs, since refusing them would fail it.
+ * refused as not run, early enough that calls accepted before usually complete. Nested calls of the instance
+ * are accepted for longer, since refusing them would fail their parent call, but late in a stop only if their
+ * deadline passes before the remaining calls are terminated: then a stop never breaks them off.
  *
  * @module
  */
@@ -63,15 +64,24 @@
   };
 }
 
+export interface CallDuration {
+  readonly meanServiceMilliseconds: Milliseconds;
+  /** The time until the deadline of the call. */
+  readonly timeLeft: Milliseconds;
+}
+
 /**
- * Whether a call is served that usually takes this long, with the time until the remaining calls are terminated. Another
- * host can serve a call that is refused as not run, but not one that may have run when it is terminated.
+ * Whether a call is served, with the time until the remaining calls are terminated. Another host can serve a call that is
+ * refused as not run, but not one that may have run when it is terminated.
  */
 export function canEndBeforeStop(
-  meanServiceMilliseconds: Milliseconds,
+  phase: StopPhase,
+  { meanServiceMilliseconds, timeLeft }: CallDuration,
   timeUntilStopped: Milliseconds,
 ): boolean {
-  return usuallyEndsWithin(timeUntilStopped, meanServiceMilliseconds);
+  return phase === "finishing"
+    ? timeLeft <= timeUntilStopped
+    : usuallyEndsWithin(timeUntilStopped, meanServiceMilliseconds);
 }
 
 /** Whether a call that is read in this phase is served; otherwise it is refused as not run. */
--- a/src/features/ingress/common/stop_plan_test.ts
+++ b/src/features/ingress/common/stop_plan_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { closesConnection } from "../../../base/common/stop_phase.ts";
-import { admitsCall, planStop } from "./stop_plan.ts";
+import { admitsCall, canEndBeforeStop, planStop } from "./stop_plan.ts";
 
 const GRACE_PERIOD_MS = 6_000;
 /** Clients may keep sending calls for this long after the stop request. */
@@ -87,6 +87,52 @@
     });
   }
 
+  // Guards against a nested call that is taken because calls like it are short on average, and broken off.
+  for (
+    const { name, phase, timeLeft, timeUntilStopped, ends } of [
+      {
+        name: "before a stop",
+        phase: "serving",
+        timeLeft: 9_000,
+        timeUntilStopped: Infinity,
+        ends: true,
+      },
+      {
+        name: "early in a stop, if it usually ends",
+        phase: "leaving",
+        timeLeft: 9_000,
+        timeUntilStopped: 200,
+        ends: true,
+      },
+      {
+        name: "early in a stop, unless it usually ends",
+        phase: "leaving",
+        timeLeft: 9_000,
+        timeUntilStopped: 100,
+        ends: false,
+      },
+      {
+        name: "late in a stop, if its deadline passes before",
+        phase: "finishing",
+        timeLeft: 600,
+        timeUntilStopped: 600,
+        ends: true,
+      },
+      {
+        name: "late in a stop, unless its deadline passes before",
+        phase: "finishing",
+        timeLeft: 1_000,
+        timeUntilStopped: 900,
+        ends: false,
+      },
+    ] as const
+  ) {
+    test(`a call ${ends ? "is taken" : "is refused"} ${name}`, () => {
+      const duration = { meanServiceMilliseconds: 78, timeLeft };
+      assert.equal(canEndBeforeStop(phase, duration, timeUntilStopped), ends);
+    });
+  }
+
   for (
     const { phase, isLastRead, closes } of [
       { phase: "serving", isLastRead: true, closes: false },
--- a/src/features/ingress/node/call_start.ts
+++ b/src/features/ingress/node/call_start.ts
@@ -21,6 +21,7 @@
 import { readBody } from "./body_reader.ts";
 import type { CallEnding } from "./call_ending.ts";
 import type { CallOffers } from "./call_offers.ts";
+import { readTimeout } from "./call_timeout.ts";
 import { type IngressCall, retryClassOf } from "./ingress_call.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 import type { RequestRefusals } from "./request_refusals.ts";
@@ -65,11 +66,7 @@
     { identity, route, caller, parent, delay }: AcceptedRequest,
   ): void {
     const arrivedAt = clock.now() - delay;
-    const clientTimeout = Number(request.headers[headers.deadline] ?? NaN);
-    const timeout = Math.min(
-      Number.isFinite(clientTimeout) ? clientTimeout : Infinity,
-      route.timeoutMilliseconds,
-    );
+    const timeout = readTimeout(request, { route, headers });
     if (timeout <= delay) {
       refusals.refuseWithoutBody(request, response, {
         reason: "stale",
@@ -177,10 +174,10 @@
     const isNested = call.parent !== undefined;
     if (
       !admitsCall(options.stopPhase(), { isNested }) ||
-      !canEndBeforeStop(
-        measurements.meanServiceTime(call.route),
-        options.timeUntilStopped(),
-      )
+      !canEndBeforeStop(options.stopPhase(), {
+        meanServiceMilliseconds: measurements.meanServiceTime(call.route),
+        timeLeft: call.deadlineAt - clock.now(),
+      }, options.timeUntilStopped())
     ) {
       const retryAfter = options.timeUntilStopped();
       refusals.logRefusal(call.identity, { reason: "stopping", retryAfter });
--- a/src/features/ingress/node/request_acceptance.ts
+++ b/src/features/ingress/node/request_acceptance.ts
@@ -20,6 +20,7 @@
 import { admitsCall, canEndBeforeStop } from "../common/stop_plan.ts";
 import { type CallEnding, DEFAULT_RETRY_AFTER_MS } from "./call_ending.ts";
 import type { CallStart } from "./call_start.ts";
+import { readTimeout } from "./call_timeout.ts";
 import type { IngressOptions } from "./ingress_options.ts";
 import type { RequestRefusals } from "./request_refusals.ts";
 
@@ -122,10 +123,10 @@
       return;
     }
     if (
-      !canEndBeforeStop(
-        measurements.meanServiceTime(route),
-        options.timeUntilStopped(),
-      )
+      !canEndBeforeStop(options.stopPhase(), {
+        meanServiceMilliseconds: measurements.meanServiceTime(route),
+        timeLeft: readTimeout(request, { route, headers }),
+      }, options.timeUntilStopped())
     ) {
       refusals.refuseWithoutBody(request, response, {
         reason: "stopping",
