Count the time for which a stop takes calls from its request, not from when it is read

Cause: planStop shortened the time for calls in progress by the stall, but left 2.8 s from the reading of the request for taking calls.

Measured: with the new bound the 4 cases of stop_plan_test with a late reading failed on the code before and pass now, as do the 19 tests of mesh_stop.

--- a/src/features/ingress/common/stop_plan.ts
+++ b/src/features/ingress/common/stop_plan.ts
@@ -25,7 +25,10 @@
   readonly endsCallsAfter: Milliseconds;
 }
 
-/** Clients are moved elsewhere after two readiness checks, one per second; the rest allows for delays. */
+/**
+ * From the stop request, whenever it is read: clients are moved elsewhere after two readiness checks, one per second, and
+ * calls sent more than 3 s after it must not be terminated. The rest allows for delays.
+ */
 const ACCEPT_CALLS_MS: Milliseconds = 2_800;
 /** Minimum fraction of a stop that is left for accepted calls to complete. */
 const MINIMUM_FINISHING_FRACTION = 1 / 2;
@@ -48,11 +51,14 @@
   readDelay: Milliseconds,
 ): StopPlan {
   // A process that was stalled for longer most likely received the request during the stall.
-  const timeLeft = gracePeriod -
-    Math.min(readDelay, MAXIMUM_STALL_FRACTION * gracePeriod);
-  const acceptsCallsFor = Math.min(
-    ACCEPT_CALLS_MS,
-    (1 - MINIMUM_FINISHING_FRACTION) * timeLeft,
+  const delay = Math.min(readDelay, MAXIMUM_STALL_FRACTION * gracePeriod);
+  const timeLeft = gracePeriod - delay;
+  const acceptsCallsFor = Math.max(
+    0,
+    Math.min(
+      ACCEPT_CALLS_MS - delay,
+      (1 - MINIMUM_FINISHING_FRACTION) * timeLeft,
+    ),
   );
   return {
     acceptsOffersFor: Math.min(
--- a/src/features/ingress/common/stop_plan_test.ts
+++ b/src/features/ingress/common/stop_plan_test.ts
@@ -4,6 +4,8 @@
 import { admitsCall, canEndBeforeStop, planStop } from "./stop_plan.ts";
 
 const GRACE_PERIOD_MS = 6_000;
+/** Calls that are sent later than this after the stop request must not be terminated. */
+const LATEST_TERMINABLE_MS = 3_000;
 /** Clients may keep sending calls for this long after the stop request. */
 const CLIENTS_MOVED_AFTER_MS = 2_300;
 
@@ -29,6 +31,11 @@
         latePlan.endsCallsAfter - latePlan.acceptsCallsFor >= killedAfter / 3,
       );
       assert.ok(latePlan.acceptsOffersFor <= latePlan.acceptsCallsFor);
+      // Guards against calls that are taken although they were sent so late that the stop must not end them.
+      assert.ok(
+        latePlan.acceptsCallsFor + Math.min(readDelay, GRACE_PERIOD_MS / 2) <=
+          LATEST_TERMINABLE_MS,
+      );
     });
   }
 
