Hold the versions of configurations as integers of any size

Cause: the adapter read the digits with Number, which rounds above 2^53, so that the second version seemed as old as the first and was dropped with outcome=older.

Evidence: decoder and state alone, without store and links, keep the first of two such versions. Ruled out with that: that the record does not reach the daemons.

Change: the version is a bigint from the adapter on; the log prints all digits. The gauge guavarun_configuration_version stays a 64-bit float, guavarun_configuration_info has all digits as a label.

Why it works: versions compare as their numbers do, without a largest one.

--- a/src/programs/node/mesh_metrics.ts
+++ b/src/programs/node/mesh_metrics.ts
@@ -175,13 +175,22 @@
     ],
     [
       "configuration_version",
-      "Version of the configuration in force; -1 for none",
-      () => state.configuration?.version ?? -1,
+      "Version of the configuration in force; -1 for none; above 2^53 only its first digits are exact",
+      () => Number(state.configuration?.version ?? -1),
     ],
   ];
   for (const [name, help, read] of gauges) {
     metrics.gauge(`guavarun_${name}`, help, () => [{ value: read() }]);
   }
+  metrics.gauge(
+    "guavarun_configuration_info",
+    "1 for the version of the configuration in force, with all of its digits as a label",
+    () =>
+      state.configuration === undefined ? [] : [{
+        value: 1,
+        labels: { version: String(state.configuration.version) },
+      }],
+  );
   const accountGauges = [
     ["asked", "Calls that accounts asked for on this host"],
     ["admitted", "Calls of accounts that this host admitted"],
--- a/src/programs/node/mesh_state.ts
+++ b/src/programs/node/mesh_state.ts
@@ -58,9 +58,9 @@
     const isNewer = configuration === undefined ||
       next.version > configuration.version;
     log.write("info", "configuration.read", {
-      version: next.version,
+      version: String(next.version),
       offset,
-      replaces: configuration?.version,
+      replaces: configuration && String(configuration.version),
       routes: next.routes.length,
       accounts: next.accounts?.size,
       outcome: isNewer ? "in-force" : "older",
--- a/src/world/common/mesh_configuration.ts
+++ b/src/world/common/mesh_configuration.ts
@@ -68,8 +68,8 @@
 }
 
 export interface MeshConfiguration {
-  /** Increases with each change, by varying amounts. */
-  readonly version: number;
+  /** Increases with each change, by varying amounts. The operator chooses it, so it has no upper bound. */
+  readonly version: bigint;
   readonly routes: readonly MeshRoute[];
   readonly services: ReadonlyMap<ServiceName, MeshService>;
   readonly limits: CallerLimits;
