Soak: long versions, heartbeats of unknown services, identities that contain another one

Cause: none of the four faults of the review could show in the soak: its versions are small numbers, only instances send heartbeats, and all identities have the same length.

--- a/soak/soak_callers.ts
+++ b/soak/soak_callers.ts
@@ -143,10 +143,18 @@
     return ROUTES.find(({ share }) => (remainder -= share) < 0) ?? ROUTES[0];
   }
 
+  /** Some identities contain that of the call before, which has another account. */
+  function createIdentity(number: number): string {
+    const format = (each: number) => each.toString(16).padStart(16, "0");
+    return number % 4 === 3
+      ? `${format(number - 1)}${format(number).slice(-1)}`
+      : format(number);
+  }
+
   function drawCall(): PlannedCall {
     sentCalls += 1;
     const route = drawRoute();
-    const identity = sentCalls.toString(16).padStart(16, "0");
+    const identity = createIdentity(sentCalls);
     return {
       ...route,
       identity,
--- a/soak/soak_configuration.ts
+++ b/soak/soak_configuration.ts
@@ -18,6 +18,9 @@
 /** How long an instance is cold after its start, and what it then tolerates. */
 export const COLD_START = { cold_s: 2, cold_per_s: 10 };
 
+/** Versions have more digits than a floating-point number holds. */
+const FIRST_VERSION = 20_261_207_000_000_000n;
+
 /** Each configuration adds a numbered route and keeps that of the previous one. */
 export function createSoakConfiguration(
   number: number,
@@ -27,7 +30,7 @@
     prefix: `/epoch-${each}/`,
     service: serviceOfNumberedRoute(each),
   });
-  const document = configurationDocument(number, [
+  const document = configurationDocument(FIRST_VERSION + BigInt(number), [
     { prefix: "/lookup/", service: "booking" },
     { prefix: "/reserve/", service: "booking", kind: "unsafe", rank: 0 },
     { prefix: "/photo/", service: "dispatch", kind: "upload", rank: 0 },
--- a/soak/soak_host.ts
+++ b/soak/soak_host.ts
@@ -25,6 +25,7 @@
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
 import { sendBrokenResponse } from "./broken_response.ts";
 import { type HostSpeed, USUAL_SPEED } from "./host_speed.ts";
+import { startOddHeartbeats } from "./odd_heartbeat.ts";
 import type {
   DrainAcknowledgement,
   ObservedRun,
@@ -154,6 +155,10 @@
   const stoppedInstances = new Set<string>();
   const expectedExits = new Set<ChildProcess>();
   let isClosed = false;
+  const oddHeartbeats = startOddHeartbeats(
+    settings.listen.heartbeats,
+    () => `${name}-i${instanceNumber}`,
+  );
 
   /** Does nothing when an instance runs or is starting: replacements may overlap. */
   async function startInstance(): Promise<void> {
@@ -351,6 +356,7 @@
     },
     async close() {
       isClosed = true;
+      oddHeartbeats.dispose();
       host.signal("SIGKILL");
       await outputClosed;
       link.close();
