--- a/review/lib-3/quota.mjs
+++ b/review/lib-3/quota.mjs
@@ -13,7 +13,7 @@
 const EXCESS = 0.1;
 const SLACK = 20;
 
-export async function runQuota({ directory, account, ratePerS = 60, burst = 10, demandPerS, cutSeconds, separates, measuredFrom, isTrouble }) {
+export async function runQuota({ directory, account, ratePerS = 60, burst = 10, demandPerS, cutSeconds, separates = () => false, disturb, isTrouble }) {
   const record = [];
   const startedAt = Date.now();
   const note = (text) => record.push(`${((Date.now() - startedAt) / 1_000).toFixed(3)} ${text}`);
@@ -85,11 +85,15 @@
       }
     });
     await sleep(3_000);
-    note(isTrouble ? "cut begins" : "no cut");
-    cut = isTrouble;
-    await sleep(cutSeconds * 1_000);
-    cut = false;
-    note(isTrouble ? "cut ends" : "no cut");
+    if (disturb !== undefined) {
+      await disturb({ daemons, store, note, isTrouble });
+    } else {
+      note(isTrouble ? "cut begins" : "no cut");
+      cut = isTrouble;
+      await sleep(cutSeconds * 1_000);
+      cut = false;
+      note(isTrouble ? "cut ends" : "no cut");
+    }
     isSending = false;
     await Promise.all(senders);
     await sleep(1_500);
