--- a/review/lib-3/quota.mjs
+++ b/review/lib-3/quota.mjs
@@ -67,9 +67,9 @@
     await sleep(13_000);
     const agent = new http.Agent({ keepAlive: true });
     let isSending = true;
+    const demand = { perS: demandPerS };
     const answers = new Map();
     const senders = daemons.map(async (daemon, index) => {
-      const perS = demandPerS / daemons.length;
       await sleep(index * 1_000 / demandPerS);
       for (let number = 0; isSending; number += 1) {
         const attempt = `${daemon.host}.${number}`;
@@ -81,12 +81,12 @@
           answers.set(status, (answers.get(status) ?? 0) + 1);
           note(`answered ${attempt} ${status}`);
         });
-        await sleep(1_000 / perS);
+        await sleep(1_000 * daemons.length / demand.perS);
       }
     });
     await sleep(3_000);
     if (disturb !== undefined) {
-      await disturb({ daemons, store, note, isTrouble });
+      await disturb({ daemons, store, note, isTrouble, demand, setCut: (value) => cut = value });
     } else {
       note(isTrouble ? "cut begins" : "no cut");
       cut = isTrouble;
