--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -106,7 +106,12 @@
   fs.rmSync(folder, { recursive: true, force: true });
 }
 
-export const keptLogs = () => folder;
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+  process.on(signal, () => {
+    endAll();
+    process.exit(2);
+  });
+}
 
 // Sends one request as a client; resolves with the status, 0 when the connection ended without an answer.
 export function call(endpoint, { method = "GET", path: target, host, attempt, deadlineMs = 1_500, key, body, agent = false, headers = {} }) {
